--- /dev/null
+++ b/agreement/state.go
@@ -0,0 +1,984 @@
+package agreement
+
+import (
+	"math/rand"
+	"sort"
+	"time"
+
+	"github.com/gammazero/deque"
+
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+type Role int
+
+const (
+	Blank Role = iota
+	Follower
+	Candidate
+	Leader
+)
+
+func (r Role) String() string { return [...]string{"blank", "follower", "candidate", "leader"}[r] }
+
+const (
+	BeatEvery    = 60 * time.Millisecond
+	ElectLeast   = 500 * time.Millisecond
+	ElectSpread  = 500 * time.Millisecond
+	QuorumLost   = 1200 * time.Millisecond
+	FoundEvery   = 200 * time.Millisecond
+	SilentVoter  = 10 * time.Second
+	KeepEntries  = 4096
+	BatchEntries = 512
+	Caught       = 256
+	WantVoters   = 3
+)
+
+type Self struct {
+	Voter  ident.Voter
+	Member ident.Member
+	Addr   ident.Addr
+}
+
+type Recovered struct {
+	Term    uint64
+	Voted   string
+	Snap    *wire.Snap
+	Entries []*wire.Entry
+}
+
+type Persist struct {
+	Seq     uint64
+	Records []*wire.Record
+}
+
+type Out struct {
+	Sends   []wire.Send
+	Persist *Persist
+	Applied []*wire.Entry
+	Loaded  *wire.Snap
+	Turned  bool
+}
+
+type line struct {
+	addr   string
+	next   uint64
+	match  uint64
+	round  uint64
+	heard  ident.Moment
+	ailing bool
+	snapAt ident.Moment
+}
+
+type held struct {
+	seq  uint64
+	send wire.Send
+}
+
+type round struct {
+	n  uint64
+	at ident.Moment
+}
+
+type State struct {
+	Self     Self
+	Founders []ident.Addr
+
+	role   Role
+	term   uint64
+	voted  string
+	snap   *wire.Snap
+	log    []*wire.Entry
+	commit uint64
+	done   uint64
+	synced uint64
+	rand   *rand.Rand
+
+	leader     string
+	leaderAddr string
+	heardLead  ident.Moment
+	electAt    ident.Moment
+	votes      map[string]bool
+	pre        bool
+	handoff    bool
+	known      *wire.Roster
+	knownAt    uint64
+
+	lines    map[string]*line
+	rounds   deque.Deque[round]
+	roundNow uint64
+	asOf     ident.Moment
+	ledSince ident.Moment
+	beatAt   ident.Moment
+	first    uint64
+	quitAt   ident.Moment
+	stampAt  ident.Moment
+	stamp    uint64
+
+	seq     uint64
+	seqDone uint64
+	wait    deque.Deque[held]
+	marks   deque.Deque[[2]uint64]
+	recs    []*wire.Record
+	out     *Out
+	ailing  bool
+
+	foundAt ident.Moment
+	found   map[string]*wire.Founding
+	Image   func() []byte
+}
+
+func New(self Self, founders []ident.Addr, got *Recovered, seed int64, now ident.Moment) *State {
+	s := &State{Self: self, Founders: founders, rand: rand.New(rand.NewSource(seed)), found: map[string]*wire.Founding{}, out: &Out{}}
+	s.asOf, s.heardLead = now, now
+	if got != nil && got.Snap != nil {
+		s.role = Follower
+		s.term, s.voted, s.snap = got.Term, got.Voted, got.Snap
+		if s.snap.LastTerm > s.term {
+			s.term = s.snap.LastTerm
+		}
+		for _, e := range got.Entries {
+			if e.Index == s.last()+1 {
+				s.log = append(s.log, e)
+			}
+		}
+		s.commit, s.done = s.snap.LastIndex, s.snap.LastIndex
+		s.synced = s.last()
+		s.stamp = s.lastStamp()
+		s.heardLead = now.Add(-ElectLeast)
+	}
+	s.setElect(now)
+	return s
+}
+
+func (s *State) Role() Role                 { return s.role }
+func (s *State) Term() ident.Term           { return ident.Term(s.term) }
+func (s *State) LeaderAddr() ident.Addr     { return ident.Addr(s.leaderAddr) }
+func (s *State) Leader() ident.Voter        { return ident.Voter(s.leader) }
+func (s *State) Commit() ident.Index        { return ident.Index(s.commit) }
+func (s *State) Last() ident.Index          { return ident.Index(s.last()) }
+func (s *State) Ailing() bool               { return s.ailing }
+func (s *State) LedSince() ident.Moment     { return s.ledSince }
+func (s *State) Firm() bool                 { return s.role == Leader && s.commit >= s.first && s.done >= s.first }
+func (s *State) Steady(n ident.Moment) bool { return s.Firm() && s.quitAt == 0 }
+func (s *State) Snap() *wire.Snap           { return s.snap }
+func (s *State) Match(v ident.Voter) uint64 {
+	if l := s.lines[string(v)]; l != nil {
+		return l.match
+	}
+	return 0
+}
+
+func (s *State) AsOf() (ident.Moment, bool) {
+	if !s.Firm() {
+		return 0, false
+	}
+	return s.asOf, true
+}
+
+func (s *State) base() uint64 {
+	if s.snap == nil {
+		return 0
+	}
+	return s.snap.LastIndex
+}
+
+func (s *State) last() uint64 { return s.base() + uint64(len(s.log)) }
+
+func (s *State) entry(i uint64) *wire.Entry {
+	if i <= s.base() || i > s.last() {
+		return nil
+	}
+	return s.log[i-s.base()-1]
+}
+
+func (s *State) termAt(i uint64) (uint64, bool) {
+	if i == s.base() {
+		if s.snap == nil {
+			return 0, true
+		}
+		return s.snap.LastTerm, true
+	}
+	if e := s.entry(i); e != nil {
+		return e.Term, true
+	}
+	return 0, false
+}
+
+func (s *State) lastTerm() uint64 { t, _ := s.termAt(s.last()); return t }
+
+func (s *State) lastStamp() uint64 {
+	if len(s.log) > 0 {
+		return s.log[len(s.log)-1].Stamp
+	}
+	if s.snap != nil {
+		return s.snap.Stamp
+	}
+	return 0
+}
+
+func (s *State) rosterAt() (*wire.Roster, uint64) {
+	if s.known == nil {
+		s.known, s.knownAt = s.rosterScan()
+	}
+	return s.known, s.knownAt
+}
+
+func (s *State) rosterScan() (*wire.Roster, uint64) {
+	for i := len(s.log) - 1; i >= 0; i-- {
+		if r := s.log[i].Change.GetRoster(); r != nil {
+			return r, s.log[i].Index
+		}
+	}
+	if s.snap != nil {
+		return s.snap.Roster, s.snap.LastIndex
+	}
+	return &wire.Roster{}, 0
+}
+
+func (s *State) Roster() *wire.Roster { r, _ := s.rosterAt(); return r }
+
+func (s *State) rosterBy(i uint64) *wire.Roster {
+	for k := int(i - s.base()); k > 0; k-- {
+		if r := s.log[k-1].Change.GetRoster(); r != nil {
+			return r
+		}
+	}
+	return s.snap.Roster
+}
+
+func Voters(r *wire.Roster) []*wire.Voter {
+	var out []*wire.Voter
+	for _, v := range r.GetVoters() {
+		if !v.Learner {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func find(r *wire.Roster, id string) *wire.Voter {
+	for _, v := range r.GetVoters() {
+		if v.Id == id {
+			return v
+		}
+	}
+	return nil
+}
+
+func (s *State) voting() bool {
+	v := find(s.Roster(), string(s.Self.Voter))
+	return v != nil && !v.Learner
+}
+
+func (s *State) setElect(now ident.Moment) {
+	s.electAt = now.Add(ElectLeast + time.Duration(s.rand.Int63n(int64(ElectSpread))))
+}
+
+func (s *State) send(to string, f *wire.Frame) {
+	s.out.Sends = append(s.out.Sends, wire.Send{To: to, Frame: f})
+}
+
+func (s *State) sendSynced(to string, f *wire.Frame) {
+	s.wait.PushBack(held{s.seq + 1, wire.Send{To: to, Frame: f}})
+}
+
+func (s *State) vow() {
+	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Vow{Vow: &wire.Vow{Term: s.term, Voted: s.voted}}})
+}
+
+func (s *State) enter(r Role) {
+	if s.role != r {
+		s.out.Turned = true
+	}
+	s.role = r
+}
+
+func (s *State) toTerm(t uint64, now ident.Moment) {
+	s.term, s.voted, s.leader, s.leaderAddr = t, "", "", ""
+	s.vow()
+	s.toFollower(now)
+}
+
+func (s *State) toFollower(now ident.Moment) {
+	s.enter(Follower)
+	s.quitAt = 0
+	s.lines = nil
+	s.setElect(now)
+}
+
+func (s *State) form(r *wire.Roster, now ident.Moment) {
+	s.adopt(&wire.Snap{LastIndex: 1, LastTerm: 1, Roster: r})
+	s.term = 1
+	s.vow()
+	s.enter(Follower)
+	s.setElect(now)
+}
+
+func (s *State) adopt(p *wire.Snap) {
+	s.snap = &wire.Snap{LastIndex: p.LastIndex, LastTerm: p.LastTerm, Roster: p.Roster, Image: p.Image, Stamp: p.Stamp}
+	s.log, s.known = nil, nil
+	s.clip(p.LastIndex)
+	s.commit, s.done = p.LastIndex, p.LastIndex
+	s.synced = p.LastIndex
+	s.stamp = max(s.stamp, p.Stamp)
+	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Snap{Snap: s.snap}})
+	s.out.Loaded = s.snap
+}
+
+func (s *State) Founding(f *wire.Founding, now ident.Moment) {
+	if !f.Answer {
+		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: s.mine(true)}})
+	}
+	if s.role != Blank {
+		if s.role == Leader && (f.Learn || f.Blank) {
+			s.admit(f)
+		}
+		return
+	}
+	if f.Voter != "" {
+		s.found[f.Addr] = f
+	}
+	r := &wire.Roster{}
+	for _, a := range s.Founders {
+		g := s.found[string(a)]
+		if a == s.Self.Addr {
+			g = s.mine(false)
+		}
+		if g == nil || !g.Blank {
+			return
+		}
+		r.Voters = append(r.Voters, &wire.Voter{Id: g.Voter, Addr: g.Addr, Member: g.Member})
+	}
+	sort.Slice(r.Voters, func(i, j int) bool { return r.Voters[i].Id < r.Voters[j].Id })
+	if find(r, string(s.Self.Voter)) != nil {
+		s.form(r, now)
+	}
+}
+
+func (s *State) mine(answer bool) *wire.Founding {
+	return &wire.Founding{Voter: string(s.Self.Voter), Member: string(s.Self.Member), Addr: string(s.Self.Addr), Blank: s.role == Blank, Answer: answer, Term: s.term}
+}
+
+func (s *State) admit(f *wire.Founding) {
+	if _, at := s.rosterAt(); at > s.commit || !s.Firm() {
+		return
+	}
+	r := s.Roster()
+	if v := find(r, f.Voter); v != nil {
+		if v.Addr != f.Addr {
+			s.change(r, func(w *wire.Voter) *wire.Voter {
+				if w.Id == f.Voter {
+					return &wire.Voter{Id: w.Id, Addr: f.Addr, Member: f.Member, Learner: w.Learner}
+				}
+				return w
+			}, nil)
+		}
+		return
+	}
+	s.change(r, func(w *wire.Voter) *wire.Voter {
+		if w.Learner && w.Member == f.Member {
+			return nil
+		}
+		return w
+	}, &wire.Voter{Id: f.Voter, Addr: f.Addr, Member: f.Member, Learner: true})
+}
+
+func (s *State) change(r *wire.Roster, f func(*wire.Voter) *wire.Voter, more *wire.Voter) {
+	n := &wire.Roster{}
+	for _, v := range r.Voters {
+		if w := f(v); w != nil {
+			n.Voters = append(n.Voters, w)
+		}
+	}
+	if more != nil {
+		n.Voters = append(n.Voters, more)
+	}
+	s.add(&wire.Change{Body: &wire.Change_Roster{Roster: n}})
+}
+
+func (s *State) tidy(now ident.Moment) {
+	r, at := s.rosterAt()
+	if at > s.commit || !s.Firm() || s.quitAt != 0 {
+		return
+	}
+	voters := Voters(r)
+	ready := ""
+	for _, v := range r.Voters {
+		l := s.lines[v.Id]
+		if v.Learner && l != nil && l.match+Caught >= s.last() && now.Sub(l.heard) < time.Second && !l.ailing {
+			ready = v.Id
+		}
+	}
+	if ready == "" {
+		return
+	}
+	if len(voters) < WantVoters {
+		s.change(r, func(v *wire.Voter) *wire.Voter {
+			if v.Id == ready {
+				return &wire.Voter{Id: v.Id, Addr: v.Addr, Member: v.Member}
+			}
+			return v
+		}, nil)
+		return
+	}
+	live := 0
+	gone := ""
+	for _, v := range voters {
+		l := s.lines[v.Id]
+		if v.Id == string(s.Self.Voter) {
+			live++
+			continue
+		}
+		fresh := l != nil && now.Sub(l.heard) < time.Second
+		if fresh {
+			live++
+			continue
+		}
+		wiped := false
+		for _, w := range r.Voters {
+			wiped = wiped || w.Member == v.Member && w.Id != v.Id
+		}
+		if wiped || l != nil && now.Sub(l.heard) > SilentVoter {
+			gone = v.Id
+		}
+	}
+	if gone != "" && live >= (len(voters)-1)/2+1 {
+		s.change(r, func(v *wire.Voter) *wire.Voter {
+			if v.Id == gone {
+				return nil
+			}
+			return v
+		}, nil)
+	}
+}
+
+func (s *State) add(c *wire.Change) uint64 {
+	e := &wire.Entry{Term: s.term, Index: s.last() + 1, Stamp: s.stamp, Change: c}
+	s.push(e)
+	if c.GetRoster() != nil {
+		s.refit()
+	}
+	return e.Index
+}
+
+func (s *State) push(e *wire.Entry) {
+	s.log = append(s.log, e)
+	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Entry{Entry: e}})
+	if e.Change.GetRoster() != nil {
+		s.known = nil
+	}
+}
+
+func (s *State) clip(last uint64) {
+	for i := 0; i < s.marks.Len(); i++ {
+		if m := s.marks.At(i); m[1] > last {
+			s.marks.Set(i, [2]uint64{m[0], last})
+		}
+	}
+}
+
+func (s *State) refit() {
+	r := s.Roster()
+	for _, v := range r.Voters {
+		if v.Id == string(s.Self.Voter) {
+			continue
+		}
+		if l := s.lines[v.Id]; l != nil {
+			l.addr = v.Addr
+			continue
+		}
+		s.lines[v.Id] = &line{addr: v.Addr, next: s.last() + 1, heard: s.beatAt}
+	}
+	for id := range s.lines {
+		if find(r, id) == nil {
+			delete(s.lines, id)
+		}
+	}
+}
+
+func (s *State) Propose(c *wire.Change, now ident.Moment) (uint64, bool) {
+	if !s.Steady(now) {
+		return 0, false
+	}
+	s.tell(now)
+	return s.add(c), true
+}
+
+func (s *State) tell(now ident.Moment) {
+	if d := now.Sub(s.stampAt); d > 0 {
+		s.stamp += uint64(d / time.Millisecond)
+		s.stampAt = s.stampAt.Add(d / time.Millisecond * time.Millisecond)
+	}
+}
+
+func (s *State) Disk(ailing bool, now ident.Moment) {
+	s.ailing = ailing
+	if ailing && s.role == Leader {
+		s.Resign(now)
+	}
+}
+
+func (s *State) Resign(now ident.Moment) bool {
+	if s.role != Leader || s.quitAt != 0 {
+		return false
+	}
+	best, most := "", uint64(0)
+	for _, v := range Voters(s.Roster()) {
+		l := s.lines[v.Id]
+		if l != nil && !l.ailing && now.Sub(l.heard) < 500*time.Millisecond && l.match >= most {
+			best, most = v.Id, l.match
+		}
+	}
+	if best == "" {
+		return false
+	}
+	s.quitAt = now
+	s.lead(now)
+	s.send(s.lines[best].addr, &wire.Frame{Body: &wire.Frame_Handoff{Handoff: &wire.Handoff{Term: s.term, Target: best}}})
+	return true
+}
+
+func (s *State) Handoff(h *wire.Handoff, now ident.Moment) {
+	if h.Term != s.term || h.Target != string(s.Self.Voter) || s.role != Follower || !s.voting() || s.ailing {
+		return
+	}
+	s.campaign(now, false, true)
+}
+
+func (s *State) Tick(now ident.Moment) {
+	switch s.role {
+	case Blank:
+		if now.Sub(s.foundAt) >= FoundEvery {
+			s.foundAt = now
+			for _, a := range s.Founders {
+				if a != s.Self.Addr {
+					s.send(string(a), &wire.Frame{Body: &wire.Frame_Founding{Founding: s.mine(false)}})
+				}
+			}
+			if len(s.Founders) == 1 && s.Founders[0] == s.Self.Addr {
+				s.Founding(&wire.Founding{Answer: true}, now)
+			}
+			for _, f := range s.found {
+				if !f.Blank {
+					m := s.mine(true)
+					m.Learn = true
+					s.send(f.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: m}})
+				}
+			}
+		}
+	case Leader:
+		s.tell(now)
+		if s.ailing && s.quitAt == 0 {
+			s.Resign(now)
+		}
+		if s.quitAt != 0 && now.Sub(s.quitAt) > ElectLeast {
+			s.quitAt = 0
+		}
+		if now.Sub(s.asOf) > QuorumLost && now.Sub(s.ledSince) > QuorumLost {
+			s.leader, s.leaderAddr = "", ""
+			s.toFollower(now)
+			return
+		}
+		if now.Sub(s.beatAt) >= BeatEvery {
+			s.tidy(now)
+			s.lead(now)
+		}
+	default:
+		if now.Sub(s.heardLead) > 2*time.Second && now.Sub(s.foundAt) > time.Second {
+			s.foundAt = now
+			m := s.mine(true)
+			m.Learn = true
+			for _, v := range s.Roster().Voters {
+				if v.Addr != string(s.Self.Addr) {
+					s.send(v.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: m}})
+				}
+			}
+		}
+		if now.After(s.electAt) {
+			s.setElect(now)
+			if s.voting() && !s.ailing {
+				s.campaign(now, true, false)
+			}
+		}
+	}
+}
+
+func (s *State) campaign(now ident.Moment, pre, hand bool) {
+	s.pre, s.handoff = pre, hand
+	s.votes = map[string]bool{string(s.Self.Voter): true}
+	term := s.term + 1
+	if !pre {
+		s.term, s.voted = term, string(s.Self.Voter)
+		s.leader, s.leaderAddr = "", ""
+		s.vow()
+		s.enter(Candidate)
+	}
+	s.setElect(now)
+	for _, v := range Voters(s.Roster()) {
+		if v.Id == string(s.Self.Voter) {
+			continue
+		}
+		f := &wire.Frame{Body: &wire.Frame_Vote{Vote: &wire.Vote{Term: term, Candidate: string(s.Self.Voter), CandidateAddr: string(s.Self.Addr), LastIndex: s.last(), LastTerm: s.lastTerm(), Pre: pre, Handoff: hand, Target: v.Id, Roster: s.Roster()}}}
+		if pre {
+			s.send(v.Addr, f)
+		} else {
+			s.sendSynced(v.Addr, f)
+		}
+	}
+	s.tally(now)
+}
+
+func (s *State) Vote(v *wire.Vote, now ident.Moment) {
+	if v.Target != string(s.Self.Voter) {
+		return
+	}
+	if s.role == Blank {
+		if find(v.Roster, v.Target) == nil || find(v.Roster, v.Target).Learner {
+			return
+		}
+		s.form(v.Roster, now)
+	}
+	fresh := s.role == Leader || now.Sub(s.heardLead) < ElectLeast
+	if fresh && !v.Handoff && v.Candidate != s.leader {
+		return
+	}
+	newer := v.LastTerm > s.lastTerm() || v.LastTerm == s.lastTerm() && v.LastIndex >= s.last()
+	reply := func(ok bool) *wire.Frame {
+		return &wire.Frame{Body: &wire.Frame_VoteReply{VoteReply: &wire.VoteReply{Term: s.term, Granted: ok, Pre: v.Pre, Voter: string(s.Self.Voter), Asked: v.Term}}}
+	}
+	if v.Pre {
+		s.send(v.CandidateAddr, reply(newer && v.Term > s.term))
+		return
+	}
+	if v.Term > s.term {
+		s.toTerm(v.Term, now)
+	}
+	ok := v.Term == s.term && newer && (s.voted == "" || s.voted == v.Candidate)
+	if ok && s.voted == "" {
+		s.voted = v.Candidate
+		s.vow()
+	}
+	if ok {
+		s.setElect(now)
+	}
+	s.sendSynced(v.CandidateAddr, reply(ok))
+}
+
+func (s *State) VoteReply(v *wire.VoteReply, now ident.Moment) {
+	if v.Term > s.term {
+		s.toTerm(v.Term, now)
+		return
+	}
+	if !v.Granted || v.Pre != s.pre || s.votes == nil || s.role == Leader {
+		return
+	}
+	if v.Pre && v.Asked != s.term+1 || !v.Pre && (v.Asked != s.term || s.role != Candidate) {
+		return
+	}
+	s.votes[v.Voter] = true
+	s.tally(now)
+}
+
+func (s *State) tally(now ident.Moment) {
+	n := 0
+	all := Voters(s.Roster())
+	for _, v := range all {
+		if s.votes[v.Id] {
+			n++
+		}
+	}
+	if n < len(all)/2+1 {
+		return
+	}
+	if s.pre {
+		s.campaign(now, false, false)
+		return
+	}
+	s.reign(now)
+}
+
+func (s *State) reign(now ident.Moment) {
+	s.votes = nil
+	s.enter(Leader)
+	s.leader, s.leaderAddr = string(s.Self.Voter), string(s.Self.Addr)
+	s.lines = map[string]*line{}
+	s.rounds.Clear()
+	s.asOf, s.ledSince, s.beatAt, s.quitAt = now, now, now, 0
+	s.stampAt = now
+	s.stamp = s.lastStamp()
+	s.refit()
+	s.first = s.add(&wire.Change{Body: &wire.Change_Noop{Noop: &wire.Noop{}}})
+	s.lead(now)
+}
+
+func (s *State) lead(now ident.Moment) {
+	s.beatAt = now
+	s.roundNow++
+	s.rounds.PushBack(round{s.roundNow, now})
+	for s.rounds.Len() > 256 {
+		s.rounds.PopFront()
+	}
+	for id, l := range s.lines {
+		s.feed(id, l, now, true)
+	}
+}
+
+func (s *State) feed(id string, l *line, now ident.Moment, beat bool) {
+	if l.next <= s.base() {
+		if s.snap != nil && (l.snapAt == 0 || now.Sub(l.snapAt) > time.Second) {
+			l.snapAt = now
+			p := s.snap
+			s.send(l.addr, &wire.Frame{Body: &wire.Frame_Snap{Snap: &wire.Snap{Term: s.term, Leader: string(s.Self.Voter), LeaderAddr: string(s.Self.Addr), LastIndex: p.LastIndex, LastTerm: p.LastTerm, Roster: p.Roster, Image: p.Image, Stamp: p.Stamp, Round: s.roundNow, Target: id}}})
+			return
+		}
+		if !beat {
+			return
+		}
+		s.send(l.addr, s.appendTo(id, s.base(), 0))
+		return
+	}
+	n := min(uint64(BatchEntries), s.last()+1-l.next)
+	if n == 0 && !beat {
+		return
+	}
+	s.send(l.addr, s.appendTo(id, l.next-1, n))
+	l.next += n
+}
+
+func (s *State) appendTo(id string, prev, n uint64) *wire.Frame {
+	t, _ := s.termAt(prev)
+	a := &wire.Append{Term: s.term, Leader: string(s.Self.Voter), LeaderAddr: string(s.Self.Addr), PrevIndex: prev, PrevTerm: t, Commit: s.commit, Round: s.roundNow, Target: id}
+	for i := prev + 1; i <= prev+n; i++ {
+		a.Entries = append(a.Entries, s.entry(i))
+	}
+	return &wire.Frame{Body: &wire.Frame_Append{Append: a}}
+}
+
+func (s *State) Append(a *wire.Append, now ident.Moment) {
+	if a.Target != string(s.Self.Voter) {
+		return
+	}
+	reply := func(ok bool, match, hint uint64) *wire.Frame {
+		return &wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: s.term, Voter: string(s.Self.Voter), Ok: ok, Match: match, Hint: hint, Round: a.Round, Ailing: s.ailing}}}
+	}
+	if a.Term < s.term {
+		s.send(a.LeaderAddr, reply(false, 0, 0))
+		return
+	}
+	if s.role == Blank {
+		f := reply(false, 0, 0)
+		f.GetAppendReply().Term = a.Term
+		s.send(a.LeaderAddr, f)
+		return
+	}
+	if a.Term > s.term {
+		s.toTerm(a.Term, now)
+	} else if s.role != Follower {
+		s.toFollower(now)
+	}
+	s.leader, s.leaderAddr, s.heardLead = a.Leader, a.LeaderAddr, now
+	s.setElect(now)
+	if a.PrevIndex > s.last() {
+		s.sendSynced(a.LeaderAddr, reply(false, 0, s.last()))
+		return
+	}
+	if a.PrevIndex >= s.base() {
+		if t, _ := s.termAt(a.PrevIndex); t != a.PrevTerm {
+			s.sendSynced(a.LeaderAddr, reply(false, 0, min(a.PrevIndex-1, max(s.commit, s.base()))))
+			return
+		}
+	}
+	match := a.PrevIndex
+	for _, e := range a.Entries {
+		match = e.Index
+		if e.Index <= s.base() {
+			continue
+		}
+		if t, ok := s.termAt(e.Index); ok {
+			if t == e.Term {
+				continue
+			}
+			s.log = append([]*wire.Entry(nil), s.log[:e.Index-s.base()-1]...)
+			s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Cut{Cut: e.Index}})
+			s.synced = min(s.synced, e.Index-1)
+			s.clip(e.Index - 1)
+			s.known = nil
+		}
+		s.push(e)
+	}
+	if c := min(a.Commit, match); c > s.commit {
+		s.commit = c
+	}
+	s.sendSynced(a.LeaderAddr, reply(true, match, 0))
+}
+
+func (s *State) Snapped(p *wire.Snap, now ident.Moment) {
+	if p.Target != string(s.Self.Voter) || p.Term < s.term {
+		return
+	}
+	if p.Term > s.term {
+		s.toTerm(p.Term, now)
+	}
+	s.leader, s.leaderAddr, s.heardLead = p.Leader, p.LeaderAddr, now
+	s.setElect(now)
+	if p.LastIndex > s.commit {
+		s.adopt(p)
+	}
+	s.enter(Follower)
+	s.sendSynced(p.LeaderAddr, &wire.Frame{Body: &wire.Frame_SnapReply{SnapReply: &wire.SnapReply{Term: s.term, Voter: string(s.Self.Voter), Match: max(p.LastIndex, s.commit), Round: p.Round}}})
+}
+
+func (s *State) AppendReply(a *wire.AppendReply, now ident.Moment) {
+	if a.Term > s.term {
+		s.toTerm(a.Term, now)
+		return
+	}
+	l := s.lines[a.Voter]
+	if s.role != Leader || a.Term != s.term || l == nil {
+		return
+	}
+	l.heard, l.ailing = now, a.Ailing
+	s.acked(l, a.Round)
+	if a.Ok {
+		l.match = max(l.match, a.Match)
+		l.next = max(l.next, l.match+1)
+		s.advance()
+		return
+	}
+	l.next = min(l.next, a.Hint+1)
+	l.next = max(l.next, l.match+1)
+	if a.Hint < s.base() {
+		l.next = s.base()
+	}
+	s.feed(a.Voter, l, now, false)
+}
+
+func (s *State) SnapReply(a *wire.SnapReply, now ident.Moment) {
+	if a.Term > s.term {
+		s.toTerm(a.Term, now)
+		return
+	}
+	l := s.lines[a.Voter]
+	if s.role != Leader || a.Term != s.term || l == nil {
+		return
+	}
+	l.heard, l.snapAt = now, 0
+	l.match = max(l.match, a.Match)
+	l.next = l.match + 1
+	s.acked(l, a.Round)
+	s.advance()
+}
+
+func (s *State) acked(l *line, n uint64) {
+	l.round = max(l.round, n)
+	s.freshen()
+}
+
+func (s *State) freshen() {
+	got := []uint64{}
+	for _, v := range Voters(s.Roster()) {
+		if v.Id == string(s.Self.Voter) {
+			got = append(got, s.roundNow)
+		} else if l := s.lines[v.Id]; l != nil {
+			got = append(got, l.round)
+		} else {
+			got = append(got, 0)
+		}
+	}
+	if len(got) == 0 {
+		return
+	}
+	sort.Slice(got, func(i, j int) bool { return got[i] > got[j] })
+	n := got[len(got)/2]
+	for s.rounds.Len() > 0 && s.rounds.Front().n <= n {
+		s.asOf = max(s.asOf, s.rounds.PopFront().at)
+	}
+}
+
+func (s *State) advance() {
+	got := []uint64{}
+	for _, v := range Voters(s.Roster()) {
+		if v.Id == string(s.Self.Voter) {
+			got = append(got, s.synced)
+		} else if l := s.lines[v.Id]; l != nil {
+			got = append(got, l.match)
+		} else {
+			got = append(got, 0)
+		}
+	}
+	if len(got) == 0 {
+		return
+	}
+	sort.Slice(got, func(i, j int) bool { return got[i] > got[j] })
+	n := got[len(got)/2]
+	if t, ok := s.termAt(n); ok && n > s.commit && t == s.term {
+		s.commit = n
+	}
+}
+
+func (s *State) Synced(seq uint64, now ident.Moment) {
+	s.seqDone = max(s.seqDone, seq)
+	for s.marks.Len() > 0 && s.marks.Front()[0] <= seq {
+		s.synced = max(s.synced, min(s.marks.PopFront()[1], s.last()))
+	}
+	if s.role == Leader {
+		s.freshen()
+		s.advance()
+	}
+}
+
+func (s *State) Compact(force bool) {
+	if s.Image == nil || s.done <= s.base() || !force && s.done < s.base()+2*KeepEntries {
+		return
+	}
+	cut := s.done
+	t, _ := s.termAt(cut)
+	roster := s.rosterBy(cut)
+	stamp := s.entry(cut).Stamp
+	s.known = nil
+	s.log = append([]*wire.Entry(nil), s.log[cut-s.base():]...)
+	s.snap = &wire.Snap{LastIndex: cut, LastTerm: t, Roster: roster, Image: s.Image(), Stamp: stamp}
+	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Snap{Snap: s.snap}})
+	for _, e := range s.log {
+		s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Entry{Entry: e}})
+	}
+}
+
+func (s *State) Flush(now ident.Moment) *Out {
+	if s.role == Leader {
+		if len(Voters(s.Roster())) == 1 {
+			s.asOf = now
+		}
+		for id, l := range s.lines {
+			s.feed(id, l, now, false)
+		}
+	}
+	if len(s.recs) > 0 {
+		s.seq++
+		s.out.Persist = &Persist{Seq: s.seq, Records: s.recs}
+		s.recs = nil
+		s.marks.PushBack([2]uint64{s.seq, s.last()})
+	}
+	for s.wait.Len() > 0 {
+		h := s.wait.Front()
+		if h.seq > s.seq {
+			h.seq = s.seq
+			s.wait.Set(0, h)
+		}
+		if h.seq > s.seqDone {
+			break
+		}
+		s.wait.PopFront()
+		s.out.Sends = append(s.out.Sends, h.send)
+	}
+	for s.done < s.commit {
+		e := s.entry(s.done + 1)
+		s.done++
+		s.out.Applied = append(s.out.Applied, e)
+	}
+	out := s.out
+	s.out = &Out{}
+	return out
+}
--- /dev/null
+++ b/boot/boot.go
@@ -0,0 +1,232 @@
+package boot
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"sloeturn/desired"
+	"sloeturn/ident"
+)
+
+const Build = "0.1.0"
+
+var ErrBoot = merry.Sentinel("boot: settings are not sound")
+
+type Flags struct {
+	Boot      string   `arg:"--boot" help:"boot file, JSON; flags go over it"`
+	Name      string   `arg:"--name" help:"name of this member"`
+	Cell      string   `arg:"--cell" help:"cell this machine stands in"`
+	Address   string   `arg:"--address" help:"ip:port the other members reach this one at"`
+	HTTP      string   `arg:"--http" help:"ip:port for requesters and backends"`
+	Operators string   `arg:"--operators" help:"ip:port of the operators' interface"`
+	Seeds     []string `arg:"--seeds" help:"addresses of other members"`
+	LogLevel  string   `arg:"--log-level" help:"debug, info, warn or error"`
+	DrainMs   int      `arg:"--drain-ms" help:"longest time a planned stop may take"`
+}
+
+type DiskFlags struct {
+	Data     string   `arg:"--data" help:"data folder; without it this process keeps no log"`
+	Founders []string `arg:"--founders" help:"addresses of the disk holders that form the fleet"`
+	Files    int      `arg:"--ring-files" help:"files in the ring"`
+	FileMB   int      `arg:"--ring-file-mb" help:"size of each file in the ring"`
+}
+
+type Settings struct {
+	Name      string   `json:"name"`
+	Cell      string   `json:"cell"`
+	Address   string   `json:"address"`
+	HTTP      string   `json:"http"`
+	Operators string   `json:"operators"`
+	Seeds     []string `json:"seeds"`
+	LogLevel  string   `json:"logLevel"`
+	DrainMs   int      `json:"drainMs"`
+	Data      string   `json:"data,omitempty"`
+	Founders  []string `json:"founders,omitempty"`
+	Files     int      `json:"ringFiles,omitempty"`
+	FileMB    int      `json:"ringFileMB,omitempty"`
+}
+
+func (s *Settings) Drain() time.Duration { return time.Duration(s.DrainMs) * time.Millisecond }
+
+func Addrs(list []string) []ident.Addr {
+	var out []ident.Addr
+	for _, a := range list {
+		out = append(out, ident.Addr(a))
+	}
+	return out
+}
+
+func over(to *string, from string) {
+	if from != "" {
+		*to = from
+	}
+}
+
+func Read(f Flags, d *DiskFlags) (*Settings, []desired.Fault) {
+	s := &Settings{LogLevel: "info", DrainMs: 30000}
+	var faults []desired.Fault
+	say := func(path, form string, args ...any) {
+		faults = append(faults, desired.Fault{Path: path, Text: fmt.Sprintf(form, args...)})
+	}
+	if d != nil {
+		s.Files, s.FileMB = 8, 4
+	}
+	if f.Boot != "" {
+		b, err := os.ReadFile(f.Boot)
+		if err != nil {
+			say("boot", "file does not open: %v", err)
+		} else if _, bad := desired.ReadTree(b); len(bad) > 0 {
+			faults = append(faults, bad...)
+		} else {
+			dec := json.NewDecoder(strings.NewReader(string(b)))
+			dec.DisallowUnknownFields()
+			if err := dec.Decode(s); err != nil && err != io.EOF {
+				say("boot", "file does not read: %v", err)
+			}
+		}
+	}
+	over(&s.Name, f.Name)
+	over(&s.Cell, f.Cell)
+	over(&s.Address, f.Address)
+	over(&s.HTTP, f.HTTP)
+	over(&s.Operators, f.Operators)
+	over(&s.LogLevel, f.LogLevel)
+	if len(f.Seeds) > 0 {
+		s.Seeds = f.Seeds
+	}
+	if f.DrainMs != 0 {
+		s.DrainMs = f.DrainMs
+	}
+	if d != nil {
+		over(&s.Data, d.Data)
+		if len(d.Founders) > 0 {
+			s.Founders = d.Founders
+		}
+		if d.Files != 0 {
+			s.Files = d.Files
+		}
+		if d.FileMB != 0 {
+			s.FileMB = d.FileMB
+		}
+	}
+	if !desired.NameOK(s.Name) {
+		say("name", "must be 1 to 64 of a-z, 0-9, '-', starting with a letter; is %q", s.Name)
+	}
+	if !desired.NameOK(s.Cell) {
+		say("cell", "must be 1 to 64 of a-z, 0-9, '-', starting with a letter; is %q", s.Cell)
+	}
+	place := func(path, v string) {
+		if a, err := netip.ParseAddrPort(v); err != nil || a.Port() == 0 || !a.Addr().IsValid() || a.Addr().IsUnspecified() && path != "http" && path != "operators" {
+			say(path, "must be ip:port by number; is %q", v)
+		}
+	}
+	place("address", s.Address)
+	place("http", s.HTTP)
+	place("operators", s.Operators)
+	if s.Operators == s.HTTP || s.Operators == s.Address || s.HTTP == s.Address {
+		say("operators", "address, http and operators must differ")
+	}
+	for i, a := range s.Seeds {
+		place(fmt.Sprintf("seeds/%d", i), a)
+	}
+	if len(s.Seeds) == 0 {
+		say("seeds", "is missing; name up to three other members")
+	}
+	for i, a := range s.Founders {
+		place(fmt.Sprintf("founders/%d", i), a)
+	}
+	if n := len(s.Founders); d != nil && s.Data != "" && n != 1 && n != 3 {
+		say("founders", "must be one or three addresses; holds %d", n)
+	}
+	sort.Strings(s.Founders)
+	for i := 1; i < len(s.Founders); i++ {
+		if s.Founders[i] == s.Founders[i-1] {
+			say("founders", "names %s twice", s.Founders[i])
+		}
+	}
+	if levelOf(s.LogLevel) == nil {
+		say("logLevel", "must be debug, info, warn or error; is %q", s.LogLevel)
+	}
+	if s.DrainMs < 0 || s.DrainMs > 3600000 {
+		say("drainMs", "must be from 0 to 3600000; is %d", s.DrainMs)
+	}
+	if d != nil && (s.Files < 3 || s.Files > 256) {
+		say("ringFiles", "must be from 3 to 256; is %d", s.Files)
+	}
+	if d != nil && (s.FileMB < 1 || s.FileMB > 1024) {
+		say("ringFileMB", "must be from 1 to 1024; is %d", s.FileMB)
+	}
+	return s, faults
+}
+
+func (s *Settings) Reload(f Flags, d *DiskFlags) (changed, fixed []string, faults []desired.Fault) {
+	n, faults := Read(f, d)
+	if len(faults) > 0 {
+		return nil, nil, faults
+	}
+	if n.LogLevel != s.LogLevel {
+		changed = append(changed, "logLevel")
+		s.LogLevel = n.LogLevel
+	}
+	if n.DrainMs != s.DrainMs {
+		changed = append(changed, "drainMs")
+		s.DrainMs = n.DrainMs
+	}
+	for _, p := range []struct{ name, old, new string }{
+		{"name", s.Name, n.Name}, {"cell", s.Cell, n.Cell}, {"address", s.Address, n.Address}, {"http", s.HTTP, n.HTTP},
+		{"operators", s.Operators, n.Operators}, {"data", s.Data, n.Data}, {"seeds", strings.Join(s.Seeds, ","), strings.Join(n.Seeds, ",")},
+		{"founders", strings.Join(s.Founders, ","), strings.Join(n.Founders, ",")},
+		{"ringFiles", fmt.Sprint(s.Files), fmt.Sprint(n.Files)}, {"ringFileMB", fmt.Sprint(s.FileMB), fmt.Sprint(n.FileMB)},
+	} {
+		if p.old != p.new {
+			fixed = append(fixed, p.name)
+		}
+	}
+	return changed, fixed, nil
+}
+
+func levelOf(s string) level.Option {
+	switch s {
+	case "debug":
+		return level.AllowDebug()
+	case "info":
+		return level.AllowInfo()
+	case "warn":
+		return level.AllowWarn()
+	case "error":
+		return level.AllowError()
+	}
+	return nil
+}
+
+type Logger struct {
+	base log.Logger
+	swap log.SwapLogger
+}
+
+func NewLogger(w io.Writer, lev, name string) *Logger {
+	l := &Logger{base: log.With(log.NewLogfmtLogger(log.NewSyncWriter(w)), "ts", log.DefaultTimestampUTC, "member", name)}
+	l.SetLevel(lev)
+	return l
+}
+
+func (l *Logger) SetLevel(lev string) { l.swap.Swap(level.NewFilter(l.base, levelOf(lev))) }
+
+func (l *Logger) Log(kv ...any) error { return l.swap.Log(kv...) }
+
+func Fail(faults []desired.Fault) {
+	for _, f := range faults {
+		fmt.Fprintf(os.Stderr, "boot: %s %s\n", f.Path, f.Text)
+	}
+	os.Exit(2)
+}
--- /dev/null
+++ b/cell/beat.go
@@ -0,0 +1,88 @@
+package cell
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+
+	"sloeturn/desired"
+	"sloeturn/wire"
+)
+
+func ReadBeat(body []byte, kind int) (*wire.Announce, []desired.Fault) {
+	tree, faults := desired.ReadTree(body)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	say := func(path, form string, args ...any) {
+		faults = append(faults, desired.Fault{Path: path, Text: fmt.Sprintf(form, args...)})
+	}
+	m, ok := tree.(map[string]any)
+	if !ok {
+		return nil, []desired.Fault{{Path: "", Text: "must be an object"}}
+	}
+	text := func(key string, must bool) string {
+		v, ok := m[key]
+		if !ok {
+			if must {
+				say("/"+key, "is missing")
+			}
+			return ""
+		}
+		s, ok := v.(string)
+		if !ok || len(s) > 128 {
+			say("/"+key, "must be a text of at most 128 bytes")
+		}
+		return s
+	}
+	whole := func(key string, most int64, must bool) int64 {
+		v, ok := m[key]
+		if !ok {
+			if must {
+				say("/"+key, "is missing")
+			}
+			return 0
+		}
+		n, ok := v.(json.Number)
+		if !ok {
+			say("/"+key, "must be a whole number")
+			return 0
+		}
+		i, err := n.Int64()
+		if err != nil || i < 0 || i > most {
+			say("/"+key, "must be a whole number from 0 to %d", most)
+		}
+		return i
+	}
+	a := &wire.Announce{State: uint32(kind)}
+	a.Service = text("service", true)
+	a.Addr = text("address", true)
+	a.Cell = text("cell", false)
+	a.Incarnation = text("incarnation", false)
+	if a.Addr != "" {
+		if _, err := netip.ParseAddrPort(a.Addr); err != nil {
+			say("/address", "must be ip:port by number")
+		}
+	}
+	if a.Service != "" && !desired.NameOK(a.Service) {
+		say("/service", "is not a name")
+	}
+	if a.Cell != "" && !desired.NameOK(a.Cell) {
+		say("/cell", "is not a name")
+	}
+	if kind == Ready {
+		a.Slots = uint32(whole("slotCount", SlotLimit, true))
+		a.ColdNs = whole("coldLeftMs", 3600000, false) * 1000000
+		switch s := text("state", false); s {
+		case "", "ready":
+		case "leaving":
+			a.State = Leaving
+		default:
+			say("/state", "must be ready or leaving; is %q", s)
+		}
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return a, nil
+}
--- /dev/null
+++ b/cell/state.go
@@ -0,0 +1,278 @@
+package cell
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+const (
+	Ready   = 0
+	Leaving = 1
+	Gone    = 2
+
+	Parts       = 8
+	BeatSilence = 7 * time.Second
+	SlotLimit   = 4096
+)
+
+type Backend struct {
+	Addr    ident.Addr
+	Service ident.Service
+	Life    string
+	Slots   int
+	State   int
+	ColdTo  ident.Moment
+	ColdAll time.Duration
+	Heard   ident.Moment
+	Beat    uint64
+	Version uint64
+	Work    int
+}
+
+type Soundness struct {
+	Cell  ident.Cell
+	Epoch ident.Epoch
+	table map[ident.Addr]*Backend
+	ver   uint64
+	life  uint64
+	sums  [Parts]uint64
+	Nodes []string
+}
+
+func New(c ident.Cell, e ident.Epoch) *Soundness {
+	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}}
+}
+
+func Part(addr string) int { return int(ident.Hash(addr) % Parts) }
+
+func Sum(addr string, ver uint64) uint64 { return ident.Hash(addr, strconv.FormatUint(ver, 10)) }
+
+func (s *Soundness) touch(b *Backend) {
+	p := Part(string(b.Addr))
+	if b.Version != 0 {
+		s.sums[p] -= Sum(string(b.Addr), b.Version)
+	}
+	s.ver++
+	b.Version = s.ver
+	s.sums[p] += Sum(string(b.Addr), b.Version)
+}
+
+func (s *Soundness) drop(a ident.Addr) {
+	b := s.table[a]
+	s.sums[Part(string(a))] -= Sum(string(a), b.Version)
+	delete(s.table, a)
+}
+
+func (s *Soundness) Digests() []uint64 { return append([]uint64(nil), s.sums[:]...) }
+
+func (s *Soundness) Hear(a *wire.Announce, now ident.Moment) {
+	addr := ident.Addr(a.Addr)
+	b := s.table[addr]
+	if a.State == Gone {
+		if b != nil && b.Service == ident.Service(a.Service) && (a.Incarnation == "" || a.Incarnation == b.Life) {
+			s.drop(addr)
+		}
+		return
+	}
+	cold := time.Duration(a.ColdNs)
+	if b == nil || b.Service != ident.Service(a.Service) || a.Incarnation != "" && a.Incarnation != b.Life || a.Incarnation == "" && cold > 0 && now.Add(cold).After(b.ColdTo.Add(time.Second)) {
+		if b != nil {
+			s.drop(addr)
+		}
+		s.life++
+		life := a.Incarnation
+		if life == "" {
+			life = "cell-" + strconv.FormatUint(uint64(s.Epoch), 10) + "-" + strconv.FormatUint(s.life, 10)
+		}
+		b = &Backend{Addr: addr, Service: ident.Service(a.Service), Life: life, ColdAll: cold}
+		s.table[addr] = b
+	}
+	b.Slots = int(min(a.Slots, SlotLimit))
+	if b.State != Leaving || a.State == Leaving {
+		b.State = int(a.State)
+	}
+	b.ColdTo = now.Add(cold)
+	b.Heard = now
+	b.Beat++
+	b.Work = Work(b, now)
+	s.touch(b)
+}
+
+func Work(b *Backend, now ident.Moment) int {
+	if b.State != Ready {
+		return 0
+	}
+	left := b.ColdTo.Sub(now)
+	if left <= 0 || b.ColdAll <= 0 {
+		return b.Slots
+	}
+	warm := float64(b.ColdAll-min(left, b.ColdAll)) / float64(b.ColdAll)
+	return max(1, int(float64(b.Slots)*(0.25+0.75*warm)))
+}
+
+func (s *Soundness) Tick(now ident.Moment) {
+	for a, b := range s.table {
+		if now.Sub(b.Heard) > BeatSilence {
+			s.drop(a)
+			continue
+		}
+		if w := Work(b, now); w != b.Work {
+			b.Work = w
+			s.touch(b)
+		}
+	}
+}
+
+func (s *Soundness) Lines() []*Backend {
+	out := make([]*Backend, 0, len(s.table))
+	for _, b := range s.table {
+		out = append(out, b)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Addr < out[j].Addr })
+	return out
+}
+
+func (s *Soundness) Counts() map[ident.Service]int {
+	out := map[ident.Service]int{}
+	for _, b := range s.table {
+		if b.State == Ready {
+			out[b.Service]++
+		}
+	}
+	return out
+}
+
+func (s *Soundness) Ranges(have []uint64, now ident.Moment) []*wire.Range {
+	var out []*wire.Range
+	lines := s.Lines()
+	for p := 0; p < Parts; p++ {
+		if p < len(have) && have[p] == s.sums[p] {
+			continue
+		}
+		r := &wire.Range{Part: uint32(p)}
+		for _, b := range lines {
+			if Part(string(b.Addr)) == p {
+				r.Backends = append(r.Backends, &wire.Backend{Addr: string(b.Addr), Service: string(b.Service), Incarnation: b.Life, Slots: uint32(b.Slots), State: uint32(b.State), ColdNs: int64(max(0, b.ColdTo.Sub(now))), Beat: b.Beat, Version: b.Version, Work: uint32(b.Work)})
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+type Copy struct {
+	Cell  ident.Cell
+	Epoch ident.Epoch
+	AsOf  ident.Moment
+	Known bool
+	Nodes []string
+	Table map[ident.Addr]*wire.Backend
+	sums  [Parts]uint64
+	rev   uint64
+}
+
+func NewCopy(c ident.Cell) *Copy {
+	return &Copy{Cell: c, Table: map[ident.Addr]*wire.Backend{}}
+}
+
+func (c *Copy) Revision() uint64 { return c.rev }
+
+func (c *Copy) Digests() []uint64 { return append([]uint64(nil), c.sums[:]...) }
+
+func (c *Copy) Take(n *wire.CellNews, asOf ident.Moment) bool {
+	e := ident.Epoch(n.Epoch)
+	if e < c.Epoch || e == c.Epoch && c.Known && asOf.Before(c.AsOf) {
+		return false
+	}
+	if e > c.Epoch {
+		c.Epoch = e
+		c.Table = map[ident.Addr]*wire.Backend{}
+		c.sums = [Parts]uint64{}
+		c.Known = false
+		c.rev++
+		if len(n.Ranges) < Parts {
+			return true
+		}
+	}
+	for _, r := range n.Ranges {
+		if r.Part >= Parts {
+			continue
+		}
+		for a := range c.Table {
+			if Part(string(a)) == int(r.Part) {
+				delete(c.Table, a)
+			}
+		}
+		c.sums[r.Part] = 0
+		for _, b := range r.Backends {
+			c.Table[ident.Addr(b.Addr)] = b
+			c.sums[r.Part] += Sum(b.Addr, b.Version)
+		}
+		c.rev++
+	}
+	if !same(c.Nodes, n.Nodes) {
+		c.Nodes = n.Nodes
+		c.rev++
+	}
+	c.Known, c.AsOf = true, asOf
+	return true
+}
+
+func same(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Copy) Ranges(have []uint64) []*wire.Range {
+	var out []*wire.Range
+	for p := 0; p < Parts; p++ {
+		if p < len(have) && have[p] == c.sums[p] {
+			continue
+		}
+		r := &wire.Range{Part: uint32(p)}
+		for a, b := range c.Table {
+			if Part(string(a)) == p {
+				r.Backends = append(r.Backends, b)
+			}
+		}
+		sort.Slice(r.Backends, func(i, j int) bool { return r.Backends[i].Addr < r.Backends[j].Addr })
+		out = append(out, r)
+	}
+	return out
+}
+
+type Share struct {
+	Addr ident.Addr
+	Work int
+}
+
+func Deal(list []Share, nodes []string, node string, turn uint64) map[ident.Addr]int {
+	at := sort.SearchStrings(nodes, node)
+	if at == len(nodes) || nodes[at] != node {
+		return nil
+	}
+	n := len(nodes)
+	next := int(turn % uint64(n))
+	out := map[ident.Addr]int{}
+	for _, b := range list {
+		k := b.Work / n
+		more := b.Work % n
+		if (at+n-next)%n < more {
+			k++
+		}
+		next = (next + more) % n
+		out[b.Addr] = k
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/fleetrun/main.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"sloeturn/boot"
+)
+
+type args struct {
+	Deployment string  `arg:"--deployment" default:"both" help:"kernevel, kiesplan or both"`
+	Seconds    int     `arg:"--seconds" default:"60" help:"how long visits are driven"`
+	Bin        string  `arg:"--bin" default:"bin" help:"folder of the built programs"`
+	Dir        string  `arg:"--dir" help:"folder for logs and disks; a fresh one if left out"`
+	Scale      float64 `arg:"--scale" default:"1" help:"visits a second, as a multiple of the deployment's"`
+	Faults     string  `arg:"--faults" help:"faults to cause one after another, by comma; 'list' names them"`
+	Gap        int     `arg:"--gap" default:"10" help:"seconds between faults"`
+}
+
+func (args) Version() string { return "fleetrun " + boot.Build }
+func (args) Description() string {
+	return "Runs whole fleets on loopback with stand-in requesters and backends, causes faults, and counts broken promises."
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	if a.Faults == "list" {
+		for _, n := range faultNames() {
+			fmt.Println(n)
+		}
+		return
+	}
+	var plans []*plan
+	switch a.Deployment {
+	case "kernevel":
+		plans = []*plan{kernevel()}
+	case "kiesplan":
+		plans = []*plan{kiesplan()}
+	case "both":
+		plans = []*plan{kernevel(), kiesplan()}
+	default:
+		fmt.Fprintln(os.Stderr, "fleetrun: --deployment must be kernevel, kiesplan or both")
+		os.Exit(2)
+	}
+	var faults []string
+	if a.Faults != "" {
+		faults = strings.Split(a.Faults, ",")
+	}
+	for _, n := range faults {
+		if faultOf(n) == nil {
+			fmt.Fprintf(os.Stderr, "fleetrun: no fault named %q\n", n)
+			os.Exit(2)
+		}
+	}
+	dir := a.Dir
+	if dir == "" {
+		d, err := os.MkdirTemp("", "fleetrun-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "fleetrun:", err)
+			os.Exit(1)
+		}
+		dir = d
+	}
+	fmt.Println("logs and disks in", dir)
+	all := 0
+	var wait sync.WaitGroup
+	var lock sync.Mutex
+	for _, p := range plans {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			bad := drive(p, a, dir, faults)
+			lock.Lock()
+			all += bad
+			lock.Unlock()
+		}()
+	}
+	wait.Wait()
+	if all > 0 {
+		fmt.Printf("%d promises broken\n", all)
+		os.Exit(1)
+	}
+	fmt.Println("no promise broken")
+}
+
+func drive(p *plan, a args, dir string, faults []string) int {
+	led := &ledger{runs: map[string]int{}, visits: map[string]time.Time{}, broken: &broken{}}
+	f := newFleet(p, a.Bin, dir, led)
+	f.req.scale = a.Scale
+	start := time.Now()
+	if err := f.start(); err != nil {
+		fmt.Println(p.name, "cannot start:", err)
+		return 1
+	}
+	defer f.stop()
+	all, stop := context.WithCancel(context.Background())
+	defer stop()
+	go f.plat.watch(all)
+	wait, end := context.WithTimeout(all, 30*time.Second)
+	defer end()
+	if err := f.set(wait, "PUT", p.desired, "first"); err != nil {
+		fmt.Println(p.name, "desired state not taken:", err)
+		return 1
+	}
+	acked := time.Since(start)
+	if err := f.await(wait, p.data); err != nil {
+		fmt.Println(p.name, err)
+		return 1
+	}
+	fmt.Printf("%s: acknowledged after %v, all %d nodes ready after %v\n", p.name, acked.Round(time.Millisecond), p.data, time.Since(start).Round(time.Millisecond))
+	time.Sleep(3 * time.Second)
+	drive, cease := context.WithTimeout(all, time.Duration(a.Seconds)*time.Second)
+	defer cease()
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		f.req.run(drive)
+	}()
+	var lines []string
+	for _, n := range faults {
+		if !pause(drive, time.Duration(a.Gap)*time.Second) {
+			break
+		}
+		f.req.trouble.Store(faultOf(n).rough)
+		at := time.Now()
+		note, err := faultOf(n).cause(drive, f)
+		if err != nil {
+			led.broken.say("fault "+n, "%v", err)
+		}
+		lines = append(lines, fmt.Sprintf("fault %s: took %v; %s", n, time.Since(at).Round(time.Millisecond), note))
+		if faultOf(n).rough {
+			pause(drive, 4*time.Second)
+		}
+		f.req.trouble.Store(false)
+	}
+	<-over
+	f.report(lines)
+	return len(led.broken.count)
+}
+
+func pause(done context.Context, d time.Duration) bool {
+	select {
+	case <-done.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (f *fleet) report(lines []string) {
+	t := f.req.tally
+	var b strings.Builder
+	say := func(form string, args ...any) { fmt.Fprintf(&b, form+"\n", args...) }
+	say("== %s", f.plan.name)
+	for _, l := range lines {
+		say("%s", l)
+	}
+	say("counts: %s", pairs(t.counts))
+	say("refused for: %s", pairs(t.reasons))
+	say("served: p50 %v p99 %v worst %v", quant(t.served, .5), quant(t.served, .99), quant(t.served, 1))
+	say("served once-lanes: p50 %v p99 %v", quant(t.onceT, .5), quant(t.onceT, .99))
+	say("refusals: p50 %v p99 %v worst %v", quant(t.refused, .5), quant(t.refused, .99), quant(t.refused, 1))
+	var lanes []string
+	for l := range t.perLane {
+		lanes = append(lanes, l)
+	}
+	sort.Strings(lanes)
+	for _, l := range lanes {
+		v := t.perLane[l]
+		say("lane %s: %d visits, %.2f%% served", l, v[0], 100*float64(v[1])/float64(max(1, v[0])))
+	}
+	gap := time.Duration(0)
+	for i := 1; i < len(t.okAt); i++ {
+		gap = max(gap, t.okAt[i].Sub(t.okAt[i-1]))
+	}
+	say("longest time with nothing served: %v", gap.Round(time.Millisecond))
+	for _, s := range f.plan.services {
+		most, late, served := int64(0), int64(0), int64(0)
+		for _, k := range f.backends {
+			if k.service == s.name {
+				most, late, served = max(most, k.mostSeen.Load()), max(late, k.lateSeen.Load()), served+k.served.Load()
+			}
+		}
+		say("service %s: at most %d connections at one backend (accepts %d), %d visits run, latest visit after a drain %v", s.name, most, s.most, served, time.Duration(late).Round(time.Millisecond))
+	}
+	br := f.led.broken
+	for _, k := range keys(br.count) {
+		say("BROKEN %s: %d times; first: %s", k, br.count[k], br.first[k])
+	}
+	fmt.Print(b.String())
+}
+
+func keys(m map[string]int) []string {
+	var out []string
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func pairs(m map[string]int) string {
+	var out []string
+	for _, k := range keys(m) {
+		out = append(out, fmt.Sprintf("%s %d", k, m[k]))
+	}
+	return strings.Join(out, ", ")
+}
--- /dev/null
+++ b/cmd/fleetrun/requester.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+type platform struct {
+	plan  *plan
+	lock  sync.Mutex
+	ready []string
+	all   func() []string
+	http  *http.Client
+}
+
+func newPlatform(p *plan, all func() []string) *platform {
+	return &platform{plan: p, all: all, http: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 64, IdleConnTimeout: 3 * time.Second, DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext}}}
+}
+
+func (p *platform) watch(done context.Context) {
+	c := http.Client{Timeout: 800 * time.Millisecond}
+	for done.Err() == nil {
+		var lock sync.Mutex
+		var wait sync.WaitGroup
+		var ready []string
+		for _, a := range p.all() {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				resp, err := c.Get("http://" + a + "/ready")
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode == 200 {
+					lock.Lock()
+					ready = append(ready, a)
+					lock.Unlock()
+				}
+			}()
+		}
+		wait.Wait()
+		sort.Strings(ready)
+		p.lock.Lock()
+		p.ready = ready
+		p.lock.Unlock()
+		select {
+		case <-done.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+func (p *platform) pick() string {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if len(p.ready) == 0 {
+		return ""
+	}
+	return p.ready[rand.Intn(len(p.ready))]
+}
+
+func (p *platform) count() int {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return len(p.ready)
+}
+
+type tally struct {
+	lock     sync.Mutex
+	counts   map[string]int
+	reasons  map[string]int
+	served   []time.Duration
+	onceT    []time.Duration
+	refused  []time.Duration
+	perLane  map[string][2]int
+	okAt     []time.Time
+	goneAt   time.Time
+	unknowns int
+}
+
+func (t *tally) add(lane, kind, reason string, took time.Duration, once bool) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.counts[kind]++
+	if reason != "" {
+		t.reasons[reason]++
+	}
+	l := t.perLane[lane]
+	l[0]++
+	if kind == "served" {
+		l[1]++
+		t.served = append(t.served, took)
+		if once {
+			t.onceT = append(t.onceT, took)
+		}
+		t.okAt = append(t.okAt, time.Now())
+	}
+	if kind == "refused" {
+		t.refused = append(t.refused, took)
+	}
+	t.perLane[lane] = l
+}
+
+func quant(list []time.Duration, q float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	s := append([]time.Duration(nil), list...)
+	sort.Slice(s, func(i, j int) bool { return s[i] < s[j] })
+	return s[min(len(s)-1, int(q*float64(len(s))))].Round(100 * time.Microsecond)
+}
+
+type requesters struct {
+	plan    *plan
+	plat    *platform
+	led     *ledger
+	tally   *tally
+	scale   float64
+	acked   atomic.Uint64
+	serial  atomic.Uint64
+	trouble atomic.Bool
+	refuseB time.Duration
+}
+
+func (q *requesters) run(done context.Context) {
+	var wait sync.WaitGroup
+	for _, l := range q.plan.lanes {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			r := rand.New(rand.NewSource(int64(len(l.name)) + time.Now().UnixNano()))
+			next := time.Now()
+			for done.Err() == nil {
+				next = next.Add(time.Duration(r.ExpFloat64() / (l.rate * q.scale) * float64(time.Second)))
+				if d := time.Until(next); d > 0 {
+					select {
+					case <-done.Done():
+						return
+					case <-time.After(d):
+					}
+				}
+				wait.Add(1)
+				retry := r.Intn(4) == 0
+				leave := r.Intn(200) == 0
+				go func() {
+					defer wait.Done()
+					q.visit(l, retry, leave)
+				}()
+			}
+		}()
+	}
+	wait.Wait()
+}
+
+func (q *requesters) visit(l lanePlan, retry, leave bool) {
+	key := ""
+	if l.once {
+		key = fmt.Sprintf("k-%d-%d", time.Now().UnixNano(), q.serial.Add(1))
+	}
+	ran := q.shot(l, key, leave)
+	if retry && ran != "yes" {
+		q.shot(l, key, false)
+	}
+	if l.once && ran == "yes" && rand.Intn(50) == 0 {
+		q.shot(l, key, false)
+	}
+}
+
+func (q *requesters) shot(l lanePlan, key string, leave bool) string {
+	node := q.plat.pick()
+	if node == "" {
+		q.tally.add(l.name, "no node ready", "", 0, false)
+		return ""
+	}
+	nonce := strconv.FormatUint(q.serial.Add(1), 36)
+	body := ""
+	if l.method == "POST" {
+		body = fmt.Sprintf(`{"amount":%s,"note":"%s"}`, strconv.Itoa(rand.Intn(900)+1), nonce)
+		if key != "" {
+			body = `{"key":"` + key + `"}`
+		}
+	}
+	done, stop := context.WithTimeout(context.Background(), l.expiry+2*time.Second)
+	if leave {
+		done, stop = context.WithTimeout(context.Background(), 20*time.Millisecond)
+	}
+	defer stop()
+	req, _ := http.NewRequestWithContext(done, l.method, "http://"+node+"/lanes/"+l.name+l.path, bytes.NewReader([]byte(body)))
+	req.Header.Set("Sloeturn-Expiry-Ms", strconv.FormatInt(l.expiry.Milliseconds(), 10))
+	req.Header.Set("X-Nonce", nonce)
+	if body != "" {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	acked := q.acked.Load()
+	start := time.Now()
+	resp, err := q.plat.http.Do(req)
+	if err != nil {
+		kind := "connection failed"
+		if leave {
+			kind = "requester left"
+		}
+		q.tally.add(l.name, kind, "", time.Since(start), false)
+		return "?"
+	}
+	got, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	took := time.Since(start)
+	if err != nil {
+		q.tally.add(l.name, "connection failed", "", took, false)
+		return "?"
+	}
+	ran := resp.Header.Get("Sloeturn-Ran")
+	gen, _ := strconv.ParseUint(resp.Header.Get("Sloeturn-Generation"), 10, 64)
+	if gen < acked {
+		q.led.broken.say("older generation served", "node %s answered under %d after %d was acknowledged", node, gen, acked)
+	}
+	if ran == "yes" && resp.StatusCode < 300 {
+		var a struct{ Nonce, Sum string }
+		if json.Unmarshal(got, &a) != nil || a.Nonce != nonce || a.Sum != digest(nonce, body) {
+			q.led.broken.say("garbled answer passed as whole", "lane %s: %.80q", l.name, got)
+		}
+		q.tally.add(l.name, "served", "", took, l.once)
+		return ran
+	}
+	var v struct{ Visit, Reason string }
+	json.Unmarshal(got, &v)
+	switch {
+	case resp.StatusCode == 503 && ran == "no":
+		if resp.Header.Get("Retry-After") == "" {
+			q.led.broken.say("refusal without Retry-After", "%s", v.Reason)
+		}
+		if q.led.ran(v.Visit) {
+			q.led.broken.say("told not run, but it ran", "visit %s: %s", v.Visit, v.Reason)
+		}
+		if took > q.refuseB {
+			q.led.broken.say("refusal late", "%v for %s on lane %s", took, v.Reason, l.name)
+		}
+		q.tally.add(l.name, "refused", v.Reason, took, false)
+	case ran == "unknown" && (resp.StatusCode == 502 || resp.StatusCode == 504):
+		if resp.Header.Get("Retry-After") != "" {
+			q.led.broken.say("unknown with Retry-After", "%s", v.Reason)
+		}
+		if !q.trouble.Load() {
+			q.led.broken.say("answer lost with no fault about", "visit %s: %s", v.Visit, v.Reason)
+		}
+		q.tally.add(l.name, "unknown", v.Reason, took, false)
+	default:
+		q.tally.add(l.name, "status "+strconv.Itoa(resp.StatusCode)+" ran "+ran, v.Reason, took, false)
+	}
+	return ran
+}
--- /dev/null
+++ b/control/http.go
@@ -0,0 +1,381 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"sloeturn/cell"
+	"sloeturn/desired"
+	"sloeturn/duty"
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/wire"
+)
+
+const (
+	beatLimit = 64 << 10
+	beatWait  = 2500 * time.Millisecond
+)
+
+func (n *Node) Registry() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /beats", func(w http.ResponseWriter, r *http.Request) { n.hear(w, r, cell.Ready) })
+	mux.HandleFunc("POST /drains", func(w http.ResponseWriter, r *http.Request) { n.hear(w, r, cell.Leaving) })
+	mux.HandleFunc("POST /sign-offs", func(w http.ResponseWriter, r *http.Request) { n.hear(w, r, cell.Gone) })
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { duty.JSON(w, 200, map[string]any{"live": true}) })
+	mux.HandleFunc("GET /ready", n.ready)
+	return mux
+}
+
+func (n *Node) ready(w http.ResponseWriter, r *http.Request) {
+	v, err := n.Query(func(s *State, now ident.Moment) any {
+		switch {
+		case s.draining:
+			return "draining"
+		case !s.Relay.CoreFresh(now):
+			return "no leader heard of"
+		}
+		return ""
+	})
+	if err != nil || v != "" {
+		duty.JSON(w, 503, map[string]any{"ready": false, "why": v})
+		return
+	}
+	duty.JSON(w, 200, map[string]any{"ready": true})
+}
+
+func (n *Node) hear(w http.ResponseWriter, r *http.Request, kind int) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, beatLimit))
+	if err != nil {
+		duty.Wrong(w, 413, "beat too large or broken off", nil)
+		return
+	}
+	a, faults := cell.ReadBeat(body, kind)
+	if len(faults) > 0 {
+		duty.Wrong(w, 422, "beat is not sound", faults)
+		return
+	}
+	done, stop := context.WithTimeout(r.Context(), beatWait)
+	defer stop()
+	got := n.Tell(done, a)
+	if got.Code != 200 {
+		w.Header().Set("Retry-After", "1")
+		duty.Wrong(w, int(got.Code), got.Text, nil)
+		return
+	}
+	duty.JSON(w, 200, map[string]any{"heard": true})
+}
+
+func (n *Node) Operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /desired", func(w http.ResponseWriter, r *http.Request) { n.set(w, r, false) })
+	mux.HandleFunc("PATCH /desired", func(w http.ResponseWriter, r *http.Request) { n.set(w, r, true) })
+	mux.HandleFunc("GET /desired", n.get)
+	mux.HandleFunc("GET /desired/history", func(w http.ResponseWriter, r *http.Request) { n.ask(w, history) })
+	mux.HandleFunc("GET /desired/{generation}", n.get)
+	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, r *http.Request) { n.ask(w, fleet) })
+	mux.HandleFunc("GET /backends", func(w http.ResponseWriter, r *http.Request) { n.ask(w, backends) })
+	mux.HandleFunc("POST /seats/{seat}/free", n.free)
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, r *http.Request) {
+		n.Put(Drain{})
+		duty.JSON(w, 202, map[string]any{"draining": true})
+	})
+	mux.HandleFunc("GET /metrics", n.metrics)
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { duty.JSON(w, 200, map[string]any{"live": true}) })
+	mux.HandleFunc("GET /ready", n.ready)
+	return mux
+}
+
+func (n *Node) ask(w http.ResponseWriter, f func(s *State, now ident.Moment) any) {
+	v, err := n.Query(f)
+	if err != nil {
+		duty.Wrong(w, 503, err.Error(), nil)
+		return
+	}
+	duty.JSON(w, 200, v)
+}
+
+func (n *Node) set(w http.ResponseWriter, r *http.Request, merge bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, desired.SizeLimit))
+	if err != nil {
+		duty.Wrong(w, 413, "desired state too large or broken off", nil)
+		return
+	}
+	tag := strings.Trim(r.Header.Get("If-Match"), `"`)
+	if tag == "" {
+		duty.Wrong(w, 428, "header If-Match must name the generation this change stands on", nil)
+		return
+	}
+	basis, err := strconv.ParseUint(tag, 10, 64)
+	if err != nil {
+		duty.Wrong(w, 400, "header If-Match must be a generation", nil)
+		return
+	}
+	id := r.Header.Get("Sloeturn-Change-Id")
+	if id == "" || len(id) > 128 {
+		duty.Wrong(w, 400, "header Sloeturn-Change-Id must name this change, in at most 128 bytes", nil)
+		return
+	}
+	done, stop := context.WithTimeout(r.Context(), DesiredWait)
+	defer stop()
+	c := &wire.SetDesired{Basis: basis, ChangeId: id, Doc: body, Merge: merge, Author: r.Header.Get("Sloeturn-Author")}
+	got := n.Change(done, &wire.Change{Body: &wire.Change_SetDesired{SetDesired: c}}, DesiredWait)
+	switch ledger.Code(got.Code) {
+	case ledger.Done:
+		w.Header().Set("ETag", fmt.Sprintf(`"%d"`, got.Generation))
+		duty.JSON(w, 200, map[string]any{"generation": got.Generation, "inForce": true})
+	case ledger.Stale:
+		w.Header().Set("ETag", fmt.Sprintf(`"%d"`, got.Generation))
+		duty.JSON(w, 412, map[string]any{"error": "another change came first", "generation": got.Generation})
+	case ledger.Invalid:
+		var faults []desired.Fault
+		for _, f := range got.Faults {
+			faults = append(faults, desired.Fault{Path: f.Path, Text: f.Text})
+		}
+		duty.Wrong(w, 422, "desired state is not sound; nothing of it was taken", faults)
+	default:
+		duty.Wrong(w, 504, "outcome unknown; ask again with the same change id", nil)
+	}
+}
+
+func (n *Node) get(w http.ResponseWriter, r *http.Request) {
+	want := uint64(0)
+	if v := r.PathValue("generation"); v != "" {
+		g, err := strconv.ParseUint(v, 10, 64)
+		if err != nil || g == 0 {
+			duty.Wrong(w, 400, "not a generation", nil)
+			return
+		}
+		want = g
+	}
+	type found struct {
+		doc  []byte
+		gen  uint64
+		lead string
+		ok   bool
+	}
+	v, err := n.Query(func(s *State, now ident.Moment) any {
+		if want != 0 {
+			if l := s.Book.Line(ident.Generation(want)); l != nil {
+				return found{l.Doc, want, "", true}
+			}
+			return found{ok: s.leading()}
+		}
+		if !s.leading() {
+			c := s.Members.Cards()
+			for _, k := range c {
+				if k.Addr == s.leaderAddr() {
+					return found{lead: k.Http}
+				}
+			}
+			return found{}
+		}
+		if l := s.Book.Line(s.Book.Generation); l != nil {
+			return found{l.Doc, l.Generation, "", true}
+		}
+		return found{[]byte("{}"), 0, "", true}
+	})
+	if err != nil {
+		duty.Wrong(w, 503, err.Error(), nil)
+		return
+	}
+	f := v.(found)
+	if f.lead != "" && r.Header.Get("Sloeturn-Hop") == "" {
+		n.pass(w, r, f.lead)
+		return
+	}
+	if !f.ok {
+		w.Header().Set("Retry-After", "1")
+		duty.Wrong(w, 503, "no leader to read from just now", nil)
+		return
+	}
+	if f.doc == nil {
+		duty.Wrong(w, 404, "that generation is not kept", nil)
+		return
+	}
+	w.Header().Set("ETag", fmt.Sprintf(`"%d"`, f.gen))
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(f.doc)
+}
+
+func (n *Node) pass(w http.ResponseWriter, r *http.Request, places string) {
+	_, ops, _ := strings.Cut(places, ",")
+	req, err := http.NewRequestWithContext(r.Context(), "GET", "http://"+ops+r.URL.Path, nil)
+	if err != nil {
+		duty.Wrong(w, 503, "no leader to read from just now", nil)
+		return
+	}
+	req.Header.Set("Sloeturn-Hop", "1")
+	c := http.Client{Timeout: 2 * time.Second}
+	resp, err := c.Do(req)
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		duty.Wrong(w, 503, "the leader does not answer just now", nil)
+		return
+	}
+	defer resp.Body.Close()
+	duty.CopyHead(w.Header(), resp.Header)
+	w.WriteHeader(resp.StatusCode)
+	io.Copy(w, io.LimitReader(resp.Body, desired.SizeLimit))
+}
+
+func (n *Node) free(w http.ResponseWriter, r *http.Request) {
+	var ask struct {
+		Member      string `json:"member"`
+		Incarnation string `json:"incarnation"`
+		Proof       string `json:"proof"`
+	}
+	seat, err := strconv.ParseUint(r.PathValue("seat"), 10, 32)
+	if err != nil || json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&ask) != nil || ask.Member == "" || ask.Proof != "its sockets are gone" {
+		duty.Wrong(w, 422, `name the member, the incarnation, and "proof":"its sockets are gone"`, nil)
+		return
+	}
+	inc, _ := strconv.ParseUint(ask.Incarnation, 10, 64)
+	got := n.Change(r.Context(), &wire.Change{Body: &wire.Change_SeatFree{SeatFree: &wire.SeatFree{Seat: uint32(seat), Member: ask.Member, Incarnation: inc, Reason: "operator"}}}, 3*time.Second)
+	switch ledger.Code(got.Code) {
+	case ledger.Done:
+		duty.JSON(w, 200, map[string]any{"freed": seat})
+	case ledger.Stale:
+		duty.Wrong(w, 412, "that seat is not held by that incarnation", nil)
+	default:
+		duty.Wrong(w, 504, "outcome unknown", nil)
+	}
+}
+
+func history(s *State, now ident.Moment) any {
+	type line struct {
+		Generation uint64 `json:"generation"`
+		ChangeID   string `json:"changeId"`
+		Author     string `json:"author,omitempty"`
+		Bytes      int    `json:"bytes"`
+	}
+	out := []line{}
+	for _, l := range s.Book.History {
+		out = append(out, line{l.Generation, l.ChangeId, l.Author, len(l.Doc)})
+	}
+	return map[string]any{"member": s.Member, "leader": s.leading(), "history": out}
+}
+
+func fleet(s *State, now ident.Moment) any {
+	type card struct {
+		ID       string   `json:"id"`
+		Cell     string   `json:"cell"`
+		Role     string   `json:"role"`
+		Addr     string   `json:"address"`
+		HTTP     string   `json:"http"`
+		State    string   `json:"state"`
+		Ready    bool     `json:"ready"`
+		Leaving  bool     `json:"leaving"`
+		Build    string   `json:"build"`
+		Accusers []string `json:"accusers,omitempty"`
+	}
+	var cards []card
+	for _, c := range s.Members.Cards() {
+		cards = append(cards, card{c.Id, c.Cell, [...]string{"", "data", "control"}[c.Role%3], c.Addr, c.Http, [...]string{"live", "silent", "left"}[c.State%3], c.Ready, c.Leaving, c.Build, c.Accusers})
+	}
+	type seat struct {
+		Seat        uint32 `json:"seat"`
+		Member      string `json:"member"`
+		Incarnation string `json:"incarnation"`
+		Staged      uint64 `json:"staged"`
+		Shrunk      uint64 `json:"shrunk"`
+	}
+	seats := []seat{}
+	for _, v := range s.Relay.Core.GetSeats() {
+		l := seat{v.Seat, v.Member, strconv.FormatUint(v.Incarnation, 10), 0, 0}
+		if c := s.Relay.ConfirmOf(v.Member); c != nil && c.Incarnation == v.Incarnation {
+			l.Staged, l.Shrunk = c.Staged, c.Shrunk
+		}
+		seats = append(seats, l)
+	}
+	type held struct {
+		Cell   string `json:"cell"`
+		Holder string `json:"holder"`
+		Epoch  uint64 `json:"epoch"`
+		Active bool   `json:"activeHere"`
+		AgeMs  int64  `json:"ageMs"`
+	}
+	holds := []held{}
+	for _, h := range s.Relay.Core.GetHolds() {
+		age := int64(-1)
+		if k := s.Relay.Cells[ident.Cell(h.Cell)]; k != nil {
+			age = now.Sub(k.AsOf).Milliseconds()
+		}
+		holds = append(holds, held{h.Cell, h.Holder, h.Epoch, s.active(ident.Cell(h.Cell), now) != nil, age})
+	}
+	out := map[string]any{
+		"member": s.Member, "cell": s.Cell, "cards": cards, "seats": seats, "seatCount": s.Relay.Core.GetSeatCount(), "cells": holds,
+		"generation": s.Relay.Core.GetGeneration(), "inForce": s.Relay.Core.GetInForce(), "grown": s.Relay.Core.GetGrown(),
+		"coreAgeMs": now.Sub(s.Relay.CoreAsOf).Milliseconds(), "leader": s.Relay.Core.GetLeader(), "term": s.Relay.Core.GetTerm(), "claims": len(s.Book.Claims),
+	}
+	var roster []map[string]any
+	for _, v := range s.Relay.Core.GetRoster().GetVoters() {
+		roster = append(roster, map[string]any{"voter": v.Id, "address": v.Addr, "member": v.Member, "learner": v.Learner})
+	}
+	out["roster"] = roster
+	if s.Agree != nil {
+		out["role"], out["commit"], out["diskAiling"], out["ringUsed"] = s.Agree.Role().String(), s.Agree.Commit(), s.Agree.Ailing(), s.used
+	}
+	return out
+}
+
+func backends(s *State, now ident.Moment) any {
+	type line struct {
+		Cell    string `json:"cell"`
+		Addr    string `json:"address"`
+		Service string `json:"service"`
+		Life    string `json:"incarnation"`
+		State   string `json:"state"`
+		Slots   uint32 `json:"slotCount"`
+		Work    uint32 `json:"work"`
+		Beat    uint64 `json:"beat"`
+		AgeMs   int64  `json:"ageMs"`
+		Fresh   bool   `json:"fresh"`
+	}
+	out := []line{}
+	for c, k := range s.Relay.Cells {
+		for _, r := range k.Ranges(nil) {
+			for _, b := range r.Backends {
+				out = append(out, line{string(c), b.Addr, b.Service, b.Incarnation, [...]string{"ready", "leaving", "gone"}[b.State%3], b.Slots, b.Work, b.Beat, now.Sub(k.AsOf).Milliseconds(), s.Relay.CellFresh(c, now)})
+			}
+		}
+	}
+	return map[string]any{"member": s.Member, "backends": out}
+}
+
+func (n *Node) metrics(w http.ResponseWriter, r *http.Request) {
+	v, err := n.Query(func(s *State, now ident.Moment) any {
+		var b strings.Builder
+		p := func(name string, v any) { fmt.Fprintf(&b, "sloeturn_%s %v\n", name, v) }
+		p("generation", uint64(s.Book.Generation))
+		p("in_force", uint64(s.Book.InForce))
+		p("grown", uint64(s.Book.Grown))
+		p("seats_taken", len(s.Book.Seats))
+		p("claims_kept", len(s.Book.Claims))
+		p("cells_held", len(s.holds))
+		p("core_age_seconds", now.Sub(s.Relay.CoreAsOf).Seconds())
+		if s.Agree != nil {
+			p("agreement_commit", uint64(s.Agree.Commit()))
+			p("agreement_term", uint64(s.Agree.Term()))
+			p("agreement_leading", map[bool]int{true: 1}[s.leading()])
+			p("disk_ailing", map[bool]int{true: 1}[s.Agree.Ailing()])
+			p("ring_used_ratio", s.used)
+		}
+		return b.String()
+	})
+	if err != nil {
+		duty.Wrong(w, 503, err.Error(), nil)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	io.WriteString(w, v.(string))
+	fmt.Fprintf(w, "sloeturn_disk_syncs_total %d\nsloeturn_disk_slowest_seconds %v\n", n.Synced.Load(), time.Duration(n.Slow.Load()).Seconds())
+	fmt.Fprintf(w, "sloeturn_wire_sent_total %d\nsloeturn_wire_bytes_total %d\nsloeturn_wire_lost_total %d\nsloeturn_ring_dropped_total %d\nsloeturn_slowest_batch_seconds %v\n",
+		n.Hub.Sent.Load(), n.Hub.Bytes.Load(), n.Hub.Lost.Load(), n.Dropped.Load(), time.Duration(n.Slowest.Load()).Seconds())
+}
--- /dev/null
+++ b/control/node.go
@@ -0,0 +1,243 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"sloeturn/agreement"
+	"sloeturn/duty"
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/ringfile"
+	"sloeturn/wire"
+)
+
+const stallAfter = 300 * time.Millisecond
+
+var ErrStart = merry.Sentinel("control: cannot start")
+
+type Disks struct {
+	Path  string
+	Files int
+	Size  int64
+}
+
+type Node struct {
+	duty.Loop
+	State *State
+	Hub   *wire.Hub
+	Log   log.Logger
+
+	ring   *ringfile.Ring
+	dir    *ringfile.Dir
+	lock   sync.Mutex
+	asks   map[uint64]chan any
+	token  atomic.Uint64
+	ended  chan struct{}
+	over   sync.Once
+	diskIn chan struct{}
+	disk   []agreement.Persist
+	busy   atomic.Int64
+	dead   atomic.Bool
+	Synced atomic.Uint64
+	Slow   atomic.Int64
+}
+
+func NewNode(b Boot, d Disks, l log.Logger) (*Node, error) {
+	n := &Node{Log: l, asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1)}
+	var got *agreement.Recovered
+	if d.Path != "" {
+		dir, err := ringfile.OpenDir(d.Path)
+		if err != nil {
+			return nil, merry.Wrap(ErrStart, merry.WithCause(err))
+		}
+		ring, rec, err := ringfile.Open(dir, d.Files, d.Size)
+		if err != nil {
+			dir.Close()
+			return nil, merry.Wrap(ErrStart, merry.WithCause(err))
+		}
+		if ring.Torn {
+			level.Warn(l).Log("part", "ring", "msg", "The last record was torn and is dropped.")
+		}
+		n.dir, n.ring, got = dir, ring, rec
+		b.Voter = ident.Voter(string(b.Member) + "/" + dir.ID)
+	}
+	s, err := New(b, got, ident.Now())
+	if err != nil {
+		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	n.State = s
+	n.Hub = &wire.Hub{Name: string(b.Member), Addr: string(b.Addr), Build: b.Build, Incarnation: uint64(b.Incarnation), Log: l, Take: func(f *wire.Frame) { n.Offer(Got{f}) }}
+	n.Step, n.Settle, n.Obey, n.Beat = s.Step, s.Settle, n.obey, Tick{}
+	return n, nil
+}
+
+func (n *Node) Open() error {
+	n.Loop.Open()
+	if err := n.Hub.Open(); err != nil {
+		return merry.Wrap(ErrStart, merry.WithCause(err))
+	}
+	go n.Run()
+	if n.ring != nil {
+		go n.keep()
+		go n.watch()
+	}
+	return nil
+}
+
+func (n *Node) Close() {
+	n.Stop()
+	n.Hub.Close()
+	if n.ring != nil {
+		n.ring.Close()
+		n.dir.Close()
+	}
+}
+
+func (n *Node) Ended() <-chan struct{} { return n.ended }
+
+func (n *Node) keep() {
+	for range n.diskIn {
+		n.lock.Lock()
+		list := n.disk
+		n.disk = nil
+		n.lock.Unlock()
+		if len(list) == 0 || n.dead.Load() {
+			continue
+		}
+		var recs []*wire.Record
+		for _, p := range list {
+			recs = append(recs, p.Records...)
+		}
+		start := ident.Now()
+		n.busy.Store(int64(start))
+		err := n.ring.Write(recs)
+		n.busy.Store(0)
+		if err != nil {
+			level.Error(n.Log).Log("part", "ring", "msg", "The disk failed; this voter no longer answers.", "why", err)
+			n.dead.Store(true)
+			n.Put(Disk{true})
+			continue
+		}
+		took := int64(ident.Now().Sub(start))
+		n.Slow.Store(max(n.Slow.Load(), took))
+		n.Synced.Add(1)
+		n.Put(Synced{list[len(list)-1].Seq, n.ring.Used()})
+	}
+}
+
+func (n *Node) watch() {
+	t := time.NewTicker(50 * time.Millisecond)
+	defer t.Stop()
+	bad := false
+	for {
+		select {
+		case <-n.ended:
+			return
+		case <-t.C:
+		}
+		at := n.busy.Load()
+		now := n.dead.Load() || at != 0 && ident.Now().Sub(ident.Moment(at)) > stallAfter
+		if now != bad {
+			bad = now
+			if !n.Put(Disk{bad}) {
+				return
+			}
+		}
+	}
+}
+
+func (n *Node) obey(now ident.Moment) {
+	for _, e := range n.State.Take() {
+		switch e := e.(type) {
+		case wire.Send:
+			n.Hub.Send(e.To, e.Frame)
+		case agreement.Persist:
+			n.lock.Lock()
+			n.disk = append(n.disk, e)
+			n.lock.Unlock()
+			select {
+			case n.diskIn <- struct{}{}:
+			default:
+			}
+		case Announced:
+			n.tell(e.Token, e)
+		case Changed:
+			n.tell(e.Token, e.Reply)
+		case Note:
+			level.Info(n.Log).Log("part", "control", "msg", e.Text)
+		case Exit:
+			n.over.Do(func() { close(n.ended) })
+		}
+	}
+}
+
+func (n *Node) tell(t uint64, v any) {
+	n.lock.Lock()
+	got := n.asks[t]
+	n.lock.Unlock()
+	if got != nil {
+		select {
+		case got <- v:
+		default:
+		}
+	}
+}
+
+func (n *Node) call(done context.Context, make_ func(t uint64) any) any {
+	t := n.token.Add(1)
+	got := make(chan any, 1)
+	n.lock.Lock()
+	n.asks[t] = got
+	n.lock.Unlock()
+	defer func() {
+		n.lock.Lock()
+		delete(n.asks, t)
+		n.lock.Unlock()
+	}()
+	if !n.Offer(make_(t)) {
+		return nil
+	}
+	select {
+	case v := <-got:
+		return v
+	case <-done.Done():
+		return nil
+	}
+}
+
+func (n *Node) Change(done context.Context, c *wire.Change, wait time.Duration) *wire.ProposeReply {
+	v := n.call(done, func(t uint64) any { return Change{t, c, wait} })
+	if v == nil {
+		return &wire.ProposeReply{Code: uint32(ledger.Lost)}
+	}
+	return v.(*wire.ProposeReply)
+}
+
+func (n *Node) Tell(done context.Context, a *wire.Announce) Announced {
+	v := n.call(done, func(t uint64) any { return Announce{t, a} })
+	if v == nil {
+		return Announced{0, 503, "the cell's holder did not answer"}
+	}
+	return v.(Announced)
+}
+
+func (n *Node) Query(f func(s *State, now ident.Moment) any) (any, error) {
+	got := make(chan any, 1)
+	if !n.Offer(Query{func(s *State, now ident.Moment) { got <- f(s, now) }}) {
+		return nil, fmt.Errorf("busy")
+	}
+	select {
+	case v := <-got:
+		return v, nil
+	case <-time.After(2 * time.Second):
+		return nil, fmt.Errorf("no answer in time")
+	}
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,729 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sloeturn/agreement"
+	"sloeturn/cell"
+	"sloeturn/desired"
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/member"
+	"sloeturn/relay"
+	"sloeturn/wire"
+)
+
+const (
+	HoldEvery    = time.Second
+	HomeStable   = 4 * time.Second
+	MarkEvery    = 300 * time.Millisecond
+	AnnounceWait = time.Second
+	DesiredWait  = 15 * time.Second
+	HopsMost     = 2
+)
+
+type (
+	Got    struct{ Frame *wire.Frame }
+	Tick   struct{}
+	Synced struct {
+		Seq  uint64
+		Used float64
+	}
+	Disk     struct{ Ailing bool }
+	Announce struct {
+		Token    uint64
+		Announce *wire.Announce
+	}
+	Change struct {
+		Token  uint64
+		Change *wire.Change
+		Wait   time.Duration
+	}
+	Drain struct{}
+	Query struct {
+		Do func(s *State, now ident.Moment)
+	}
+)
+
+type (
+	Announced struct {
+		Token uint64
+		Code  uint32
+		Text  string
+	}
+	Changed struct {
+		Token uint64
+		Reply *wire.ProposeReply
+	}
+	Note struct{ Text string }
+	Exit struct{}
+)
+
+type Boot struct {
+	Member      ident.Member
+	Addr        ident.Addr
+	HTTP        string
+	Cell        ident.Cell
+	Incarnation ident.Incarnation
+	Seeds       []ident.Addr
+	Founders    []ident.Addr
+	Voter       ident.Voter
+	Build       string
+	Seed        int64
+}
+
+type hold struct {
+	epoch ident.Epoch
+	start ident.Moment
+	sound *cell.Soundness
+}
+
+type asker struct {
+	token uint64
+	to    string
+}
+
+type force struct {
+	gen ident.Generation
+	asker
+}
+
+type desiredAsk struct {
+	asker
+	set *wire.SetDesired
+}
+
+type pending struct {
+	at ident.Moment
+	to string
+	id uint64
+}
+
+type State struct {
+	Boot
+	Members *member.State
+	Relay   *relay.State
+	Mail    *relay.Courier
+	Agree   *agreement.State
+	Book    *ledger.Book
+
+	waits    map[uint64]asker
+	forces   []force
+	queue    []desiredAsk
+	setIndex uint64
+	holds    map[ident.Cell]*hold
+	holdAt   map[ident.Cell]ident.Moment
+	liveFrom map[string]ident.Moment
+	markAt   ident.Moment
+	genAt    ident.Moment
+	genSeen  ident.Generation
+	passes   map[uint64]pending
+	passID   uint64
+	replay   bool
+	draining bool
+	drainAt  ident.Moment
+	used     float64
+	role     agreement.Role
+	out      []any
+}
+
+func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
+	s := &State{Boot: b, waits: map[uint64]asker{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]ident.Moment{}, passes: map[uint64]pending{}}
+	s.Book = ledger.NewBook()
+	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build, Voter: string(b.Voter)}, b.Seeds, now)
+	s.Relay = relay.New(b.Member, true)
+	s.Mail = relay.NewCourier(uint64(b.Incarnation))
+	if b.Voter != "" {
+		s.Agree = agreement.New(agreement.Self{Voter: b.Voter, Member: b.Member, Addr: b.Addr}, b.Founders, got, b.Seed, now)
+		s.Agree.Image = func() []byte { return s.Book.Image() }
+		if got != nil && got.Snap != nil {
+			if err := s.load(got.Snap); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return s, nil
+}
+
+func (s *State) load(p *wire.Snap) error {
+	b, err := ledger.ReadBook(p.Image)
+	if err != nil {
+		return err
+	}
+	s.Book = b
+	return nil
+}
+
+func (s *State) send(to string, f *wire.Frame) {
+	s.out = append(s.out, wire.Send{To: to, Frame: f})
+}
+
+func (s *State) leading() bool { return s.Agree != nil && s.Agree.Firm() }
+
+func (s *State) heads() []string {
+	var out []string
+	for _, c := range s.Members.Ring() {
+		if c.Role == member.Control {
+			out = append(out, c.Addr)
+		}
+	}
+	return out
+}
+
+func (s *State) Step(now ident.Moment, e any) {
+	switch e := e.(type) {
+	case Got:
+		s.got(e.Frame, now)
+	case Tick:
+		s.tick(now)
+	case Synced:
+		s.used = e.Used
+		s.Agree.Synced(e.Seq, now)
+	case Disk:
+		if e.Ailing != s.Agree.Ailing() {
+			s.out = append(s.out, Note{map[bool]string{true: "The disk is ailing; leadership is given up.", false: "The disk is well again."}[e.Ailing]})
+		}
+		s.Agree.Disk(e.Ailing, now)
+	case Announce:
+		s.announce(e.Token, e.Announce, now)
+	case Change:
+		s.Mail.Hint(s.leaderAddr())
+		s.Mail.Post(e.Change, now.Add(e.Wait), e.Token, s.heads(), now)
+	case Drain:
+		if !s.draining {
+			s.draining, s.drainAt = true, now
+			s.out = append(s.out, Note{"Draining."})
+		}
+	case Query:
+		e.Do(s, now)
+	}
+}
+
+func (s *State) leaderAddr() string {
+	if s.Agree != nil && s.Agree.LeaderAddr() != "" {
+		return string(s.Agree.LeaderAddr())
+	}
+	return s.Relay.Core.GetLeaderAddr()
+}
+
+func (s *State) got(f *wire.Frame, now ident.Moment) {
+	switch b := f.Body.(type) {
+	case *wire.Frame_Heartbeat:
+		s.Members.Heartbeat(b.Heartbeat, now)
+	case *wire.Frame_Table:
+		s.Members.Table(b.Table, f.Addr, now)
+	case *wire.Frame_Ask:
+		s.Relay.Heard(b.Ask)
+		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_News{News: s.answer(b.Ask, now)}})
+	case *wire.Frame_News:
+		s.Relay.News(b.News, f.Addr, now)
+	case *wire.Frame_Announce:
+		s.announceFrom(f.Addr, b.Announce, now)
+	case *wire.Frame_AnnounceReply:
+		r := b.AnnounceReply
+		if p, ok := s.passes[r.Token]; ok {
+			delete(s.passes, r.Token)
+			s.announced(p, r.Code, r.Text)
+		}
+	case *wire.Frame_Propose:
+		s.propose(asker{b.Propose.Token, f.Addr}, b.Propose.Change, now)
+	case *wire.Frame_ProposeReply:
+		if tag, ok := s.Mail.Reply(b.ProposeReply, s.heads(), now); ok {
+			if t, ok := tag.(uint64); ok {
+				s.out = append(s.out, Changed{t, b.ProposeReply})
+			}
+		}
+	default:
+		s.agreed(f, now)
+	}
+}
+
+func (s *State) agreed(f *wire.Frame, now ident.Moment) {
+	if s.Agree == nil {
+		return
+	}
+	switch b := f.Body.(type) {
+	case *wire.Frame_Vote:
+		s.Agree.Vote(b.Vote, now)
+	case *wire.Frame_VoteReply:
+		s.Agree.VoteReply(b.VoteReply, now)
+	case *wire.Frame_Append:
+		s.Agree.Append(b.Append, now)
+	case *wire.Frame_AppendReply:
+		s.Agree.AppendReply(b.AppendReply, now)
+	case *wire.Frame_Snap:
+		s.Agree.Snapped(b.Snap, now)
+	case *wire.Frame_SnapReply:
+		s.Agree.SnapReply(b.SnapReply, now)
+	case *wire.Frame_Handoff:
+		s.Agree.Handoff(b.Handoff, now)
+	case *wire.Frame_Founding:
+		s.Agree.Founding(b.Founding, now)
+	}
+}
+
+func (s *State) reply(a asker, r *wire.ProposeReply) {
+	r.Token = a.token
+	s.send(a.to, &wire.Frame{Body: &wire.Frame_ProposeReply{ProposeReply: r}})
+}
+
+func (s *State) propose(a asker, c *wire.Change, now ident.Moment) {
+	if s.Agree == nil || !s.Agree.Steady(now) {
+		lead := s.leaderAddr()
+		if lead == string(s.Addr) {
+			lead = ""
+		}
+		s.reply(a, &wire.ProposeReply{Code: uint32(ledger.NotLeader), LeaderAddr: lead})
+		return
+	}
+	if set := c.GetSetDesired(); set != nil {
+		s.queue = append(s.queue, desiredAsk{a, set})
+		s.pump(now)
+		return
+	}
+	if i, ok := s.Agree.Propose(c, now); ok {
+		s.waits[i] = a
+	}
+}
+
+func (s *State) pump(now ident.Moment) {
+	for len(s.queue) > 0 && uint64(s.Book.Index) >= s.setIndex && s.Agree.Steady(now) {
+		q := s.queue[0]
+		s.queue = s.queue[1:]
+		if l := s.Book.ByChange(q.set.ChangeId); l != nil {
+			s.inForce(force{ident.Generation(l.Generation), q.asker})
+			continue
+		}
+		if q.set.Basis != uint64(s.Book.Generation) {
+			s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation)})
+			continue
+		}
+		tree, faults := desired.ReadTree(q.set.Doc)
+		if len(faults) == 0 && q.set.Merge {
+			var base any = map[string]any{}
+			if l := s.Book.Line(s.Book.Generation); l != nil {
+				base, _ = desired.ReadTree(l.Doc)
+			}
+			tree = desired.Merge(base, tree)
+		}
+		if len(faults) == 0 {
+			_, faults = desired.Check(tree)
+		}
+		if len(faults) > 0 {
+			r := &wire.ProposeReply{Code: uint32(ledger.Invalid), Generation: uint64(s.Book.Generation)}
+			for _, f := range faults {
+				r.Faults = append(r.Faults, &wire.Fault{Path: f.Path, Text: f.Text})
+			}
+			s.reply(q.asker, r)
+			continue
+		}
+		i, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: q.set.Basis, ChangeId: q.set.ChangeId, Doc: desired.Write(tree), Author: q.set.Author}}}, now)
+		if ok {
+			s.waits[i] = q.asker
+			s.setIndex = i
+		}
+	}
+}
+
+func (s *State) inForce(f force) {
+	if s.Book.InForce >= f.gen {
+		s.reply(f.asker, &wire.ProposeReply{Code: uint32(ledger.Done), Generation: uint64(f.gen)})
+		return
+	}
+	s.forces = append(s.forces, f)
+}
+
+func (s *State) applied(e *wire.Entry, now ident.Moment) {
+	r := s.Book.Apply(e)
+	a, ok := s.waits[e.Index]
+	delete(s.waits, e.Index)
+	if ok && s.Agree.Role() == agreement.Leader && e.Term == uint64(s.Agree.Term()) {
+		if e.Change.GetSetDesired() != nil && r.Code == ledger.Done {
+			s.inForce(force{r.Generation, a})
+		} else {
+			p := &wire.ProposeReply{Code: uint32(r.Code), Generation: uint64(r.Generation), Seat: uint32(r.Seat), Visit: string(r.Visit), Status: r.Status}
+			s.reply(a, p)
+		}
+	}
+	if e.Change.GetMark() != nil {
+		keep := s.forces[:0]
+		for _, f := range s.forces {
+			if s.Book.InForce >= f.gen {
+				s.inForce(f)
+			} else {
+				keep = append(keep, f)
+			}
+		}
+		s.forces = keep
+	}
+	if s.Book.Generation != s.genSeen {
+		s.genSeen, s.genAt = s.Book.Generation, now
+	}
+}
+
+func (s *State) Settle(now ident.Moment) {
+	if s.Agree != nil {
+		if s.Agree.Role() == agreement.Leader {
+			s.pump(now)
+		}
+		for {
+			o := s.Agree.Flush(now)
+			if o.Loaded != nil {
+				if err := s.load(o.Loaded); err != nil {
+					s.out = append(s.out, Note{"A snapshot does not read: " + err.Error()})
+				}
+			}
+			for _, m := range o.Sends {
+				s.out = append(s.out, m)
+			}
+			if o.Persist != nil {
+				s.out = append(s.out, *o.Persist)
+			}
+			for _, e := range o.Applied {
+				s.applied(e, now)
+			}
+			if o.Turned {
+				s.turned(now)
+			}
+			if len(o.Applied) == 0 {
+				break
+			}
+			s.Agree.Compact(s.used > 0.5)
+			s.pump(now)
+		}
+		s.publish(now)
+	}
+	for _, e := range s.Members.Flush() {
+		s.out = append(s.out, e)
+	}
+	for _, e := range s.Relay.Flush() {
+		s.out = append(s.out, e)
+	}
+	for _, e := range s.Mail.Flush() {
+		s.out = append(s.out, e)
+	}
+}
+
+func (s *State) turned(now ident.Moment) {
+	if s.role == s.Agree.Role() {
+		return
+	}
+	s.role = s.Agree.Role()
+	s.out = append(s.out, Note{"Now " + s.role.String() + "."})
+	s.waits = map[uint64]asker{}
+	s.forces, s.queue, s.setIndex = nil, nil, 0
+	s.genAt = now
+	s.liveFrom = map[string]ident.Moment{}
+}
+
+func (s *State) publish(now ident.Moment) {
+	at, ok := s.Agree.AsOf()
+	if !ok {
+		return
+	}
+	c := s.Book.Core()
+	if k := s.Relay.Core; k == nil || k.Version != c.Version || k.Term != uint64(s.Agree.Term()) {
+		n := &wire.Core{Version: c.Version, Generation: c.Generation, InForce: c.InForce, Grown: c.Grown, Seats: c.Seats, Holds: c.Holds, Floors: c.Floors, SeatCount: c.SeatCount, Leader: string(s.Member), LeaderAddr: string(s.Addr), Term: uint64(s.Agree.Term()), Roster: s.Agree.Roster()}
+		c = n
+	} else {
+		c = k
+	}
+	var doc []byte
+	if l := s.Book.Line(s.Book.Generation); l != nil {
+		doc = l.Doc
+	}
+	s.Relay.TakeCore(c, doc, s.Book.Generation, at)
+}
+
+func (s *State) active(c ident.Cell, now ident.Moment) *hold {
+	h := s.holds[c]
+	if h == nil || now.Before(h.start) || now.Sub(s.Relay.CoreAsOf) >= relay.CellTenure {
+		return nil
+	}
+	return h
+}
+
+func (s *State) answer(a *wire.Ask, now ident.Moment) *wire.News {
+	n := s.Relay.Answer(a, now)
+	have := map[string]*wire.CellHave{}
+	for _, h := range a.Cells {
+		have[h.Cell] = h
+	}
+	keep := n.Cells[:0]
+	for _, c := range n.Cells {
+		if s.active(ident.Cell(c.Cell), now) == nil {
+			keep = append(keep, c)
+		}
+	}
+	n.Cells = keep
+	names := make([]string, 0, len(s.holds))
+	for c := range s.holds {
+		names = append(names, string(c))
+	}
+	sort.Strings(names)
+	for _, c := range names {
+		h := s.active(ident.Cell(c), now)
+		if h == nil {
+			continue
+		}
+		var sums []uint64
+		if k := have[c]; k != nil && k.Epoch == uint64(h.epoch) {
+			sums = k.Digests
+		}
+		n.Cells = append(n.Cells, &wire.CellNews{Cell: c, Epoch: uint64(h.epoch), Holder: string(s.Member), Ranges: h.sound.Ranges(sums, now), Nodes: h.sound.Nodes})
+	}
+	return n
+}
+
+func (s *State) announce(token uint64, a *wire.Announce, now ident.Moment) {
+	s.route(pending{now, "", token}, a, now)
+}
+
+func (s *State) announceFrom(from string, a *wire.Announce, now ident.Moment) {
+	s.route(pending{now, from, a.Token}, a, now)
+}
+
+func (s *State) announced(p pending, code uint32, text string) {
+	if p.to == "" {
+		s.out = append(s.out, Announced{p.id, code, text})
+		return
+	}
+	s.send(p.to, &wire.Frame{Body: &wire.Frame_AnnounceReply{AnnounceReply: &wire.AnnounceReply{Token: p.id, Code: code, Text: text}}})
+}
+
+func (s *State) route(p pending, a *wire.Announce, now ident.Moment) {
+	c := ident.Cell(a.Cell)
+	if h := s.active(c, now); h != nil {
+		h.sound.Hear(a, now)
+		s.copyCell(c, h, now)
+		s.announced(p, 200, "")
+		return
+	}
+	for _, h := range s.Relay.Core.GetHolds() {
+		if h.Cell != a.Cell {
+			continue
+		}
+		card := s.Members.Card(ident.Member(h.Holder))
+		if card == nil || h.Holder == string(s.Member) || a.Hops >= HopsMost {
+			break
+		}
+		s.passID++
+		s.passes[s.passID] = p
+		n := proto.Clone(a).(*wire.Announce)
+		n.Token, n.Hops = s.passID, a.Hops+1
+		s.send(card.Addr, &wire.Frame{Body: &wire.Frame_Announce{Announce: n}})
+		return
+	}
+	s.announced(p, 503, "cell "+a.Cell+" has no holder just now")
+}
+
+func (s *State) copyCell(c ident.Cell, h *hold, now ident.Moment) {
+	k := s.Relay.Cells[c]
+	if k == nil {
+		k = cell.NewCopy(c)
+		s.Relay.Cells[c] = k
+	}
+	var sums []uint64
+	if k.Epoch == h.epoch {
+		sums = k.Digests()
+	}
+	k.Take(&wire.CellNews{Cell: string(c), Epoch: uint64(h.epoch), Ranges: h.sound.Ranges(sums, now), Nodes: h.sound.Nodes}, now)
+}
+
+func (s *State) tick(now ident.Moment) {
+	heads := s.heads()
+	s.Mail.Hint(s.leaderAddr())
+	for _, tag := range s.Mail.Tick(heads, now) {
+		if t, ok := tag.(uint64); ok {
+			s.out = append(s.out, Changed{t, &wire.ProposeReply{Code: uint32(ledger.Lost)}})
+		}
+	}
+	for id, p := range s.passes {
+		if now.Sub(p.at) > AnnounceWait {
+			delete(s.passes, id)
+			s.announced(p, 503, "the cell's holder did not answer")
+		}
+	}
+	if s.Agree != nil {
+		s.Agree.Tick(now)
+	}
+	var targets []string
+	for _, a := range heads {
+		if a != string(s.Addr) {
+			targets = append(targets, a)
+		}
+	}
+	if len(targets) == 0 {
+		for _, a := range s.Seeds {
+			if a != s.Addr {
+				targets = append(targets, string(a))
+			}
+		}
+	}
+	s.Relay.Tick(s.Members.Ring(), 0, targets, now)
+	s.cells(now)
+	if s.leading() {
+		s.assign(now)
+		s.marks(now)
+	}
+	s.Members.Update(func(c *wire.Card) {
+		c.Leaving = s.draining
+		c.Ready = s.Relay.CoreFresh(now)
+	}, now)
+	s.Members.Tick(now)
+	if s.draining {
+		s.finish(now)
+	}
+}
+
+func (s *State) finish(now ident.Moment) {
+	if s.Agree != nil && s.Agree.Role() == agreement.Leader && now.Sub(s.drainAt) < 2*time.Second {
+		s.Agree.Resign(now)
+		return
+	}
+	held := len(s.holds) > 0 && now.Sub(s.drainAt) < 5*time.Second && len(s.heads()) > 1
+	if held || now.Sub(s.drainAt) < time.Second {
+		return
+	}
+	s.Members.Leave(now)
+	s.out = append(s.out, Note{"Signed off."}, Exit{})
+}
+
+func (s *State) nodes() []string {
+	var out []string
+	seated := map[string]bool{}
+	for _, v := range s.Relay.Core.GetSeats() {
+		seated[v.Member] = true
+	}
+	for _, c := range s.Members.Ring() {
+		if c.Role == member.Data && c.Ready && !c.Leaving && seated[c.Id] {
+			out = append(out, c.Id)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (s *State) cells(now ident.Moment) {
+	mine := map[ident.Cell]*wire.Hold{}
+	for _, h := range s.Relay.Core.GetHolds() {
+		if h.Holder == string(s.Member) && h.Incarnation == s.Members.Self.Incarnation {
+			mine[ident.Cell(h.Cell)] = h
+		}
+	}
+	for c, h := range s.holds {
+		if m := mine[c]; m == nil || m.Epoch != uint64(h.epoch) {
+			delete(s.holds, c)
+			s.out = append(s.out, Note{"No longer holds cell " + string(c) + "."})
+		}
+	}
+	for c, m := range mine {
+		h := s.holds[c]
+		if h == nil {
+			h = &hold{epoch: ident.Epoch(m.Epoch), start: now.Add(relay.CellTenure), sound: cell.New(c, ident.Epoch(m.Epoch))}
+			s.holds[c] = h
+			s.out = append(s.out, Note{"Holds cell " + string(c) + " soon."})
+		}
+		if s.active(c, now) == nil {
+			continue
+		}
+		h.sound.Tick(now)
+		h.sound.Nodes = s.nodes()
+		s.copyCell(c, h, now)
+	}
+}
+
+func (s *State) assign(now ident.Moment) {
+	homes := map[string][]*wire.Card{}
+	var all []*wire.Card
+	want := map[string]bool{}
+	for _, c := range s.Members.Ring() {
+		want[c.Cell] = true
+		if c.Role != member.Control || c.Leaving {
+			continue
+		}
+		all = append(all, c)
+		if _, ok := s.liveFrom[c.Id]; !ok {
+			s.liveFrom[c.Id] = now
+		}
+		homes[c.Cell] = append(homes[c.Cell], c)
+	}
+	for id := range s.liveFrom {
+		if !s.Members.Live(ident.Member(id)) {
+			delete(s.liveFrom, id)
+		}
+	}
+	for c := range s.Book.Holds {
+		want[string(c)] = true
+	}
+	names := make([]string, 0, len(want))
+	for c := range want {
+		names = append(names, c)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		c := ident.Cell(name)
+		if len(all) == 0 || s.holdAt[c] != 0 && now.Sub(s.holdAt[c]) < HoldEvery {
+			continue
+		}
+		h := s.Book.Holds[c]
+		sound, home := false, false
+		if h != nil {
+			k := s.Members.Card(ident.Member(h.Holder))
+			sound = k != nil && k.State == member.Live && k.Incarnation == h.Incarnation && !k.Leaving
+			home = k != nil && k.Cell == name
+		}
+		pick := all[int(ident.Hash(name)%uint64(len(all)))]
+		if l := homes[name]; len(l) > 0 {
+			pick = l[0]
+		}
+		if sound && (home || pick.Cell != name || now.Sub(s.liveFrom[pick.Id]) < HomeStable) {
+			continue
+		}
+		basis := uint64(0)
+		if h != nil {
+			basis = h.Epoch
+		}
+		s.holdAt[c] = now
+		s.Agree.Propose(&wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: name, Holder: pick.Id, Incarnation: pick.Incarnation, Basis: basis}}}, now)
+	}
+}
+
+func (s *State) confirmed(f func(*wire.Confirm) uint64) bool {
+	for _, v := range s.Book.Seats {
+		c := s.Relay.ConfirmOf(v.Member)
+		if c == nil || c.Incarnation != v.Incarnation || f(c) < uint64(s.Book.Generation) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) marks(now ident.Moment) {
+	if s.markAt != 0 && now.Sub(s.markAt) < MarkEvery {
+		return
+	}
+	m := &wire.Mark{InForce: uint64(s.Book.InForce), Grown: uint64(s.Book.Grown)}
+	if s.Book.InForce < s.Book.Generation {
+		if s.confirmed((*wire.Confirm).GetStaged) || now.Sub(max(s.genAt, s.Agree.LedSince())) > relay.CoreTenure+100*time.Millisecond {
+			m.InForce = uint64(s.Book.Generation)
+		}
+	}
+	if s.Book.Grown < s.Book.Generation && s.confirmed((*wire.Confirm).GetShrunk) {
+		m.Grown = uint64(s.Book.Generation)
+	}
+	if m.InForce == uint64(s.Book.InForce) && m.Grown == uint64(s.Book.Grown) {
+		return
+	}
+	s.markAt = now
+	s.Agree.Propose(&wire.Change{Body: &wire.Change_Mark{Mark: m}}, now)
+}
+
+func (s *State) Take() []any {
+	o := s.out
+	s.out = nil
+	return o
+}
--- /dev/null
+++ b/data/http.go
@@ -0,0 +1,425 @@
+package data
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"sloeturn/cell"
+	"sloeturn/desired"
+	"sloeturn/duty"
+	"sloeturn/forward"
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+const (
+	lanePath     = "/lanes/"
+	beatLimit    = 64 << 10
+	beatWait     = 2500 * time.Millisecond
+	expiryMost   = 3600000
+	keyLimit     = 256
+	bodyPatience = 2 * time.Second
+)
+
+type verdict struct {
+	Ran          string `json:"ran"`
+	Reason       string `json:"reason"`
+	RetryAfterMs int64  `json:"retryAfterMs,omitempty"`
+	Generation   uint64 `json:"generation"`
+	Visit        string `json:"visit,omitempty"`
+	Known        uint32 `json:"knownStatus,omitempty"`
+}
+
+func (n *Node) refuse(w http.ResponseWriter, gen ident.Generation, v ident.Visit, a forward.Answer) {
+	h := w.Header()
+	h.Set("Sloeturn-Ran", string(a.Ran))
+	h.Set("Sloeturn-Generation", strconv.FormatUint(uint64(gen), 10))
+	if a.RetryAfter > 0 && a.Ran == forward.RanNo {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
+	}
+	duty.JSON(w, a.Status, verdict{string(a.Ran), a.Reason, a.RetryAfter.Milliseconds(), uint64(gen), string(v), a.Known})
+}
+
+func (n *Node) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
+		why := *n.ready.Load()
+		if why == "" {
+			duty.JSON(w, 200, map[string]any{"ready": true})
+			return
+		}
+		duty.JSON(w, 503, map[string]any{"ready": false, "why": why})
+	})
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { duty.JSON(w, 200, map[string]any{"live": true}) })
+	mux.HandleFunc("POST /beats", func(w http.ResponseWriter, r *http.Request) { n.hear(w, r, cell.Ready) })
+	mux.HandleFunc("POST /drains", func(w http.ResponseWriter, r *http.Request) { n.hear(w, r, cell.Leaving) })
+	mux.HandleFunc("POST /sign-offs", func(w http.ResponseWriter, r *http.Request) { n.hear(w, r, cell.Gone) })
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		n.refuse(w, n.view.Load().gen, "", forward.Answer{Status: 404, Ran: forward.RanNo, Reason: "no such path; visits go to /lanes/{lane}/..."})
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, lanePath) {
+			n.visit(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) hear(w http.ResponseWriter, r *http.Request, kind int) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, beatLimit))
+	if err != nil {
+		duty.Wrong(w, 413, "beat too large or broken off", nil)
+		return
+	}
+	a, faults := cell.ReadBeat(body, kind)
+	if len(faults) > 0 {
+		duty.Wrong(w, 422, "beat is not sound", faults)
+		return
+	}
+	done, stop := context.WithTimeout(r.Context(), beatWait)
+	defer stop()
+	got := n.Tell(done, a)
+	if got.Code != 200 {
+		w.Header().Set("Retry-After", "1")
+		duty.Wrong(w, int(got.Code), got.Text, nil)
+		return
+	}
+	duty.JSON(w, 200, map[string]any{"heard": true})
+}
+
+func (n *Node) Tell(done context.Context, a *wire.Announce) Announced {
+	t := n.token.Add(1)
+	got := make(chan Announced, 1)
+	n.lock.Lock()
+	n.asks[t] = got
+	n.lock.Unlock()
+	defer func() {
+		n.lock.Lock()
+		delete(n.asks, t)
+		n.lock.Unlock()
+	}()
+	if !n.Offer(Announce{t, a}) {
+		return Announced{t, 503, "busy"}
+	}
+	select {
+	case r := <-got:
+		return r
+	case <-done.Done():
+		return Announced{t, 503, "the cell's holder did not answer"}
+	}
+}
+
+func (n *Node) announced(a Announced) {
+	n.lock.Lock()
+	got := n.asks[a.Token]
+	n.lock.Unlock()
+	if got != nil {
+		select {
+		case got <- a:
+		default:
+		}
+	}
+}
+
+func expiryOf(r *http.Request) (time.Duration, string) {
+	s := r.Header.Get("Sloeturn-Expiry-Ms")
+	if s == "" {
+		return 0, "header Sloeturn-Expiry-Ms is missing: milliseconds left for this visit"
+	}
+	ms, err := strconv.ParseInt(strings.TrimSpace(s), 10, 64)
+	if err != nil || ms > expiryMost {
+		return 0, "header Sloeturn-Expiry-Ms must be a whole number of milliseconds, at most 3600000"
+	}
+	return time.Duration(ms) * time.Millisecond, ""
+}
+
+func allowed(d *desired.State, l *desired.Lane, key string) bool {
+	t := d.Tenants[l.Tenant]
+	if t == nil {
+		return false
+	}
+	if len(t.Digests) == 0 {
+		return true
+	}
+	sum := sha256.Sum256([]byte(key))
+	got := hex.EncodeToString(sum[:])
+	ok := 0
+	for _, g := range t.Digests {
+		ok |= subtle.ConstantTimeCompare([]byte(g), []byte(got))
+	}
+	return ok == 1
+}
+
+func (n *Node) visit(w http.ResponseWriter, r *http.Request) {
+	start := ident.Now()
+	view := n.view.Load()
+	id := ident.Visit(fmt.Sprintf("%s-%x-%d", n.State.Member, uint64(n.State.Incarnation)&0xffffffff, n.count.Add(1)))
+	no := func(status int, why string, back time.Duration) {
+		n.refuse(w, view.gen, id, forward.Answer{Status: status, Ran: forward.RanNo, Reason: why, RetryAfter: back})
+	}
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), lanePath), "/")
+	if view.desired == nil {
+		no(503, "no desired state read yet", 2*time.Second)
+		return
+	}
+	lane := view.desired.Lanes[ident.Lane(name)]
+	if lane == nil {
+		no(404, "no such lane", 0)
+		return
+	}
+	if !allowed(view.desired, lane, r.Header.Get("Sloeturn-Key")) {
+		no(401, "tenant key wrong", 0)
+		return
+	}
+	left, why := expiryOf(r)
+	if why != "" {
+		no(400, why, 0)
+		return
+	}
+	if left <= 0 {
+		no(504, "expiry passed", 0)
+		return
+	}
+	idem := r.Header.Get("Idempotency-Key")
+	if lane.Once && (idem == "" || len(idem) > keyLimit) {
+		no(400, "this lane needs a header Idempotency-Key of at most 256 bytes", 0)
+		return
+	}
+	if r.ContentLength > lane.Body {
+		no(413, "body too large", 0)
+		return
+	}
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(min(left, bodyPatience)))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, lane.Body))
+	if err != nil {
+		var big *http.MaxBytesError
+		if errors.As(err, &big) {
+			no(413, "body too large", 0)
+			return
+		}
+		no(408, "body broke off", 0)
+		return
+	}
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
+	k := &call{visit: id, lane: lane, req: r, body: body, path: "/" + rest, ans: make(chan answer, 2)}
+	now := ident.Now()
+	a := forward.Arrival{Visit: id, Lane: lane.Name, Rule: lane, Arrived: now, Expiry: start.Add(left)}
+	if lane.Once {
+		sum := sha256.Sum256([]byte(lane.Tenant + "\x00" + string(lane.Service) + "\x00" + idem))
+		a.Key = sum[:16]
+		mark := sha256.New()
+		mark.Write([]byte(r.Method + "\x00" + k.path + "\x00" + r.URL.RawQuery + "\x00"))
+		mark.Write(body)
+		a.Body = mark.Sum(nil)[:8]
+	}
+	k.end = 0
+	n.lock.Lock()
+	n.calls[id] = k
+	n.lock.Unlock()
+	k.expiry = a.Expiry
+	defer func() {
+		n.lock.Lock()
+		k.end = ident.Now()
+		n.lock.Unlock()
+		n.forget(id)
+	}()
+	if !n.Offer(Arrive{a}) {
+		no(503, "node busy", time.Second)
+		return
+	}
+	select {
+	case got := <-k.ans:
+		n.reply(w, view.gen, id, got)
+	case <-r.Context().Done():
+		n.Put(Gone{id})
+	}
+}
+
+func (n *Node) reply(w http.ResponseWriter, gen ident.Generation, id ident.Visit, a answer) {
+	if a.resp == nil {
+		n.refuse(w, gen, id, a.Answer)
+		return
+	}
+	h := w.Header()
+	duty.CopyHead(h, a.resp.Header, "Retry-After")
+	h.Set("Sloeturn-Ran", string(forward.RanYes))
+	h.Set("Sloeturn-Generation", strconv.FormatUint(uint64(gen), 10))
+	h.Set("Sloeturn-Visit", string(id))
+	if a.resp.Request.Method == "HEAD" {
+		if v := a.resp.Header.Get("Content-Length"); v != "" {
+			h.Set("Content-Length", v)
+		}
+	} else if a.resp.StatusCode != 204 && a.resp.StatusCode != 304 {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	w.WriteHeader(a.resp.StatusCode)
+	w.Write(a.body)
+}
+
+func (k *call) build(addr ident.Addr) *http.Request {
+	u := &url.URL{Scheme: "http", Host: string(addr), Opaque: "", RawQuery: k.req.URL.RawQuery}
+	u.Path, _ = url.PathUnescape(k.path)
+	u.RawPath = k.path
+	req := &http.Request{Method: k.req.Method, URL: u, Host: string(addr), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}
+	duty.CopyHead(req.Header, k.req.Header)
+	req.Header.Set("Sloeturn-Visit", string(k.visit))
+	req.Header.Set("Sloeturn-Service", string(k.lane.Service))
+	req.Header.Set("Sloeturn-Lane", string(k.lane.Name))
+	req.Header.Set("Sloeturn-Expiry-Ms", strconv.FormatInt(max(1, k.expiry.Sub(ident.Now()).Milliseconds()), 10))
+	req.Header.Del("Accept-Encoding")
+	if req.Header.Get("User-Agent") == "" {
+		req.Header["User-Agent"] = []string{""}
+	}
+	if len(k.body) > 0 || k.req.Method == "POST" || k.req.Method == "PUT" || k.req.Method == "PATCH" {
+		req.ContentLength = int64(len(k.body))
+		req.Body = io.NopCloser(bytes.NewReader(k.body))
+		if len(k.body) == 0 {
+			req.Body = http.NoBody
+		}
+	}
+	return req
+}
+
+func (n *Node) Operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /decisions", n.decisions)
+	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, r *http.Request) { n.ask(w, n.fleet) })
+	mux.HandleFunc("GET /pools", func(w http.ResponseWriter, r *http.Request) { n.ask(w, n.pools) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		v := n.query(n.metrics)
+		if v == nil {
+			duty.Wrong(w, 503, "busy", nil)
+			return
+		}
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		io.WriteString(w, v.(string))
+	})
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, r *http.Request) {
+		n.Put(Drain{})
+		duty.JSON(w, 202, map[string]any{"draining": true})
+	})
+	return mux
+}
+
+func (n *Node) query(f func(s *State, now ident.Moment) any) any {
+	got := make(chan any, 1)
+	if !n.Offer(Query{func(s *State, now ident.Moment) { got <- f(s, now) }}) {
+		return nil
+	}
+	select {
+	case v := <-got:
+		return v
+	case <-time.After(2 * time.Second):
+		return nil
+	}
+}
+
+func (n *Node) ask(w http.ResponseWriter, f func(s *State, now ident.Moment) any) {
+	if v := n.query(f); v != nil {
+		duty.JSON(w, 200, v)
+		return
+	}
+	duty.Wrong(w, 503, "busy", nil)
+}
+
+func (n *Node) decisions(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, err := strconv.ParseUint(q.Get("from"), 10, 64)
+	if q.Get("from") != "" && err != nil {
+		duty.Wrong(w, 400, "from must be a position", nil)
+		return
+	}
+	want := func(d Decision) bool {
+		return (q.Get("lane") == "" || q.Get("lane") == d.Lane) && (q.Get("visit") == "" || q.Get("visit") == d.Visit)
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	enc := json.NewEncoder(w)
+	put := func(list []Decision, lost uint64) error {
+		if lost > 0 {
+			enc.Encode(map[string]any{"lost": lost})
+		}
+		for _, d := range list {
+			if want(d) {
+				if err := enc.Encode(d); err != nil {
+					return err
+				}
+			}
+		}
+		return http.NewResponseController(w).Flush()
+	}
+	if q.Get("follow") == "" {
+		for {
+			list, next, lost, _ := n.Read(from, 1024)
+			if len(list) == 0 && lost == 0 {
+				return
+			}
+			if put(list, lost) != nil {
+				return
+			}
+			from = next
+		}
+	}
+	n.Follow(r.Context(), from, put)
+}
+
+func (n *Node) fleet(s *State, now ident.Moment) any {
+	type cellLine struct {
+		Cell     string   `json:"cell"`
+		Epoch    uint64   `json:"epoch"`
+		AgeMs    int64    `json:"ageMs"`
+		Fresh    bool     `json:"fresh"`
+		Nodes    []string `json:"nodes"`
+		Backends int      `json:"backends"`
+	}
+	var cells []cellLine
+	for c, k := range s.Relay.Cells {
+		cells = append(cells, cellLine{string(c), uint64(k.Epoch), now.Sub(k.AsOf).Milliseconds(), s.Relay.CellFresh(c, now), k.Nodes, len(k.Table)})
+	}
+	return map[string]any{
+		"member": s.Member, "cell": s.Cell, "incarnation": strconv.FormatUint(uint64(s.Incarnation), 10), "build": s.Build,
+		"ready": s.Ready(), "why": s.Unready(now), "draining": s.draining, "seat": s.Seat(), "generation": s.Relay.DocGen,
+		"coreAgeMs": now.Sub(s.Relay.CoreAsOf).Milliseconds(), "coreVersion": s.Relay.Core.GetVersion(), "leader": s.Relay.Core.GetLeader(),
+		"parent": s.Relay.Parent(), "openVisits": s.Open(), "held": s.Pass.Held(), "cells": cells,
+	}
+}
+
+func (n *Node) pools(s *State, now ident.Moment) any {
+	return map[string]any{"member": s.Member, "generation": s.Relay.DocGen, "seat": s.Seat(), "lanes": s.Pass.LaneLines(), "pools": s.Pass.Lines()}
+}
+
+func (n *Node) metrics(s *State, now ident.Moment) any {
+	var b strings.Builder
+	p := func(name string, v any) { fmt.Fprintf(&b, "sloeturn_%s %v\n", name, v) }
+	p("admitted_total", s.Pass.Admitted)
+	p("refused_total", s.Pass.Refused)
+	p("open_visits", s.Open())
+	p("connections_held", s.Pass.Held())
+	p("generation", uint64(s.Relay.DocGen))
+	p("core_age_seconds", now.Sub(s.Relay.CoreAsOf).Seconds())
+	p("wire_sent_total", n.Hub.Sent.Load())
+	p("wire_bytes_total", n.Hub.Bytes.Load())
+	p("wire_lost_total", n.Hub.Lost.Load())
+	p("ring_dropped_total", n.Dropped.Load())
+	p("slowest_batch_seconds", time.Duration(n.Slowest.Load()).Seconds())
+	for _, k := range []string{"refused", "further", "ended whole", "ended garbled", "ended broken", "ended late"} {
+		p("visits_total{kind=\""+k+"\"}", s.Counts[k])
+	}
+	for _, l := range s.Pass.Lines() {
+		fmt.Fprintf(&b, "sloeturn_pool_connections{lane=%q,backend=%q} %d\n", l.Lane, l.Addr, l.Busy+l.Idle)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/data/node.go
@@ -0,0 +1,484 @@
+package data
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"sloeturn/desired"
+	"sloeturn/duty"
+	"sloeturn/forward"
+	"sloeturn/ident"
+	"sloeturn/pass"
+	"sloeturn/wire"
+)
+
+type conn struct {
+	net.Conn
+	read  *bufio.Reader
+	key   pass.Key
+	life  string
+	watch chan error
+	since ident.Moment
+}
+
+type answer struct {
+	forward.Answer
+	resp *http.Response
+	body []byte
+}
+
+type call struct {
+	visit  ident.Visit
+	lane   *desired.Lane
+	req    *http.Request
+	body   []byte
+	path   string
+	ans    chan answer
+	conn   *conn
+	resp   *http.Response
+	out    []byte
+	end    ident.Moment
+	expiry ident.Moment
+}
+
+type view struct {
+	gen     ident.Generation
+	desired *desired.State
+}
+
+type Node struct {
+	duty.Loop
+	*Stream
+	State *State
+	Hub   *wire.Hub
+	Log   log.Logger
+
+	lock   sync.Mutex
+	idle   map[pass.Key][]*conn
+	calls  map[ident.Visit]*call
+	guards map[ident.Addr]func()
+	asks   map[uint64]chan Announced
+	token  atomic.Uint64
+	count  atomic.Uint64
+	view   atomic.Pointer[view]
+	ready  atomic.Pointer[string]
+	ended  chan struct{}
+	over   sync.Once
+	Times  *Times
+}
+
+func NewNode(b Boot, l log.Logger) *Node {
+	n := &Node{Log: l, Stream: NewStream(65536), idle: map[pass.Key][]*conn{}, calls: map[ident.Visit]*call{}, guards: map[ident.Addr]func(){}, asks: map[uint64]chan Announced{}, ended: make(chan struct{}), Times: &Times{}}
+	n.State = New(b, ident.Now())
+	n.Hub = &wire.Hub{Name: string(b.Member), Addr: string(b.Addr), Build: b.Build, Incarnation: uint64(b.Incarnation), Log: l, Take: func(f *wire.Frame) { n.Offer(Got{f}) }}
+	n.Step = n.State.Step
+	n.Settle = func(now ident.Moment) {}
+	n.Obey = n.obey
+	n.Beat = Tick{}
+	n.view.Store(&view{})
+	why := "starting"
+	n.ready.Store(&why)
+	return n
+}
+
+func (n *Node) Open() error {
+	n.Loop.Open()
+	if err := n.Hub.Open(); err != nil {
+		return err
+	}
+	go n.Run()
+	go n.sweep()
+	return nil
+}
+
+func (n *Node) Close() {
+	n.Stop()
+	n.Hub.Close()
+}
+
+func (n *Node) Ended() <-chan struct{} { return n.ended }
+
+func (n *Node) obey(now ident.Moment) {
+	for _, e := range n.State.Take() {
+		switch e := e.(type) {
+		case wire.Send:
+			n.Hub.Send(e.To, e.Frame)
+		case forward.Dial:
+			go n.dial(e)
+		case forward.Write:
+			go n.write(e)
+		case forward.Drop:
+			go n.drop(e.Visit)
+		case forward.Cut:
+			n.cut(e.Visit)
+		case forward.Answer:
+			n.answer(e.Visit, answer{Answer: e})
+		case forward.Deliver:
+			n.deliver(e.Visit)
+		case forward.Trace:
+			n.Push(n.State.adopted, e, now)
+		case pass.Close:
+			go n.closeIdle(e.Key, e.Count)
+		case Shed:
+			go n.shed(e.Lives)
+		case Guard:
+			n.startGuard(e)
+		case GuardEnd:
+			n.endGuard(e)
+		case Announced:
+			n.announced(e)
+		case Adopt:
+			n.view.Store(&view{e.Generation, e.Desired})
+			level.Info(n.Log).Log("part", "desired", "msg", "Adopted a generation.", "generation", e.Generation)
+		case Note:
+			level.Info(n.Log).Log("part", "node", "msg", e.Text)
+		case Exit:
+			n.over.Do(func() { close(n.ended) })
+		}
+	}
+	why := n.State.Unready(now)
+	if *n.ready.Load() != why {
+		n.ready.Store(&why)
+	}
+}
+
+func (n *Node) find(v ident.Visit) *call {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	return n.calls[v]
+}
+
+func (n *Node) answer(v ident.Visit, a answer) {
+	if c := n.find(v); c != nil {
+		select {
+		case c.ans <- a:
+		default:
+		}
+	}
+}
+
+func (n *Node) deliver(v ident.Visit) {
+	if c := n.find(v); c != nil {
+		n.answer(v, answer{Answer: forward.Answer{Visit: v, Ran: forward.RanYes}, resp: c.resp, body: c.out})
+	}
+}
+
+func (n *Node) takeIdle(k pass.Key, life string) *conn {
+	lost := 0
+	defer func() {
+		for ; lost > 0; lost-- {
+			n.Put(IdleBroke{k, false})
+		}
+	}()
+	for {
+		n.lock.Lock()
+		list := n.idle[k]
+		if len(list) == 0 {
+			n.lock.Unlock()
+			lost--
+			return nil
+		}
+		c := list[len(list)-1]
+		n.idle[k] = list[:len(list)-1]
+		n.lock.Unlock()
+		if c.stop() && c.life == life {
+			return c
+		}
+		c.Close()
+		lost++
+	}
+}
+
+func (c *conn) stop() bool {
+	c.SetReadDeadline(time.Unix(1, 0))
+	err := <-c.watch
+	c.SetReadDeadline(time.Time{})
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func (n *Node) putIdle(c *conn) {
+	c.SetDeadline(time.Time{})
+	c.watch = make(chan error, 1)
+	c.since = ident.Now()
+	n.lock.Lock()
+	n.idle[c.key] = append(n.idle[c.key], c)
+	n.lock.Unlock()
+	go n.watchIdle(c)
+}
+
+func (n *Node) watchIdle(c *conn) {
+	_, err := c.read.Peek(1)
+	if err == nil {
+		err = errors.New("bytes nobody asked for")
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.watch <- err
+		return
+	}
+	n.lock.Lock()
+	found := false
+	list := n.idle[c.key]
+	for i, d := range list {
+		if d == c {
+			n.idle[c.key] = append(append([]*conn(nil), list[:i]...), list[i+1:]...)
+			found = true
+		}
+	}
+	n.lock.Unlock()
+	c.watch <- err
+	if found {
+		c.Close()
+		n.Put(IdleBroke{c.key, true})
+	}
+}
+
+func (n *Node) closeIdle(k pass.Key, count int) {
+	for i := 0; i < count; i++ {
+		n.lock.Lock()
+		list := n.idle[k]
+		if len(list) == 0 {
+			n.lock.Unlock()
+			return
+		}
+		c := list[0]
+		n.idle[k] = list[1:]
+		n.lock.Unlock()
+		c.stop()
+		c.Close()
+		n.Put(IdleBroke{k, false})
+	}
+}
+
+func (n *Node) shed(lives map[ident.Addr]string) {
+	n.lock.Lock()
+	var old []*conn
+	for k, list := range n.idle {
+		var keep []*conn
+		for _, c := range list {
+			if lives[k.Addr] == c.life {
+				keep = append(keep, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		n.idle[k] = keep
+	}
+	n.lock.Unlock()
+	for _, c := range old {
+		c.stop()
+		c.Close()
+		n.Put(IdleBroke{c.key, false})
+	}
+}
+
+func (n *Node) sweep() {
+	t := time.NewTicker(250 * time.Millisecond)
+	defer t.Stop()
+	for range t.C {
+		now := ident.Now()
+		n.lock.Lock()
+		var old []*conn
+		for k, list := range n.idle {
+			var keep []*conn
+			for _, c := range list {
+				if now.Sub(c.since) > pass.IdleLife {
+					old = append(old, c)
+				} else {
+					keep = append(keep, c)
+				}
+			}
+			if len(keep) == 0 {
+				delete(n.idle, k)
+			} else {
+				n.idle[k] = keep
+			}
+		}
+		n.lock.Unlock()
+		for _, c := range old {
+			c.stop()
+			c.Close()
+			if !n.Put(IdleBroke{c.key, false}) {
+				return
+			}
+		}
+	}
+}
+
+func (n *Node) dial(e forward.Dial) {
+	var c *conn
+	if e.Reuse {
+		c = n.takeIdle(e.Key, e.Backend.Life)
+	}
+	if c == nil {
+		wait := e.Until.Sub(ident.Now())
+		if e.Backend.Barred || wait <= 0 {
+			n.Put(LinkFailed{e.Visit, e.Shot, e.Key, false})
+			return
+		}
+		raw, err := net.DialTimeout("tcp", string(e.Key.Addr), wait)
+		if err != nil {
+			n.Put(LinkFailed{e.Visit, e.Shot, e.Key, true})
+			return
+		}
+		c = &conn{Conn: raw, read: bufio.NewReaderSize(raw, 16<<10), key: e.Key, life: e.Backend.Life}
+	}
+	n.lock.Lock()
+	k := n.calls[e.Visit]
+	if k != nil {
+		k.conn = c
+	}
+	n.lock.Unlock()
+	if k == nil {
+		n.putIdle(c)
+		n.Put(Freed{e.Key, true, false})
+		return
+	}
+	n.Put(Linked{e.Visit, e.Shot})
+}
+
+func (n *Node) drop(v ident.Visit) {
+	n.lock.Lock()
+	k := n.calls[v]
+	var c *conn
+	if k != nil {
+		c, k.conn = k.conn, nil
+	}
+	n.lock.Unlock()
+	if c != nil {
+		n.putIdle(c)
+		n.Put(Freed{c.key, true, false})
+	}
+	n.forget(v)
+}
+
+func (n *Node) forget(v ident.Visit) {
+	n.lock.Lock()
+	if k := n.calls[v]; k != nil && k.conn == nil && k.end != 0 {
+		delete(n.calls, v)
+	}
+	n.lock.Unlock()
+}
+
+func (n *Node) cut(v ident.Visit) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if k := n.calls[v]; k != nil && k.conn != nil {
+		k.conn.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+func (n *Node) write(e forward.Write) {
+	k := n.find(e.Visit)
+	if k == nil || k.conn == nil {
+		n.Put(NotWritten{e.Visit, "no connection"})
+		return
+	}
+	c := k.conn
+	var b bytes.Buffer
+	req := k.build(c.key.Addr)
+	if err := req.Write(&b); err != nil {
+		n.Put(NotWritten{e.Visit, "visit could not be put in words"})
+		n.drop(e.Visit)
+		return
+	}
+	c.SetDeadline(time.Now().Add(e.Until.Sub(ident.Now())))
+	if ident.Now().After(e.NotAfter) {
+		n.Put(NotWritten{e.Visit, "tenure ran out before writing"})
+		n.drop(e.Visit)
+		return
+	}
+	sent, err := c.Write(b.Bytes())
+	if err != nil && sent == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
+		n.finish(k, c, false, true)
+		n.Put(NotWritten{e.Visit, "connection broke before the first byte"})
+		return
+	}
+	if err != nil {
+		n.finish(k, c, false, true, Ended{e.Visit, forward.Broken, 0})
+		return
+	}
+	resp, body, keep, ending := n.read(c, req, k.lane.Answer)
+	k.resp, k.out = resp, body
+	status := 0
+	if resp != nil {
+		status = resp.StatusCode
+	}
+	n.finish(k, c, keep && ending == forward.Whole, ending == forward.Broken, Ended{e.Visit, ending, status})
+}
+
+func (n *Node) finish(k *call, c *conn, keep, bar bool, events ...any) {
+	n.lock.Lock()
+	k.conn = nil
+	n.lock.Unlock()
+	for _, e := range events {
+		n.Put(e)
+	}
+	if keep {
+		n.putIdle(c)
+	} else {
+		c.Close()
+	}
+	n.Put(Freed{c.key, keep, bar})
+	n.forget(k.visit)
+}
+
+func (n *Node) read(c *conn, req *http.Request, most int64) (*http.Response, []byte, bool, forward.Ending) {
+	for {
+		resp, err := http.ReadResponse(c.read, req)
+		if err != nil {
+			return nil, nil, false, endingOf(err)
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != 101 {
+			continue
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+		if err != nil {
+			return resp, nil, false, endingOf(err)
+		}
+		resp.Body.Close()
+		bare := req.Method == "HEAD" || resp.StatusCode == 204 || resp.StatusCode == 304
+		open := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bare
+		if resp.StatusCode == 101 || int64(len(body)) > most || open || c.read.Buffered() > 0 || resp.ProtoMajor != 1 || !sound(resp, body) {
+			return resp, nil, false, forward.Garbled
+		}
+		return resp, body, !resp.Close && resp.ProtoMinor == 1, forward.Whole
+	}
+}
+
+func sound(resp *http.Response, body []byte) bool {
+	if len(body) == 0 {
+		return true
+	}
+	kind := resp.Header.Get("Content-Type")
+	if resp.Header.Get("Content-Encoding") != "" {
+		return false
+	}
+	if kind == "" || strings.Contains(kind, "json") {
+		return json.Valid(body)
+	}
+	return true
+}
+
+func endingOf(err error) forward.Ending {
+	var op *net.OpError
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return forward.Late
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &op):
+		return forward.Broken
+	}
+	return forward.Garbled
+}
--- /dev/null
+++ b/data/state.go
@@ -0,0 +1,681 @@
+package data
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"sloeturn/cell"
+	"sloeturn/desired"
+	"sloeturn/forward"
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/member"
+	"sloeturn/pass"
+	"sloeturn/relay"
+	"sloeturn/wire"
+)
+
+const (
+	SeatWait     = 2 * time.Second
+	OutcomeWait  = 10 * time.Second
+	AnnounceWait = time.Second
+	DrainGrace   = 2500 * time.Millisecond
+)
+
+type (
+	Got    struct{ Frame *wire.Frame }
+	Tick   struct{}
+	Arrive struct{ forward.Arrival }
+	Linked struct {
+		Visit ident.Visit
+		Shot  int
+	}
+	LinkFailed struct {
+		Visit ident.Visit
+		Shot  int
+		Key   pass.Key
+		Bar   bool
+	}
+	NotWritten struct {
+		Visit ident.Visit
+		Why   string
+	}
+	Ended struct {
+		Visit  ident.Visit
+		Ending forward.Ending
+		Status int
+	}
+	Freed struct {
+		Key  pass.Key
+		Keep bool
+		Bar  bool
+	}
+	IdleBroke struct {
+		Key pass.Key
+		Bar bool
+	}
+	Gone      struct{ Visit ident.Visit }
+	GuardMade struct {
+		Addr ident.Addr
+		Life string
+	}
+	GuardLost struct {
+		Addr ident.Addr
+		Life string
+		Why  string
+	}
+	Announce struct {
+		Token    uint64
+		Announce *wire.Announce
+	}
+	Drain struct{}
+	Query struct {
+		Do func(s *State, now ident.Moment)
+	}
+)
+
+type (
+	Guard struct {
+		Addr    ident.Addr
+		Service ident.Service
+		Life    string
+		Probe   desired.Probe
+	}
+	GuardEnd struct {
+		Addr ident.Addr
+		Life string
+	}
+	Shed      struct{ Lives map[ident.Addr]string }
+	Announced struct {
+		Token uint64
+		Code  uint32
+		Text  string
+	}
+	Adopt struct {
+		Generation ident.Generation
+		Desired    *desired.State
+	}
+	Exit struct{}
+	Note struct{ Text string }
+)
+
+type Boot struct {
+	Member      ident.Member
+	Addr        ident.Addr
+	HTTP        string
+	Cell        ident.Cell
+	Incarnation ident.Incarnation
+	Seeds       []ident.Addr
+	Build       string
+}
+
+type guard struct {
+	life  string
+	up    bool
+	ended bool
+}
+
+type bar struct {
+	life    string
+	service string
+	beat    uint64
+	epoch   ident.Epoch
+	cell    ident.Cell
+}
+
+type pending struct {
+	at   ident.Moment
+	what *wire.Announce
+	hops int
+}
+
+type State struct {
+	Boot
+	*forward.State
+	Pass    *pass.State
+	Members *member.State
+	Relay   *relay.State
+	Mail    *relay.Courier
+
+	seat      *wire.Seat
+	asking    bool
+	bars      map[ident.Addr]bar
+	guards    map[ident.Addr]*guard
+	lives     map[ident.Addr]string
+	announces map[uint64]pending
+	rev       uint64
+	fresh     string
+	adopted   ident.Generation
+	ready     bool
+	draining  bool
+	drainAt   ident.Moment
+	signedOff bool
+	freeing   bool
+	gone      bool
+	out       []any
+	now       ident.Moment
+}
+
+func New(b Boot, now ident.Moment) *State {
+	s := &State{Boot: b, bars: map[ident.Addr]bar{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}}
+	s.Pass = pass.New()
+	s.State = forward.New(s.Pass, s.gate)
+	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Data, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
+	s.Relay = relay.New(b.Member, false)
+	s.Mail = relay.NewCourier(uint64(b.Incarnation))
+	return s
+}
+
+func (s *State) heads() []string {
+	var out []string
+	for _, c := range s.Members.Ring() {
+		if c.Role == member.Control {
+			out = append(out, c.Addr)
+		}
+	}
+	return out
+}
+
+func (s *State) Ready() bool    { return s.ready }
+func (s *State) Draining() bool { return s.draining }
+func (s *State) Seat() int {
+	if s.seat == nil {
+		return -1
+	}
+	return int(s.seat.Seat)
+}
+
+func (s *State) Unready(now ident.Moment) string {
+	switch {
+	case s.draining:
+		return "draining"
+	case !s.Relay.CoreKnown:
+		return "no desired state read yet"
+	case !s.Relay.CoreFresh(now):
+		return "desired state stale"
+	case s.Relay.DocGen == 0:
+		return "no desired state set"
+	case s.Relay.Desired == nil:
+		return "desired state unreadable"
+	case s.seat == nil:
+		return "no seat"
+	case int(s.seat.Seat) >= s.Relay.Desired.Fleet.Seats():
+		return "seat beyond the fleet's size"
+	}
+	return ""
+}
+
+func (s *State) gate(v *forward.Visit, now ident.Moment) (ident.Moment, string) {
+	if s.signedOff {
+		return 0, "signed off"
+	}
+	if s.draining && v.Phase == forward.Waiting && now.Sub(s.drainAt) > DrainGrace {
+		return 0, "draining"
+	}
+	if why := s.Unready(now); why != "" && why != "draining" {
+		return 0, why
+	}
+	if !s.Relay.CoreFresh(now) || s.seat == nil {
+		return 0, "no tenure"
+	}
+	l := s.Relay.Desired.Lanes[v.Lane]
+	if l == nil || l.Service != v.Rule.Service || l.Tenant != v.Rule.Tenant {
+		return 0, "lane changed"
+	}
+	at := s.Relay.CoreAsOf.Add(relay.CoreTenure)
+	if v.Phase < forward.Admitted {
+		return at, ""
+	}
+	k := s.Relay.Cells[v.Backend.Cell]
+	if k == nil || !s.Relay.CellFresh(v.Backend.Cell, now) {
+		return 0, "cell news stale"
+	}
+	b := k.Table[v.Backend.Addr]
+	if b == nil || b.State != cell.Ready || b.Incarnation != v.Backend.Life || b.Service != string(v.Rule.Service) {
+		return 0, "backend gone"
+	}
+	if s.doubled(v.Backend.Addr, k.Cell, now) {
+		return 0, "backend named by two cells"
+	}
+	return min(at, k.AsOf.Add(relay.CellFresh)), ""
+}
+
+func (s *State) doubled(a ident.Addr, not ident.Cell, now ident.Moment) bool {
+	for c, k := range s.Relay.Cells {
+		if c != not && k.Table[a] != nil && s.Relay.CellFresh(c, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) Step(now ident.Moment, e any) {
+	s.now = now
+	switch e := e.(type) {
+	case Got:
+		s.got(e.Frame, now)
+	case Tick:
+		s.tick(now)
+	case Arrive:
+		s.Arrive(e.Arrival, now)
+	case Linked:
+		if !s.Linked(e.Visit, e.Shot, now) {
+			s.out = append(s.out, forward.Drop{Visit: e.Visit})
+		}
+	case LinkFailed:
+		s.LinkFailed(e.Visit, e.Shot, e.Key, e.Bar, now)
+	case NotWritten:
+		s.NotWritten(e.Visit, e.Why, now)
+	case Ended:
+		s.Ended(e.Visit, e.Ending, e.Status, now)
+	case Freed:
+		s.Freed(e.Key, e.Keep, e.Bar, now)
+	case IdleBroke:
+		s.IdleBroke(e.Key, e.Bar, now)
+	case Gone:
+		s.Gone(e.Visit, now)
+	case GuardMade:
+		if g := s.guards[e.Addr]; g != nil && g.life == e.Life && !g.ended {
+			g.up = true
+			s.rev = 0
+			s.refresh(now)
+		}
+	case GuardLost:
+		s.guardLost(e, now)
+	case Announce:
+		s.announce(e.Token, e.Announce, now)
+	case Drain:
+		s.drain(now)
+	case Query:
+		e.Do(s, now)
+	}
+	s.obey(now)
+}
+
+func (s *State) got(f *wire.Frame, now ident.Moment) {
+	switch b := f.Body.(type) {
+	case *wire.Frame_Heartbeat:
+		s.Members.Heartbeat(b.Heartbeat, now)
+	case *wire.Frame_Table:
+		s.Members.Table(b.Table, f.Addr, now)
+	case *wire.Frame_Ask:
+		s.Relay.Heard(b.Ask)
+		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_News{News: s.Relay.Answer(b.Ask, now)}})
+	case *wire.Frame_News:
+		s.Relay.News(b.News, f.Addr, now)
+		s.refresh(now)
+	case *wire.Frame_ProposeReply:
+		if tag, ok := s.Mail.Reply(b.ProposeReply, s.heads(), now); ok {
+			s.replied(tag, b.ProposeReply, now)
+		}
+	case *wire.Frame_AnnounceReply:
+		r := b.AnnounceReply
+		if _, ok := s.announces[r.Token]; ok {
+			delete(s.announces, r.Token)
+			s.out = append(s.out, Announced{r.Token, r.Code, r.Text})
+		}
+	}
+}
+
+type (
+	seatTag  struct{}
+	freeTag  struct{}
+	claimTag struct{ visit ident.Visit }
+	otherTag struct{}
+)
+
+func (s *State) replied(tag any, r *wire.ProposeReply, now ident.Moment) {
+	switch t := tag.(type) {
+	case seatTag:
+		s.asking = false
+	case claimTag:
+		s.Claimed(t.visit, ledger.Code(r.Code), r.Status, now)
+	case freeTag:
+		s.gone = true
+	}
+}
+
+func (s *State) send(to string, f *wire.Frame) {
+	s.out = append(s.out, wire.Send{To: to, Frame: f})
+}
+
+func (s *State) announce(token uint64, a *wire.Announce, now ident.Moment) {
+	a.Token = token
+	for _, h := range s.Relay.Core.GetHolds() {
+		if h.Cell == a.Cell {
+			if c := s.Members.Card(ident.Member(h.Holder)); c != nil {
+				s.announces[token] = pending{at: now, what: a}
+				s.send(c.Addr, &wire.Frame{Body: &wire.Frame_Announce{Announce: a}})
+				return
+			}
+		}
+	}
+	s.out = append(s.out, Announced{token, 503, "no holder is known for cell " + a.Cell})
+}
+
+func (s *State) drain(now ident.Moment) {
+	if s.draining {
+		return
+	}
+	s.draining = true
+	s.drainAt = now
+	s.out = append(s.out, Note{"Draining."})
+}
+
+func (s *State) tick(now ident.Moment) {
+	heads := s.heads()
+	s.Mail.Hint(s.Relay.Core.GetLeaderAddr())
+	for _, tag := range s.Mail.Tick(heads, now) {
+		switch t := tag.(type) {
+		case seatTag:
+			s.asking = false
+		case claimTag:
+			s.Claimed(t.visit, ledger.Lost, 0, now)
+		case freeTag:
+			s.freeing = false
+		}
+	}
+	for t, a := range s.announces {
+		if now.Sub(a.at) > AnnounceWait {
+			delete(s.announces, t)
+			s.out = append(s.out, Announced{t, 503, "the cell's holder did not answer"})
+		}
+	}
+	targets := heads
+	if len(targets) == 0 {
+		for _, a := range s.Seeds {
+			targets = append(targets, string(a))
+		}
+	}
+	s.Relay.Tick(s.Members.Ring(), s.ringKey(), targets, now)
+	s.refresh(now)
+	s.takeSeat(heads, now)
+	s.State.Tick(now)
+	s.finish(heads, now)
+	ready := s.Unready(now) == ""
+	if ready != s.ready {
+		s.ready = ready
+		s.out = append(s.out, Note{map[bool]string{true: "Ready.", false: "Not ready: " + s.Unready(now) + "."}[ready]})
+	}
+	s.Members.Update(func(c *wire.Card) { c.Ready, c.Leaving = s.ready, s.draining }, now)
+	s.Members.Tick(now)
+}
+
+func (s *State) ringKey() uint64 {
+	n := uint64(0)
+	for _, c := range s.Members.Ring() {
+		n += ident.Hash(c.Id)
+	}
+	return n
+}
+
+func (s *State) takeSeat(heads []string, now ident.Moment) {
+	s.seat = nil
+	for _, v := range s.Relay.Core.GetSeats() {
+		if v.Addr == string(s.Addr) && v.Incarnation == uint64(s.Incarnation) && v.Member == string(s.Member) {
+			s.seat = v
+		}
+	}
+	if s.seat != nil || s.asking || s.draining || !s.Relay.CoreFresh(now) || s.Relay.Core.SeatCount == 0 {
+		return
+	}
+	s.asking = true
+	s.Mail.Post(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: string(s.Member), Addr: string(s.Addr), Incarnation: uint64(s.Incarnation)}}}, now.Add(SeatWait), seatTag{}, heads, now)
+}
+
+func (s *State) floors() map[ledger.Lot]int {
+	out := map[ledger.Lot]int{}
+	if s.seat == nil || s.signedOff || s.Relay.Desired == nil || int(s.seat.Seat) >= s.Relay.Desired.Fleet.Seats() {
+		return out
+	}
+	for _, f := range s.Relay.Core.Floors {
+		out[ledger.Lot{Lane: ident.Lane(f.Lane), Service: ident.Service(f.Service)}] = int(f.Slots)
+	}
+	return out
+}
+
+func (s *State) freshKey(now ident.Moment) string {
+	var b strings.Builder
+	fmt.Fprint(&b, s.Relay.CoreFresh(now), s.signedOff, s.Seat())
+	names := make([]string, 0, len(s.Relay.Cells))
+	for c := range s.Relay.Cells {
+		names = append(names, string(c))
+	}
+	sort.Strings(names)
+	for _, c := range names {
+		fmt.Fprint(&b, c, s.Relay.CellFresh(ident.Cell(c), now))
+	}
+	return b.String()
+}
+
+func (s *State) refresh(now ident.Moment) {
+	if !s.Relay.CoreKnown {
+		return
+	}
+	rev, fresh := s.Relay.Revision(), s.freshKey(now)
+	if rev == s.rev && fresh == s.fresh {
+		s.confirm()
+		return
+	}
+	s.rev, s.fresh = rev, fresh
+	s.takeSeatLine()
+	if d := s.Relay.Desired; d != nil {
+		s.Rules(d, s.floors(), s.Seat(), int(s.Relay.Core.SeatCount), now)
+		if s.adopted != s.Relay.DocGen {
+			s.adopted = s.Relay.DocGen
+			s.out = append(s.out, Adopt{s.adopted, d})
+		}
+	}
+	s.rebuild(now)
+	s.confirm()
+}
+
+func (s *State) takeSeatLine() {
+	s.seat = nil
+	for _, v := range s.Relay.Core.GetSeats() {
+		if v.Addr == string(s.Addr) && v.Incarnation == uint64(s.Incarnation) && v.Member == string(s.Member) {
+			s.seat = v
+		}
+	}
+}
+
+func (s *State) confirm() {
+	c := &wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: uint64(s.Relay.DocGen)}
+	if s.seat != nil {
+		c.Seat = s.seat.Seat
+	}
+	if s.Relay.Core.Generation == uint64(s.Relay.DocGen) && s.Pass.Within() {
+		c.Shrunk = uint64(s.Relay.DocGen)
+	}
+	s.Relay.Confirm(c)
+}
+
+type entry struct {
+	*wire.Backend
+	cell *cell.Copy
+}
+
+func (s *State) rebuild(now ident.Moment) {
+	seen := map[ident.Addr][]entry{}
+	for c, k := range s.Relay.Cells {
+		if !s.Relay.CellFresh(c, now) {
+			continue
+		}
+		for a, b := range k.Table {
+			seen[a] = append(seen[a], entry{b, k})
+		}
+	}
+	addrs := make([]ident.Addr, 0, len(seen))
+	for a := range seen {
+		addrs = append(addrs, a)
+	}
+	sort.Slice(addrs, func(i, j int) bool { return addrs[i] < addrs[j] })
+	lives := map[ident.Addr]string{}
+	groups := map[string][]cell.Share{}
+	var list []pass.Backend
+	for _, a := range addrs {
+		if len(seen[a]) != 1 {
+			continue
+		}
+		e := seen[a][0]
+		lives[a] = e.Incarnation
+		if b, ok := s.bars[a]; ok && (b.cell != e.cell.Cell || b.life != e.Incarnation || b.service != e.Service || e.cell.Epoch > b.epoch || e.Beat > b.beat) {
+			delete(s.bars, a)
+		}
+		if s.Relay.Desired == nil || s.Relay.Desired.Services[ident.Service(e.Service)] == nil || e.State != cell.Ready {
+			continue
+		}
+		g := s.guards[a]
+		_, barred := s.bars[a]
+		list = append(list, pass.Backend{Addr: a, Service: ident.Service(e.Service), Life: e.Incarnation, Cell: e.cell.Cell, Near: e.cell.Cell == s.Cell, Barred: barred || g == nil || !g.up || g.life != e.Incarnation})
+		key := string(e.cell.Cell) + " " + e.Service
+		groups[key] = append(groups[key], cell.Share{Addr: a, Work: int(e.Work)})
+	}
+	shares := map[ident.Addr]int{}
+	totals := map[ident.Service]int{}
+	for key, g := range groups {
+		c, v, _ := strings.Cut(key, " ")
+		for a, n := range cell.Deal(g, s.Relay.Cells[ident.Cell(c)].Nodes, string(s.Member), ident.Hash(key)) {
+			shares[a] = n
+			totals[ident.Service(v)] += n
+		}
+	}
+	spare := map[ident.Service]uint64{}
+	for i := range list {
+		list[i].Share = shares[list[i].Addr]
+	}
+	for i := range list {
+		b := &list[i]
+		if h := ident.Hash(string(s.Member), string(b.Addr)); totals[b.Service] == 0 && h > spare[b.Service] {
+			spare[b.Service] = h
+		}
+	}
+	for i := range list {
+		if b := &list[i]; totals[b.Service] == 0 && ident.Hash(string(s.Member), string(b.Addr)) == spare[b.Service] {
+			b.Share = 1
+		}
+	}
+	for a, life := range s.lives {
+		if lives[a] != life {
+			s.out = append(s.out, Shed{lives})
+			break
+		}
+	}
+	s.lives = lives
+	s.guard(list, now)
+	s.Backends(list, now)
+}
+
+func (s *State) guard(list []pass.Backend, now ident.Moment) {
+	want := map[ident.Addr]pass.Backend{}
+	if !s.signedOff && s.seat != nil && s.Relay.CoreFresh(now) {
+		for _, b := range list {
+			want[b.Addr] = b
+		}
+	}
+	for a, g := range s.guards {
+		if b, ok := want[a]; (!ok || b.Life != g.life) && !g.ended {
+			g.ended, g.up = true, false
+			s.out = append(s.out, GuardEnd{a, g.life})
+		}
+	}
+	for _, b := range list {
+		if _, ok := want[b.Addr]; !ok || s.guards[b.Addr] != nil {
+			continue
+		}
+		if _, barred := s.bars[b.Addr]; barred {
+			continue
+		}
+		if !s.Pass.Hold(pass.Key{Lane: pass.ProbeLane, Addr: b.Addr}, b.Service) {
+			continue
+		}
+		s.guards[b.Addr] = &guard{life: b.Life}
+		s.out = append(s.out, Guard{b.Addr, b.Service, b.Life, s.Relay.Desired.Services[b.Service].Probe})
+	}
+}
+
+func (s *State) guardLost(e GuardLost, now ident.Moment) {
+	g := s.guards[e.Addr]
+	if g == nil || g.life != e.Life {
+		return
+	}
+	delete(s.guards, e.Addr)
+	s.Pass.Unhold(pass.Key{Lane: pass.ProbeLane, Addr: e.Addr})
+	if !g.ended {
+		s.bar(e.Addr)
+		s.Pass.Bar(e.Addr)
+		s.out = append(s.out, Note{"Backend " + string(e.Addr) + " is unsound: " + e.Why + "."})
+	}
+	s.rev = 0
+	s.refresh(now)
+}
+
+func (s *State) bar(a ident.Addr) {
+	for c, k := range s.Relay.Cells {
+		if b := k.Table[a]; b != nil {
+			s.bars[a] = bar{life: b.Incarnation, service: b.Service, beat: b.Beat, epoch: k.Epoch, cell: c}
+		}
+	}
+}
+
+func (s *State) finish(heads []string, now ident.Moment) {
+	if !s.draining {
+		return
+	}
+	if s.Open() == 0 && now.Sub(s.drainAt) > DrainGrace && !s.signedOff {
+		s.signedOff = true
+		s.rev = 0
+		s.out = append(s.out, Shed{map[ident.Addr]string{}}, Note{"All visits have ended."})
+		s.refresh(now)
+	}
+	if s.signedOff && !s.gone && !s.freeing && s.Pass.Held() == 0 {
+		if s.seat == nil {
+			s.gone = true
+		} else {
+			s.freeing = true
+			s.Mail.Post(&wire.Change{Body: &wire.Change_SeatFree{SeatFree: &wire.SeatFree{Seat: s.seat.Seat, Member: s.seat.Member, Incarnation: s.seat.Incarnation, Reason: "sign-off"}}}, now.Add(SeatWait), freeTag{}, heads, now)
+		}
+	}
+	if s.gone {
+		s.Members.Leave(now)
+		s.out = append(s.out, Note{"Signed off."}, Exit{})
+	}
+}
+
+func (s *State) obey(now ident.Moment) {
+	heads := s.heads()
+	for _, e := range s.State.Flush() {
+		switch e := e.(type) {
+		case forward.Claim:
+			v := e.Visit
+			v.Post = s.Mail.Post(&wire.Change{Body: &wire.Change_Claim{Claim: &wire.Claim{Key: v.Arrival.Key, Visit: string(v.Visit), Lane: string(v.Lane), Body: v.Body}}}, v.GiveUpAt, claimTag{v.Visit}, heads, now)
+		case forward.Release:
+			s.Mail.Drop(e.Visit.Post)
+			s.Mail.Post(&wire.Change{Body: &wire.Change_Release{Release: &wire.Release{Key: e.Visit.Arrival.Key, Visit: string(e.Visit.Visit)}}}, now.Add(OutcomeWait), otherTag{}, heads, now)
+		case forward.Outcome:
+			s.Mail.Post(&wire.Change{Body: &wire.Change_Outcome{Outcome: &wire.Outcome{Key: e.Visit.Arrival.Key, Visit: string(e.Visit.Visit), Status: uint32(e.Status)}}}, now.Add(OutcomeWait), otherTag{}, heads, now)
+		case forward.Bar:
+			s.bar(e.Addr)
+			s.rev = 0
+		default:
+			s.out = append(s.out, e)
+		}
+	}
+	for _, e := range s.Members.Flush() {
+		s.out = append(s.out, e)
+	}
+	for _, e := range s.Relay.Flush() {
+		s.out = append(s.out, e)
+	}
+	for _, e := range s.Mail.Flush() {
+		s.out = append(s.out, e)
+	}
+}
+
+func (s *State) Take() []any {
+	o := s.out
+	s.out = nil
+	return o
+}
--- /dev/null
+++ b/duty/loop.go
@@ -0,0 +1,176 @@
+package duty
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"sloeturn/ident"
+)
+
+const (
+	RingSize  = 8192
+	BatchMost = 256
+	TickEvery = 5 * time.Millisecond
+)
+
+var ErrServe = merry.Sentinel("duty: cannot serve")
+
+type Loop struct {
+	Step   func(now ident.Moment, e any)
+	Settle func(now ident.Moment)
+	Obey   func(now ident.Moment)
+	Beat   any
+
+	ring    chan any
+	done    chan struct{}
+	once    sync.Once
+	Dropped atomic.Uint64
+	Slowest atomic.Int64
+}
+
+func (l *Loop) Open() {
+	l.ring = make(chan any, RingSize)
+	l.done = make(chan struct{})
+}
+
+func (l *Loop) Stop() { l.once.Do(func() { close(l.done) }) }
+
+func (l *Loop) Put(e any) bool {
+	select {
+	case l.ring <- e:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+func (l *Loop) Offer(e any) bool {
+	select {
+	case l.ring <- e:
+		return true
+	default:
+		l.Dropped.Add(1)
+		return false
+	}
+}
+
+func (l *Loop) Run() {
+	t := time.NewTicker(TickEvery)
+	defer t.Stop()
+	for {
+		var e any
+		select {
+		case <-l.done:
+			return
+		case e = <-l.ring:
+		case <-t.C:
+			e = l.Beat
+		}
+		now := ident.Now()
+		l.Step(now, e)
+		for n := 0; n < BatchMost; n++ {
+			select {
+			case e = <-l.ring:
+				l.Step(now, e)
+				continue
+			default:
+			}
+			break
+		}
+		l.Settle(now)
+		l.Obey(now)
+		if d := int64(ident.Now().Sub(now)); d > l.Slowest.Load() {
+			l.Slowest.Store(d)
+		}
+	}
+}
+
+type bridge struct{ log.Logger }
+
+func (b bridge) Log(lev klog.Level, kv ...any) error {
+	if lev < klog.LevelWarn {
+		return nil
+	}
+	return level.Warn(b.Logger).Log(append([]any{"part", "http"}, kv...)...)
+}
+
+type App struct {
+	Log    log.Logger
+	Name   string
+	Build  string
+	HTTP   map[string]http.Handler
+	Drain  func()
+	Reload func()
+	Ended  <-chan struct{}
+}
+
+func listen(addr string) (net.Listener, error) {
+	var ear net.Listener
+	var err error
+	for i := 0; i < 20; i++ {
+		if ear, err = net.Listen("tcp", addr); err == nil {
+			return ear, nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return nil, merry.Wrap(ErrServe, merry.WithCause(err))
+}
+
+func (a *App) Run() error {
+	klog.SetLogger(bridge{a.Log})
+	opts := []kratos.Option{kratos.Name(a.Name), kratos.Version(a.Build), kratos.Logger(bridge{a.Log}), kratos.Signal(syscall.SIGUSR2), kratos.StopTimeout(2 * time.Second)}
+	var all []transport.Server
+	for addr, h := range a.HTTP {
+		ear, err := listen(addr)
+		if err != nil {
+			return err
+		}
+		only := func(http.Handler) http.Handler { return h }
+		srv := khttp.NewServer(khttp.Listener(ear), khttp.Timeout(0), khttp.Filter(only))
+		srv.ReadHeaderTimeout = 5 * time.Second
+		srv.IdleTimeout = 2 * time.Minute
+		all = append(all, srv)
+	}
+	opts = append(opts, kratos.Server(all...))
+	app := kratos.New(opts...)
+	sigs := make(chan os.Signal, 4)
+	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		asked := false
+		for s := range sigs {
+			if s == syscall.SIGHUP {
+				a.Reload()
+				continue
+			}
+			if asked {
+				level.Warn(a.Log).Log("part", "main", "msg", "Stopped at the second signal.")
+				os.Exit(1)
+			}
+			asked = true
+			a.Drain()
+		}
+	}()
+	go func() {
+		<-a.Ended
+		app.Stop()
+	}()
+	if err := app.Run(); err != nil && err != context.Canceled {
+		return merry.Wrap(ErrServe, merry.WithCause(err))
+	}
+	return nil
+}
--- /dev/null
+++ b/duty/web.go
@@ -0,0 +1,46 @@
+package duty
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+)
+
+func JSON(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		status, b = 500, []byte(`{"error":"answer could not be written"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(append(b, '\n'))
+}
+
+type Fault struct {
+	Error  string `json:"error"`
+	Faults any    `json:"faults,omitempty"`
+}
+
+func Wrong(w http.ResponseWriter, status int, text string, faults any) {
+	JSON(w, status, Fault{text, faults})
+}
+
+var hops = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Expect": true, "Content-Length": true}
+
+func CopyHead(to, from http.Header, not ...string) {
+	drop := map[string]bool{}
+	for _, v := range from.Values("Connection") {
+		for _, k := range strings.Split(v, ",") {
+			drop[http.CanonicalHeaderKey(strings.TrimSpace(k))] = true
+		}
+	}
+	for _, k := range not {
+		drop[http.CanonicalHeaderKey(k)] = true
+	}
+	for k, v := range from {
+		if hops[k] || drop[k] || strings.HasPrefix(k, "Sloeturn-") {
+			continue
+		}
+		to[k] = append([]string(nil), v...)
+	}
+}
--- /dev/null
+++ b/ident/ident.go
@@ -0,0 +1,56 @@
+package ident
+
+import (
+	"hash/fnv"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+type (
+	Member      string
+	Voter       string
+	Cell        string
+	Lane        string
+	Service     string
+	Addr        string
+	Visit       string
+	Incarnation uint64
+	Generation  uint64
+	Epoch       uint64
+	Term        uint64
+	Index       uint64
+	Seat        uint32
+)
+
+type Moment int64
+
+type Span = time.Duration
+
+func (m Moment) Add(s Span) Moment    { return m + Moment(s) }
+func (m Moment) Sub(o Moment) Span    { return Span(m - o) }
+func (m Moment) After(o Moment) bool  { return m > o }
+func (m Moment) Before(o Moment) bool { return m < o }
+
+func Now() Moment {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err)
+	}
+	return Moment(t.Nano())
+}
+
+func Hash(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		h.Write([]byte(p))
+		h.Write([]byte{0})
+	}
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/member/state.go
@@ -0,0 +1,358 @@
+package member
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+const (
+	Data    = 1
+	Control = 2
+
+	Live   = 0
+	Silent = 1
+	Left   = 2
+
+	Parts      = 8
+	Watchers   = 3
+	BeatEvery  = 250 * time.Millisecond
+	SeedEvery  = time.Second
+	SilentFor  = 1200 * time.Millisecond
+	ForgetFor  = 10 * time.Minute
+	LeftForget = time.Minute
+)
+
+type State struct {
+	Self  *wire.Card
+	Seeds []ident.Addr
+
+	cards map[ident.Member]*wire.Card
+	heard map[ident.Member]ident.Moment
+	dead  map[ident.Member]ident.Moment
+	sums  [Parts]uint64
+	ring  []*wire.Card
+	rev   uint64
+	beat  ident.Moment
+	seed  ident.Moment
+	since ident.Moment
+	next  int
+	out   []wire.Send
+}
+
+func New(self *wire.Card, seeds []ident.Addr, now ident.Moment) *State {
+	s := &State{Self: self, Seeds: seeds, cards: map[ident.Member]*wire.Card{}, heard: map[ident.Member]ident.Moment{}, dead: map[ident.Member]ident.Moment{}}
+	s.since = now
+	s.put(self, now)
+	return s
+}
+
+func (s *State) Revision() uint64 { return s.rev }
+
+func part(id string) int { return int(ident.Hash(id) % Parts) }
+
+func sum(c *wire.Card) uint64 {
+	n := uint64(0)
+	for _, a := range c.Accusers {
+		n += ident.Hash("accuser", a)
+	}
+	return n + ident.Hash(c.Id, c.Addr, strconv.FormatUint(c.Incarnation, 10), strconv.FormatUint(c.Version, 10), strconv.Itoa(int(c.State)))
+}
+
+func (s *State) put(c *wire.Card, now ident.Moment) {
+	id := ident.Member(c.Id)
+	p := part(c.Id)
+	if old := s.cards[id]; old != nil {
+		s.sums[p] -= sum(old)
+	}
+	s.sums[p] += sum(c)
+	s.cards[id] = c
+	s.ring = nil
+	s.rev++
+	if c.State == Live {
+		delete(s.dead, id)
+	} else if s.dead[id] == 0 {
+		s.dead[id] = now
+	}
+}
+
+func (s *State) drop(id ident.Member) {
+	if c := s.cards[id]; c != nil {
+		s.sums[part(c.Id)] -= sum(c)
+		delete(s.cards, id)
+		delete(s.heard, id)
+		delete(s.dead, id)
+		s.ring = nil
+		s.rev++
+	}
+}
+
+func (s *State) Update(f func(c *wire.Card), now ident.Moment) {
+	c := proto.Clone(s.Self).(*wire.Card)
+	f(c)
+	if proto.Equal(c, s.Self) {
+		return
+	}
+	c.Version++
+	s.Self = c
+	s.put(c, now)
+}
+
+func (s *State) Cards() []*wire.Card {
+	out := make([]*wire.Card, 0, len(s.cards))
+	for _, c := range s.cards {
+		out = append(out, c)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
+	return out
+}
+
+func (s *State) Card(id ident.Member) *wire.Card { return s.cards[id] }
+
+func (s *State) Live(id ident.Member) bool {
+	c := s.cards[id]
+	return c != nil && c.State == Live
+}
+
+func (s *State) Ring() []*wire.Card {
+	if s.ring == nil {
+		for _, c := range s.cards {
+			if c.State == Live {
+				s.ring = append(s.ring, c)
+			}
+		}
+		sort.Slice(s.ring, func(i, j int) bool {
+			a, b := ident.Hash(s.ring[i].Id), ident.Hash(s.ring[j].Id)
+			return a < b || a == b && s.ring[i].Id < s.ring[j].Id
+		})
+	}
+	return s.ring
+}
+
+func (s *State) WatchersOf(id ident.Member) []*wire.Card {
+	r := s.Ring()
+	at := ident.Hash(string(id))
+	k := sort.Search(len(r), func(i int) bool { return ident.Hash(r[i].Id) >= at })
+	var out []*wire.Card
+	for i := 0; i < len(r) && len(out) < Watchers; i++ {
+		c := r[(k+i)%len(r)]
+		if c.Id != string(id) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func newer(a, b *wire.Card) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Version > b.Version
+}
+
+func (s *State) learn(c *wire.Card, now ident.Moment) {
+	id := ident.Member(c.Id)
+	if c.Id == s.Self.Id {
+		s.learnSelf(c, now)
+		return
+	}
+	old := s.cards[id]
+	if old == nil || newer(c, old) {
+		s.heard[id] = now
+		s.put(c, now)
+		return
+	}
+	if newer(old, c) || old.State == Left {
+		return
+	}
+	if c.State == Left {
+		s.put(c, now)
+		return
+	}
+	s.accuse(old, c.Accusers, now)
+}
+
+func (s *State) learnSelf(c *wire.Card, now ident.Moment) {
+	if c.Incarnation > s.Self.Incarnation || c.Incarnation == s.Self.Incarnation && (c.Version > s.Self.Version || c.Version == s.Self.Version && (len(c.Accusers) > 0 || c.State == Silent)) {
+		n := proto.Clone(s.Self).(*wire.Card)
+		n.Incarnation = c.Incarnation
+		n.Version = c.Version + 1
+		if c.Incarnation > s.Self.Incarnation {
+			n.Incarnation, n.Version = c.Incarnation+1, 1
+		}
+		n.Accusers = nil
+		s.Self = n
+		s.put(n, now)
+	}
+}
+
+func (s *State) accuse(old *wire.Card, who []string, now ident.Moment) {
+	all := map[string]bool{}
+	for _, a := range old.Accusers {
+		all[a] = true
+	}
+	n := len(all)
+	for _, a := range who {
+		all[a] = true
+	}
+	if len(all) == n {
+		return
+	}
+	c := proto.Clone(old).(*wire.Card)
+	c.Accusers = nil
+	for a := range all {
+		c.Accusers = append(c.Accusers, a)
+	}
+	sort.Strings(c.Accusers)
+	if len(c.Accusers) >= min(2, len(s.WatchersOf(ident.Member(old.Id)))) {
+		c.State = Silent
+	}
+	s.put(c, now)
+}
+
+func (s *State) send(to string, f *wire.Frame) {
+	s.out = append(s.out, wire.Send{To: to, Frame: f})
+}
+
+func (s *State) heartbeat() *wire.Frame {
+	sums := s.sums
+	return &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{Card: s.Self, Digests: sums[:]}}}
+}
+
+func (s *State) Tick(now ident.Moment) {
+	if now.Sub(s.beat) < BeatEvery {
+		return
+	}
+	if s.beat != 0 && now.Sub(s.beat) > SilentFor/2 {
+		s.since = now
+	}
+	s.beat = now
+	for _, c := range s.WatchersOf(ident.Member(s.Self.Id)) {
+		s.send(c.Addr, s.heartbeat())
+	}
+	if len(s.Ring()) < 2 || now.Sub(s.seed) >= SeedEvery {
+		s.seed = now
+		for range s.Seeds {
+			a := s.Seeds[s.next%len(s.Seeds)]
+			s.next++
+			if string(a) != s.Self.Addr {
+				s.send(string(a), s.heartbeat())
+				if len(s.Ring()) > 1 {
+					break
+				}
+			}
+		}
+	}
+	if now.Sub(s.since) > SilentFor {
+		s.watch(now)
+	}
+	for id, at := range s.dead {
+		c := s.cards[id]
+		if c.State == Left && now.Sub(at) > LeftForget || now.Sub(at) > ForgetFor {
+			s.drop(id)
+		}
+	}
+}
+
+func (s *State) watch(now ident.Moment) {
+	for _, c := range s.Ring() {
+		if c.Id == s.Self.Id {
+			continue
+		}
+		mine := false
+		for _, w := range s.WatchersOf(ident.Member(c.Id)) {
+			mine = mine || w.Id == s.Self.Id
+		}
+		if !mine {
+			continue
+		}
+		at, ok := s.heard[ident.Member(c.Id)]
+		if !ok {
+			s.heard[ident.Member(c.Id)] = now
+			continue
+		}
+		if now.Sub(at) > SilentFor {
+			s.accuse(c, []string{s.Self.Id}, now)
+		}
+	}
+}
+
+func (s *State) Heartbeat(h *wire.Heartbeat, now ident.Moment) {
+	if h.Card.Id == s.Self.Id {
+		return
+	}
+	s.learn(h.Card, now)
+	s.heard[ident.Member(h.Card.Id)] = now
+	t := s.differ(h.Digests)
+	if t != nil {
+		s.send(h.Card.Addr, &wire.Frame{Body: &wire.Frame_Table{Table: t}})
+	}
+}
+
+func (s *State) differ(sums []uint64) *wire.Table {
+	t := &wire.Table{}
+	for i := 0; i < Parts && i < len(sums); i++ {
+		if sums[i] != s.sums[i] {
+			t.Parts = append(t.Parts, uint32(i))
+		}
+	}
+	if len(t.Parts) == 0 {
+		return nil
+	}
+	t.Cards = s.cardsIn(t.Parts)
+	return t
+}
+
+func (s *State) cardsIn(parts []uint32) []*wire.Card {
+	want := [Parts]bool{}
+	for _, p := range parts {
+		if p < Parts {
+			want[p] = true
+		}
+	}
+	var out []*wire.Card
+	for _, c := range s.Cards() {
+		if want[part(c.Id)] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (s *State) Table(t *wire.Table, from string, now ident.Moment) {
+	have := map[string]*wire.Card{}
+	for _, c := range t.Cards {
+		have[c.Id] = c
+		s.learn(c, now)
+	}
+	if t.Reply {
+		return
+	}
+	back := &wire.Table{Reply: true}
+	for _, c := range s.cardsIn(t.Parts) {
+		if h := have[c.Id]; h == nil || sum(h) != sum(c) {
+			back.Cards = append(back.Cards, c)
+		}
+	}
+	if len(back.Cards) > 0 {
+		s.send(from, &wire.Frame{Body: &wire.Frame_Table{Table: back}})
+	}
+}
+
+func (s *State) Leave(now ident.Moment) {
+	s.Update(func(c *wire.Card) { c.State = Left }, now)
+	for _, c := range s.WatchersOf(ident.Member(s.Self.Id)) {
+		s.send(c.Addr, s.heartbeat())
+	}
+}
+
+func (s *State) Flush() []wire.Send {
+	out := s.out
+	s.out = nil
+	return out
+}
--- /dev/null
+++ b/pass/state.go
@@ -0,0 +1,480 @@
+package pass
+
+import (
+	"sort"
+	"time"
+
+	"github.com/gammazero/deque"
+
+	"sloeturn/ident"
+	"sloeturn/ledger"
+)
+
+type Reason string
+
+const (
+	LaneFull    Reason = "lane full"
+	NoBackend   Reason = "no backend ready"
+	WaitedOut   Reason = "waited out"
+	NoFence     Reason = "no fence yet"
+	QueueFull   Reason = "waiting places full"
+	IdleLife           = 2 * time.Second
+	ProbeLane          = ident.Lane("")
+	LongestWait        = 200 * time.Millisecond
+)
+
+type Backend struct {
+	Addr    ident.Addr
+	Service ident.Service
+	Life    string
+	Cell    ident.Cell
+	Share   int
+	Near    bool
+	Barred  bool
+}
+
+type Key struct {
+	Lane ident.Lane
+	Addr ident.Addr
+}
+
+type Pool struct {
+	Service ident.Service
+	Cap     int
+	Busy    int
+	Idle    int
+	Closing int
+}
+
+func (p *Pool) Held() int { return p.Busy + p.Idle + p.Closing }
+
+type LaneRule struct {
+	Lane    ident.Lane
+	Service ident.Service
+	Waiters int
+	Weight  int
+}
+
+type waiter struct {
+	visit ident.Visit
+	until ident.Moment
+	skip  map[ident.Addr]bool
+}
+
+type lane struct {
+	LaneRule
+	most  int
+	busy  int
+	queue deque.Deque[waiter]
+}
+
+type Grant struct {
+	Visit   ident.Visit
+	Lane    ident.Lane
+	Backend Backend
+	Reuse   bool
+}
+
+type Refusal struct {
+	Visit  ident.Visit
+	Reason Reason
+}
+
+type Close struct {
+	Key   Key
+	Count int
+}
+
+type Out struct {
+	Grants   []Grant
+	Refusals []Refusal
+	Closes   []Close
+}
+
+type State struct {
+	pools    map[Key]*Pool
+	lanes    map[ident.Lane]*lane
+	floors   map[ledger.Lot]int
+	backends map[ident.Addr]*Backend
+	byName   map[ident.Service][]*Backend
+	load     map[ident.Addr]int
+	turn     int
+	out      Out
+	Admitted uint64
+	Refused  uint64
+}
+
+func New() *State {
+	return &State{pools: map[Key]*Pool{}, lanes: map[ident.Lane]*lane{}, floors: map[ledger.Lot]int{}, backends: map[ident.Addr]*Backend{}, byName: map[ident.Service][]*Backend{}, load: map[ident.Addr]int{}}
+}
+
+func (s *State) Rules(rules []LaneRule, floors map[ledger.Lot]int) {
+	s.floors = floors
+	keep := map[ident.Lane]bool{}
+	for _, r := range rules {
+		keep[r.Lane] = true
+		l := s.lanes[r.Lane]
+		if l == nil {
+			l = &lane{}
+			s.lanes[r.Lane] = l
+		}
+		l.LaneRule = r
+	}
+	for n, l := range s.lanes {
+		if keep[n] {
+			continue
+		}
+		for l.queue.Len() > 0 {
+			s.refuse(l.queue.PopFront().visit, NoBackend)
+		}
+		if l.busy == 0 {
+			delete(s.lanes, n)
+		} else {
+			l.Weight = 0
+		}
+	}
+	for k, p := range s.pools {
+		p.Cap = s.cap(k.Lane, p.Service)
+		s.trim(k, p)
+	}
+	s.split()
+}
+
+func (s *State) cap(l ident.Lane, v ident.Service) int {
+	return s.floors[ledger.Lot{Lane: l, Service: v}]
+}
+
+func (s *State) trim(k Key, p *Pool) {
+	n := min(p.Idle, max(0, p.Busy+p.Idle-p.Cap))
+	if b := s.backends[k.Addr]; b == nil || b.Service != p.Service {
+		n = p.Idle
+	}
+	if n > 0 {
+		p.Idle -= n
+		p.Closing += n
+		s.out.Closes = append(s.out.Closes, Close{k, n})
+	}
+	if p.Held() == 0 {
+		delete(s.pools, k)
+	}
+}
+
+func (s *State) Backends(list []Backend) {
+	s.backends = map[ident.Addr]*Backend{}
+	s.byName = map[ident.Service][]*Backend{}
+	for i := range list {
+		b := list[i]
+		s.backends[b.Addr] = &b
+		s.byName[b.Service] = append(s.byName[b.Service], &b)
+	}
+	for k, p := range s.pools {
+		s.trim(k, p)
+	}
+	s.split()
+	s.serve()
+}
+
+func (s *State) Bar(a ident.Addr) {
+	if b := s.backends[a]; b != nil {
+		b.Barred = true
+	}
+}
+
+func (s *State) split() {
+	by := map[ident.Service][]*lane{}
+	for _, n := range s.names() {
+		l := s.lanes[n]
+		l.most = 0
+		if l.Weight > 0 {
+			by[l.Service] = append(by[l.Service], l)
+		}
+	}
+	for v, list := range by {
+		all, sum := 0, 0
+		for _, b := range s.byName[v] {
+			all += b.Share
+		}
+		for _, l := range list {
+			sum += l.Weight
+		}
+		if all == 0 {
+			continue
+		}
+		left := all
+		for _, l := range list {
+			l.most = all * l.Weight / sum
+			left -= l.most
+		}
+		sort.SliceStable(list, func(i, j int) bool { return all*list[i].Weight%sum > all*list[j].Weight%sum })
+		for i := 0; i < left; i++ {
+			list[i].most++
+		}
+		for _, l := range list {
+			l.most = max(1, l.most)
+		}
+	}
+}
+
+func (s *State) pool(k Key, v ident.Service) *Pool {
+	p := s.pools[k]
+	if p == nil {
+		p = &Pool{Service: v, Cap: s.cap(k.Lane, v)}
+		s.pools[k] = p
+	}
+	return p
+}
+
+func (s *State) pick(l *lane, skip map[ident.Addr]bool) (*Backend, Reason) {
+	if s.cap(l.Lane, l.Service) == 0 {
+		return nil, NoFence
+	}
+	if len(s.byName[l.Service]) == 0 {
+		return nil, NoBackend
+	}
+	if l.busy >= l.most && l.most > 0 {
+		return nil, LaneFull
+	}
+	var best *Backend
+	score := 0.0
+	why := NoBackend
+	list := s.byName[l.Service]
+	s.turn++
+	for i := range list {
+		b := list[(i+s.turn)%len(list)]
+		if b.Share == 0 || skip[b.Addr] {
+			continue
+		}
+		p := s.pools[Key{l.Lane, b.Addr}]
+		idle, busy := 0, 0
+		if p != nil {
+			idle, busy = p.Idle, p.Busy+p.Closing
+			if p.Service != b.Service {
+				continue
+			}
+		}
+		if b.Barred && idle == 0 {
+			continue
+		}
+		why = LaneFull
+		if s.load[b.Addr] >= b.Share || idle == 0 && busy >= s.cap(l.Lane, l.Service) {
+			continue
+		}
+		n := float64(b.Share-s.load[b.Addr]) / float64(b.Share)
+		if idle > 0 {
+			n += 0.1
+		}
+		if b.Near {
+			n += 0.2
+		}
+		if best == nil || n > score {
+			best, score = b, n
+		}
+	}
+	return best, why
+}
+
+func (s *State) grant(l *lane, v ident.Visit, b *Backend) {
+	p := s.pool(Key{l.Lane, b.Addr}, b.Service)
+	g := Grant{Visit: v, Lane: l.Lane, Backend: *b}
+	if p.Idle > 0 {
+		p.Idle--
+		g.Reuse = true
+	}
+	p.Busy++
+	l.busy++
+	s.load[b.Addr]++
+	s.Admitted++
+	s.out.Grants = append(s.out.Grants, g)
+}
+
+func (s *State) refuse(v ident.Visit, why Reason) {
+	s.Refused++
+	s.out.Refusals = append(s.out.Refusals, Refusal{v, why})
+}
+
+func (s *State) Ask(v ident.Visit, name ident.Lane, until ident.Moment, skip map[ident.Addr]bool, now ident.Moment) {
+	l := s.lanes[name]
+	if l == nil {
+		s.refuse(v, NoBackend)
+		return
+	}
+	if l.queue.Len() == 0 {
+		b, why := s.pick(l, skip)
+		if b != nil {
+			s.grant(l, v, b)
+			return
+		}
+		if why != LaneFull || !until.After(now) {
+			s.refuse(v, why)
+			return
+		}
+	}
+	if l.queue.Len() >= l.Waiters || !until.After(now) {
+		s.refuse(v, QueueFull)
+		return
+	}
+	l.queue.PushBack(waiter{v, until, skip})
+}
+
+func (s *State) serve() {
+	for _, n := range s.names() {
+		l := s.lanes[n]
+		for l.queue.Len() > 0 {
+			w := l.queue.Front()
+			b, why := s.pick(l, w.skip)
+			if b == nil && why == LaneFull {
+				break
+			}
+			l.queue.PopFront()
+			if b == nil {
+				s.refuse(w.visit, why)
+				continue
+			}
+			s.grant(l, w.visit, b)
+		}
+	}
+}
+
+func (s *State) names() []ident.Lane {
+	out := make([]ident.Lane, 0, len(s.lanes))
+	for n := range s.lanes {
+		out = append(out, n)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+func (s *State) Leave(v ident.Visit, name ident.Lane) {
+	l := s.lanes[name]
+	if l == nil {
+		return
+	}
+	for i := 0; i < l.queue.Len(); i++ {
+		if l.queue.At(i).visit == v {
+			l.queue.Remove(i)
+			return
+		}
+	}
+}
+
+func (s *State) Release(k Key, keep bool) {
+	p := s.pools[k]
+	if p == nil || p.Busy == 0 {
+		return
+	}
+	p.Busy--
+	if l := s.lanes[k.Lane]; l != nil {
+		l.busy--
+	}
+	if s.load[k.Addr]--; s.load[k.Addr] <= 0 {
+		delete(s.load, k.Addr)
+	}
+	if keep {
+		p.Idle++
+	}
+	s.trim(k, p)
+	s.serve()
+}
+
+func (s *State) IdleGone(k Key) {
+	p := s.pools[k]
+	if p == nil {
+		return
+	}
+	if p.Closing > 0 {
+		p.Closing--
+	} else if p.Idle > 0 {
+		p.Idle--
+	}
+	s.trim(k, p)
+	s.serve()
+}
+
+func (s *State) Tick(now ident.Moment) {
+	for _, n := range s.names() {
+		l := s.lanes[n]
+		for l.queue.Len() > 0 && !l.queue.Front().until.After(now) {
+			s.refuse(l.queue.PopFront().visit, WaitedOut)
+		}
+	}
+}
+
+func (s *State) Within() bool {
+	for k, p := range s.pools {
+		if p.Held() > s.cap(k.Lane, p.Service) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) Held() int {
+	n := 0
+	for _, p := range s.pools {
+		n += p.Held()
+	}
+	return n
+}
+
+type Line struct {
+	Lane    ident.Lane
+	Addr    ident.Addr
+	Service ident.Service
+	Cap     int
+	Busy    int
+	Idle    int
+}
+
+func (s *State) Lines() []Line {
+	var out []Line
+	for k, p := range s.pools {
+		out = append(out, Line{k.Lane, k.Addr, p.Service, p.Cap, p.Busy, p.Idle})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		return out[i].Lane < out[j].Lane || out[i].Lane == out[j].Lane && out[i].Addr < out[j].Addr
+	})
+	return out
+}
+
+type LaneLine struct {
+	Lane  ident.Lane
+	Most  int
+	Busy  int
+	Queue int
+}
+
+func (s *State) LaneLines() []LaneLine {
+	var out []LaneLine
+	for _, n := range s.names() {
+		l := s.lanes[n]
+		out = append(out, LaneLine{n, l.most, l.busy, l.queue.Len()})
+	}
+	return out
+}
+
+func (s *State) Flush() Out {
+	o := s.out
+	s.out = Out{}
+	return o
+}
+
+func (s *State) Hold(k Key, v ident.Service) bool {
+	p := s.pool(k, v)
+	if p.Service != v || p.Held() >= p.Cap {
+		if p.Held() == 0 {
+			delete(s.pools, k)
+		}
+		return false
+	}
+	p.Busy++
+	return true
+}
+
+func (s *State) Unhold(k Key) {
+	p := s.pools[k]
+	if p == nil || p.Busy == 0 {
+		return
+	}
+	p.Busy--
+	s.trim(k, p)
+}
--- /dev/null
+++ b/relay/state.go
@@ -0,0 +1,397 @@
+package relay
+
+import (
+	"sort"
+	"time"
+
+	"sloeturn/cell"
+	"sloeturn/desired"
+	"sloeturn/ident"
+	"sloeturn/member"
+	"sloeturn/wire"
+)
+
+const (
+	AskEvery   = 150 * time.Millisecond
+	AskWait    = 300 * time.Millisecond
+	Roots      = 2
+	Fan        = 4
+	ClimbFor   = 5 * time.Second
+	PoorAge    = time.Second
+	CoreTenure = 5 * time.Second
+	CellTenure = 1200 * time.Millisecond
+	CellFresh  = 1500 * time.Millisecond
+)
+
+type State struct {
+	Self    ident.Member
+	Control bool
+
+	Core      *wire.Core
+	CoreAsOf  ident.Moment
+	CoreKnown bool
+	Doc       []byte
+	DocGen    ident.Generation
+	Desired   *desired.State
+	Unread    []desired.Fault
+	Cells     map[ident.Cell]*cell.Copy
+
+	confirms map[string]*wire.Confirm
+	asks     map[uint64]ask
+	token    uint64
+	askAt    ident.Moment
+	climb    int
+	climbAt  ident.Moment
+	ringRev  uint64
+	parent   string
+	poor     bool
+	rev      uint64
+	out      []wire.Send
+}
+
+type ask struct {
+	at ident.Moment
+	to string
+}
+
+func New(self ident.Member, control bool) *State {
+	return &State{Self: self, Control: control, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, asks: map[uint64]ask{}}
+}
+
+func (s *State) Revision() uint64 {
+	n := s.rev
+	for _, c := range s.Cells {
+		n += c.Revision()
+	}
+	return n
+}
+
+func (s *State) Parent() string { return s.parent }
+
+func (s *State) CoreFresh(now ident.Moment) bool {
+	return s.CoreKnown && now.Sub(s.CoreAsOf) < CoreTenure
+}
+
+func (s *State) CellFresh(c ident.Cell, now ident.Moment) bool {
+	k := s.Cells[c]
+	return k != nil && k.Known && now.Sub(k.AsOf) < CellFresh
+}
+
+func (s *State) Confirm(c *wire.Confirm) {
+	old := s.confirms[c.Member]
+	if old != nil && old.Incarnation == c.Incarnation {
+		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Seat: c.Seat, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk)}
+	}
+	s.confirms[c.Member] = c
+}
+
+func (s *State) ConfirmOf(m string) *wire.Confirm { return s.confirms[m] }
+
+func (s *State) list() []*wire.Confirm {
+	held := map[string]uint64{}
+	for _, v := range s.Core.GetSeats() {
+		held[v.Member] = v.Incarnation
+	}
+	out := make([]*wire.Confirm, 0, len(s.confirms))
+	for m, c := range s.confirms {
+		if s.CoreKnown && held[m] != c.Incarnation && m != string(s.Self) {
+			if held[m] != 0 {
+				delete(s.confirms, m)
+			}
+			continue
+		}
+		out = append(out, c)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Member < out[j].Member })
+	return out
+}
+
+func (s *State) AskTo(to string, now ident.Moment) {
+	s.token++
+	s.asks[s.token] = ask{now, to}
+	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Control: s.Control, Confirms: s.list()}
+	if s.CoreKnown {
+		a.Core = s.Core.Version
+	}
+	for _, k := range s.cellNames() {
+		c := s.Cells[k]
+		a.Cells = append(a.Cells, &wire.CellHave{Cell: string(k), Epoch: uint64(c.Epoch), Digests: c.Digests()})
+	}
+	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: a}}})
+}
+
+func (s *State) cellNames() []ident.Cell {
+	out := make([]ident.Cell, 0, len(s.Cells))
+	for k := range s.Cells {
+		out = append(out, k)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+func (s *State) Heard(a *wire.Ask) {
+	for _, c := range a.Confirms {
+		s.Confirm(c)
+	}
+}
+
+func (s *State) TakeCore(core *wire.Core, doc []byte, docGen ident.Generation, asOf ident.Moment) bool {
+	if core == nil {
+		return false
+	}
+	if s.CoreKnown && core.Version < s.Core.Version {
+		return false
+	}
+	if core.Generation > uint64(s.DocGen) {
+		if uint64(docGen) != core.Generation {
+			return false
+		}
+		s.Doc, s.DocGen = doc, docGen
+		d, faults := desired.Read(doc)
+		s.Desired, s.Unread = d, faults
+		s.rev++
+	}
+	if !s.CoreKnown || core.Version > s.Core.Version {
+		s.Core = core
+		s.rev++
+	} else if core.LeaderAddr != s.Core.LeaderAddr || core.Term > s.Core.Term {
+		s.Core = core
+	}
+	if !s.CoreKnown || asOf.After(s.CoreAsOf) {
+		s.CoreAsOf = asOf
+	}
+	s.CoreKnown = true
+	return true
+}
+
+func (s *State) News(n *wire.News, from string, now ident.Moment) {
+	a, ok := s.asks[n.Token]
+	if !ok || a.to != from {
+		return
+	}
+	delete(s.asks, n.Token)
+	s.poor = true
+	if n.HasCore {
+		at := a.at.Add(-time.Duration(max(0, n.CoreAgeNs)))
+		core := n.Core
+		if core == nil && s.CoreKnown {
+			core = s.Core
+		}
+		s.TakeCore(core, n.Doc, ident.Generation(n.DocGeneration), at)
+		s.poor = now.Sub(s.CoreAsOf) > PoorAge
+	}
+	for _, c := range n.Cells {
+		k := s.Cells[ident.Cell(c.Cell)]
+		if k == nil {
+			k = cell.NewCopy(ident.Cell(c.Cell))
+			s.Cells[k.Cell] = k
+		}
+		k.Take(c, a.at.Add(-time.Duration(max(0, c.AgeNs))))
+	}
+}
+
+func (s *State) Answer(a *wire.Ask, now ident.Moment) *wire.News {
+	n := &wire.News{Token: a.Token}
+	if s.CoreKnown {
+		n.HasCore = true
+		n.CoreAgeNs = int64(now.Sub(s.CoreAsOf))
+		if a.Core != s.Core.Version || a.Core == 0 {
+			n.Core = s.Core
+		}
+		if a.Have < uint64(s.DocGen) {
+			n.Doc, n.DocGeneration = s.Doc, uint64(s.DocGen)
+		}
+	}
+	have := map[string]*wire.CellHave{}
+	for _, h := range a.Cells {
+		have[h.Cell] = h
+	}
+	for _, k := range s.cellNames() {
+		c := s.Cells[k]
+		if !c.Known {
+			continue
+		}
+		var sums []uint64
+		if h := have[string(k)]; h != nil && h.Epoch == uint64(c.Epoch) {
+			sums = h.Digests
+		} else if h != nil && h.Epoch > uint64(c.Epoch) {
+			continue
+		}
+		n.Cells = append(n.Cells, &wire.CellNews{Cell: string(k), Epoch: uint64(c.Epoch), AgeNs: int64(now.Sub(c.AsOf)), Ranges: c.Ranges(sums), Nodes: c.Nodes})
+	}
+	return n
+}
+
+func Path(ring []*wire.Card, self ident.Member) []string {
+	var nodes, heads []*wire.Card
+	at := -1
+	for _, c := range ring {
+		if c.Role == member.Control {
+			heads = append(heads, c)
+			continue
+		}
+		if c.Id == string(self) {
+			at = len(nodes)
+		}
+		nodes = append(nodes, c)
+	}
+	var out []string
+	for i := at; i >= Roots; {
+		i = (i - Roots) / Fan
+		out = append(out, nodes[i].Addr)
+	}
+	if len(heads) > 0 {
+		k := int(ident.Hash(string(self)) % uint64(len(heads)))
+		for i := range heads {
+			out = append(out, heads[(k+i)%len(heads)].Addr)
+		}
+	}
+	return out
+}
+
+func (s *State) Tick(ring []*wire.Card, rev uint64, targets []string, now ident.Moment) {
+	for t, a := range s.asks {
+		if now.Sub(a.at) > AskWait {
+			delete(s.asks, t)
+			if a.to == s.parent {
+				s.poor = true
+			}
+		}
+	}
+	if now.Sub(s.askAt) < AskEvery {
+		return
+	}
+	s.askAt = now
+	if s.Control {
+		for _, t := range targets {
+			s.AskTo(t, now)
+		}
+		return
+	}
+	path := Path(ring, s.Self)
+	if rev != s.ringRev || now.Sub(s.climbAt) > ClimbFor {
+		s.ringRev = rev
+		s.climbAt = now
+		s.climb = 0
+	}
+	if s.poor {
+		s.climb++
+		s.climbAt = now
+		s.poor = false
+	}
+	if len(path) == 0 {
+		path = targets
+	}
+	if len(path) == 0 {
+		return
+	}
+	s.parent = path[s.climb%len(path)]
+	s.AskTo(s.parent, now)
+}
+
+func (s *State) Flush() []wire.Send {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+type post struct {
+	change *wire.Change
+	to     string
+	sent   ident.Moment
+	until  ident.Moment
+	tag    any
+	turn   int
+}
+
+type Courier struct {
+	ResendEvery time.Duration
+	posts       map[uint64]*post
+	order       []uint64
+	token       uint64
+	out         []wire.Send
+	hint        string
+}
+
+type Expired struct{ Tag any }
+
+func NewCourier(seed uint64) *Courier {
+	return &Courier{ResendEvery: 100 * time.Millisecond, posts: map[uint64]*post{}, token: seed}
+}
+
+func (c *Courier) Len() int { return len(c.posts) }
+
+func (c *Courier) Post(ch *wire.Change, until ident.Moment, tag any, heads []string, now ident.Moment) uint64 {
+	c.token++
+	p := &post{change: ch, until: until, tag: tag}
+	c.posts[c.token] = p
+	c.order = append(c.order, c.token)
+	c.push(c.token, p, heads, now)
+	return c.token
+}
+
+func (c *Courier) Hint(addr string) {
+	if addr != "" {
+		c.hint = addr
+	}
+}
+
+func (c *Courier) push(t uint64, p *post, heads []string, now ident.Moment) {
+	p.sent = now
+	p.to = c.hint
+	if p.turn > 1 || p.to == "" {
+		if len(heads) == 0 {
+			return
+		}
+		p.to = heads[(int(t)+p.turn)%len(heads)]
+	}
+	p.turn++
+	c.out = append(c.out, wire.Send{To: p.to, Frame: &wire.Frame{Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: t, Change: p.change}}}})
+}
+
+func (c *Courier) Reply(r *wire.ProposeReply, heads []string, now ident.Moment) (any, bool) {
+	p := c.posts[r.Token]
+	if p == nil {
+		return nil, false
+	}
+	if r.Code == 1 {
+		if r.LeaderAddr != "" && r.LeaderAddr != p.to {
+			c.hint = r.LeaderAddr
+			p.turn = 0
+			c.push(r.Token, p, heads, now)
+		}
+		return nil, false
+	}
+	delete(c.posts, r.Token)
+	return p.tag, true
+}
+
+func (c *Courier) Drop(t uint64) { delete(c.posts, t) }
+
+func (c *Courier) Tick(heads []string, now ident.Moment) []any {
+	var gone []any
+	keep := c.order[:0]
+	for _, t := range c.order {
+		p := c.posts[t]
+		if p == nil {
+			continue
+		}
+		if now.After(p.until) {
+			delete(c.posts, t)
+			gone = append(gone, p.tag)
+			continue
+		}
+		keep = append(keep, t)
+		if now.Sub(p.sent) >= c.ResendEvery {
+			c.push(t, p, heads, now)
+		}
+	}
+	c.order = keep
+	return gone
+}
+
+func (c *Courier) Flush() []wire.Send {
+	out := c.out
+	c.out = nil
+	return out
+}
--- /dev/null
+++ b/wire/link.go
@@ -0,0 +1,298 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	VersionLeast = 1
+	VersionMost  = 1
+	frameLimit   = 64 << 20
+	ringSize     = 512
+	connectWait  = 300 * time.Millisecond
+	writeWait    = 2 * time.Second
+	redialPause  = 100 * time.Millisecond
+)
+
+var (
+	ErrFrame   = merry.Sentinel("wire: frame unreadable")
+	ErrVersion = merry.Sentinel("wire: versions do not overlap")
+	ErrListen  = merry.Sentinel("wire: cannot listen")
+)
+
+type Send struct {
+	To    string
+	Frame *Frame
+}
+
+type Hub struct {
+	Name        string
+	Addr        string
+	Build       string
+	Incarnation uint64
+	Log         log.Logger
+	Take        func(*Frame)
+
+	lock  sync.Mutex
+	links map[string]*link
+	held  map[net.Conn]struct{}
+	ear   net.Listener
+	done  context.Context
+	stop  context.CancelFunc
+	Lost  atomic.Uint64
+	Sent  atomic.Uint64
+	Bytes atomic.Uint64
+}
+
+type link struct {
+	hub  *Hub
+	to   string
+	ring chan *Frame
+}
+
+func (h *Hub) Open() error {
+	h.links = map[string]*link{}
+	h.held = map[net.Conn]struct{}{}
+	h.done, h.stop = context.WithCancel(context.Background())
+	ear, err := net.Listen("tcp", h.Addr)
+	if err != nil {
+		return merry.Wrap(ErrListen, merry.WithCause(err), merry.AppendMessagef("on %s", h.Addr))
+	}
+	h.ear = ear
+	go h.hear()
+	return nil
+}
+
+func (h *Hub) Close() {
+	h.stop()
+	h.ear.Close()
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	for c := range h.held {
+		c.Close()
+	}
+}
+
+func (h *Hub) hear() {
+	for {
+		c, err := h.ear.Accept()
+		if err != nil {
+			if h.done.Err() != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		go h.read(c)
+	}
+}
+
+func (h *Hub) keep(c net.Conn) {
+	h.lock.Lock()
+	h.held[c] = struct{}{}
+	h.lock.Unlock()
+}
+
+func (h *Hub) drop(c net.Conn) {
+	c.Close()
+	h.lock.Lock()
+	delete(h.held, c)
+	h.lock.Unlock()
+}
+
+func (h *Hub) read(c net.Conn) {
+	h.keep(c)
+	defer h.drop(c)
+	if err := WriteFrame(c, h.stamp(h.greet())); err != nil {
+		return
+	}
+	b := bufio.NewReaderSize(c, 64<<10)
+	f, err := ReadFrame(b)
+	if err != nil || f.GetHello() == nil {
+		return
+	}
+	if err := agree(f); err != nil {
+		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "from", f.From, "why", err)
+		return
+	}
+	for {
+		f, err := ReadFrame(b)
+		if err != nil {
+			return
+		}
+		if f.Body == nil {
+			continue
+		}
+		h.Take(f)
+	}
+}
+
+func (h *Hub) greet() *Frame {
+	return &Frame{Body: &Frame_Hello{Hello: &Hello{Least: VersionLeast, Most: VersionMost, Build: h.Build}}}
+}
+
+func agree(f *Frame) error {
+	g := f.GetHello()
+	if g.Least > VersionMost || g.Most < VersionLeast {
+		return merry.Wrap(ErrVersion, merry.AppendMessagef("theirs %d to %d (%s), ours %d to %d", g.Least, g.Most, g.Build, VersionLeast, VersionMost))
+	}
+	return nil
+}
+
+func (h *Hub) stamp(f *Frame) *Frame {
+	f.From, f.Addr, f.Incarnation, f.Version = h.Name, h.Addr, h.Incarnation, VersionMost
+	return f
+}
+
+func (h *Hub) Send(to string, f *Frame) {
+	if to == h.Addr {
+		h.Take(h.stamp(f))
+		return
+	}
+	h.lock.Lock()
+	l := h.links[to]
+	if l == nil {
+		l = &link{hub: h, to: to, ring: make(chan *Frame, ringSize)}
+		h.links[to] = l
+		go l.run()
+	}
+	h.lock.Unlock()
+	select {
+	case l.ring <- h.stamp(f):
+	default:
+		h.Lost.Add(1)
+	}
+}
+
+func (l *link) run() {
+	h := l.hub
+	for {
+		var f *Frame
+		select {
+		case <-h.done.Done():
+			return
+		case f = <-l.ring:
+		}
+		l.serve(f)
+		select {
+		case <-h.done.Done():
+			return
+		case <-time.After(redialPause):
+		}
+	}
+}
+
+func (l *link) serve(f *Frame) {
+	h := l.hub
+	dial := net.Dialer{Timeout: connectWait}
+	c, err := dial.DialContext(h.done, "tcp", l.to)
+	if err != nil {
+		h.Lost.Add(1 + uint64(l.flush()))
+		return
+	}
+	h.keep(c)
+	defer h.drop(c)
+	c.SetDeadline(time.Now().Add(writeWait))
+	if WriteFrame(c, h.stamp(h.greet())) != nil {
+		return
+	}
+	g, err := ReadFrame(c)
+	if err != nil || g.GetHello() == nil {
+		return
+	}
+	if err := agree(g); err != nil {
+		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "to", l.to, "why", err)
+		return
+	}
+	c.SetDeadline(time.Time{})
+	gone := make(chan struct{})
+	go func() {
+		var b [1]byte
+		c.Read(b[:])
+		close(gone)
+	}()
+	out := bufio.NewWriterSize(c, 64<<10)
+	for {
+		c.SetWriteDeadline(time.Now().Add(writeWait))
+		n, err := writeTo(out, f)
+		if err == nil && len(l.ring) == 0 {
+			err = out.Flush()
+		}
+		if err != nil {
+			h.Lost.Add(1)
+			return
+		}
+		h.Sent.Add(1)
+		h.Bytes.Add(uint64(n))
+		select {
+		case <-h.done.Done():
+			return
+		case <-gone:
+			return
+		case f = <-l.ring:
+		}
+	}
+}
+
+func (l *link) flush() int {
+	n := 0
+	for {
+		select {
+		case <-l.ring:
+			n++
+		default:
+			return n
+		}
+	}
+}
+
+func writeTo(w io.Writer, f *Frame) (int, error) {
+	b, err := proto.Marshal(f)
+	if err != nil {
+		return 0, merry.Wrap(ErrFrame, merry.WithCause(err))
+	}
+	var head [4]byte
+	binary.BigEndian.PutUint32(head[:], uint32(len(b)))
+	if _, err := w.Write(head[:]); err != nil {
+		return 0, err
+	}
+	n, err := w.Write(b)
+	return n + 4, err
+}
+
+func WriteFrame(w io.Writer, f *Frame) error {
+	_, err := writeTo(w, f)
+	return err
+}
+
+func ReadFrame(r io.Reader) (*Frame, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > frameLimit {
+		return nil, merry.Wrap(ErrFrame, merry.AppendMessagef("%d bytes", n))
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, err
+	}
+	f := &Frame{}
+	if err := proto.Unmarshal(b, f); err != nil {
+		return nil, merry.Wrap(ErrFrame, merry.WithCause(err))
+	}
+	return f, nil
+}
