--- /dev/null
+++ b/cmd/fleetshell/main.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+
+	"sloeturn/boot"
+)
+
+type args struct {
+	Doors  []string `arg:"--doors,separate" help:"operators' addresses of control processes; may be given again"`
+	JSON   bool     `arg:"--json" help:"answer in JSON"`
+	Filter string   `arg:"--filter" help:"show only lines that hold this text"`
+	Gone   bool     `arg:"--yes-its-sockets-are-gone" help:"your word for 'free'"`
+	Words  []string `arg:"positional" help:"a query; none opens the shell"`
+}
+
+func (args) Version() string { return "fleetshell " + boot.Build }
+func (args) Description() string {
+	return "Asks a fleet about its state and changes what it should be. 'help' lists the queries."
+}
+func (args) Epilogue() string {
+	return "Exit codes: 0 whole answer, 1 failed, 2 asked wrongly, 3 partial answer, 4 another change came first, 5 not sound."
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	s := &shell{doors: a.Doors, json: a.JSON, filter: a.Filter, gone: a.Gone, out: os.Stdout}
+	if len(a.Words) > 0 {
+		os.Exit(s.run(a.Words))
+	}
+	fmt.Println("fleetshell", boot.Build, "- 'help' lists the queries, 'quit' ends.")
+	in := bufio.NewScanner(os.Stdin)
+	for {
+		fmt.Print("> ")
+		if !in.Scan() {
+			return
+		}
+		words := strings.Fields(in.Text())
+		if len(words) == 0 {
+			continue
+		}
+		if words[0] == "quit" || words[0] == "exit" {
+			return
+		}
+		if code := s.run(words); code != 0 {
+			fmt.Println("code", code)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/fleetshell/shell.go
@@ -0,0 +1,663 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"sloeturn/desired"
+)
+
+var (
+	ErrDoors = merry.Sentinel("no control process answers; name one with --doors IP:PORT")
+	ErrAsk   = merry.Sentinel("the query failed")
+)
+
+const (
+	good    = 0
+	failed  = 1
+	wrong   = 2
+	partial = 3
+	late    = 4
+	unsound = 5
+)
+
+type shell struct {
+	doors  []string
+	json   bool
+	filter string
+	gone   bool
+	out    io.Writer
+}
+
+type query struct {
+	words string
+	text  string
+	do    func(s *shell, w []string) (int, error)
+}
+
+var queries map[string]query
+
+func init() {
+	queries = map[string]query{
+		"help":      {"", "this list", help},
+		"members":   {"", "members, their cells and states", members},
+		"fleet":     {"", "every node: ready or why not, seat, generation, parent, age of its news", nodes},
+		"seats":     {"", "seats, who holds them, what they confirmed", seats},
+		"fences":    {"", "each node's pools beside their caps", pools},
+		"pools":     {"[NODE]", "the same, for one node", pools},
+		"cells":     {"", "cells, holders, epochs, age of their news", cells},
+		"backends":  {"", "backends and their soundness", backends},
+		"disks":     {"", "disk holders: role, commit, ailing, ring", disks},
+		"history":   {"", "generations kept", history},
+		"show":      {"[GENERATION]", "a desired state", show},
+		"check":     {"FILE", "check a desired state, offline", checkFile},
+		"diff":      {"FILE", "what FILE would change", diff},
+		"apply":     {"FILE", "make FILE the desired state", apply},
+		"merge":     {"FILE", "merge FILE into the desired state", merge},
+		"rollback":  {"GENERATION", "make an earlier generation the desired state again", rollback},
+		"free":      {"SEAT", "free a seat whose holder's sockets are gone", free},
+		"drain":     {"MEMBER", "ask a member to drain and end", drain},
+		"decisions": {"NODE [LANE]", "a node's latest decisions", decisions},
+	}
+}
+
+func (s *shell) run(w []string) int {
+	q, ok := queries[w[0]]
+	if !ok {
+		fmt.Fprintf(os.Stderr, "fleetshell: no query named %q; 'help' lists them\n", w[0])
+		return wrong
+	}
+	code, err := q.do(s, w[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleetshell:", err.Error())
+		if code == good {
+			code = failed
+		}
+	}
+	return code
+}
+
+func help(s *shell, w []string) (int, error) {
+	var names []string
+	for n := range queries {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		fmt.Fprintf(s.out, "%-24s %s\n", strings.TrimSpace(n+" "+queries[n].words), queries[n].text)
+	}
+	return good, nil
+}
+
+var web = http.Client{Timeout: 3 * time.Second}
+
+func fetch(addr, path string) (map[string]any, error) {
+	resp, err := web.Get("http://" + addr + path)
+	if err != nil {
+		return nil, merry.Wrap(ErrAsk, merry.WithCause(err))
+	}
+	defer resp.Body.Close()
+	v := map[string]any{}
+	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil || resp.StatusCode != 200 {
+		return nil, merry.Wrap(ErrAsk, merry.AppendMessagef("%s answered %d: %v", addr, resp.StatusCode, v["error"]))
+	}
+	return v, nil
+}
+
+func (s *shell) head() (map[string]any, string, error) {
+	var best map[string]any
+	from := ""
+	for _, d := range s.doors {
+		v, err := fetch(d, "/fleet")
+		if err != nil {
+			continue
+		}
+		if best == nil || num(v["coreAgeMs"]) < num(best["coreAgeMs"]) {
+			best, from = v, d
+		}
+	}
+	if best == nil {
+		return nil, "", ErrDoors
+	}
+	return best, from, nil
+}
+
+func num(v any) float64 { f, _ := v.(float64); return f }
+func str(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return "-"
+	case float64:
+		return fmt.Sprintf("%.0f", v)
+	case []any:
+		var out []string
+		for _, e := range v {
+			out = append(out, str(e))
+		}
+		return strings.Join(out, ",")
+	}
+	return fmt.Sprint(v)
+}
+
+func list(v any) []map[string]any {
+	l, _ := v.([]any)
+	var out []map[string]any
+	for _, e := range l {
+		if m, ok := e.(map[string]any); ok {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (s *shell) table(rows []map[string]any, fields ...string) {
+	var keep []map[string]any
+	for _, r := range rows {
+		line := ""
+		for _, f := range fields {
+			line += " " + str(r[f])
+		}
+		if strings.Contains(line, s.filter) {
+			keep = append(keep, r)
+		}
+	}
+	if s.json {
+		if keep == nil {
+			keep = []map[string]any{}
+		}
+		json.NewEncoder(s.out).Encode(keep)
+		return
+	}
+	t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, strings.Join(fields, "\t"))
+	for _, r := range keep {
+		var c []string
+		for _, f := range fields {
+			c = append(c, str(r[f]))
+		}
+		fmt.Fprintln(t, strings.Join(c, "\t"))
+	}
+	t.Flush()
+}
+
+func (s *shell) note(form string, args ...any) {
+	if !s.json {
+		fmt.Fprintf(s.out, form+"\n", args...)
+	} else {
+		fmt.Fprintf(os.Stderr, form+"\n", args...)
+	}
+}
+
+func members(s *shell, w []string) (int, error) {
+	v, from, err := s.head()
+	if err != nil {
+		return failed, err
+	}
+	s.table(list(v["cards"]), "id", "cell", "role", "state", "ready", "leaving", "build", "address", "accusers")
+	s.note("told by %s at %s", str(v["member"]), from)
+	return good, nil
+}
+
+func places(card map[string]any) string {
+	_, ops, _ := strings.Cut(str(card["http"]), ",")
+	return ops
+}
+
+func (s *shell) each(role, path string) ([]map[string]any, []string, error) {
+	v, _, err := s.head()
+	if err != nil {
+		return nil, nil, err
+	}
+	var lock sync.Mutex
+	var wait sync.WaitGroup
+	var rows []map[string]any
+	var mute []string
+	for _, c := range list(v["cards"]) {
+		if c["role"] != role || c["state"] == "left" {
+			continue
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			got, err := fetch(places(c), path)
+			lock.Lock()
+			defer lock.Unlock()
+			if err != nil {
+				mute = append(mute, str(c["id"]))
+				return
+			}
+			rows = append(rows, got)
+		}()
+	}
+	wait.Wait()
+	sort.Slice(rows, func(i, j int) bool { return str(rows[i]["member"]) < str(rows[j]["member"]) })
+	sort.Strings(mute)
+	return rows, mute, nil
+}
+
+func (s *shell) ended(mute []string) (int, error) {
+	if len(mute) > 0 {
+		s.note("partial: no answer from %s", strings.Join(mute, ", "))
+		return partial, nil
+	}
+	return good, nil
+}
+
+func nodes(s *shell, w []string) (int, error) {
+	rows, mute, err := s.each("data", "/fleet")
+	if err != nil {
+		return failed, err
+	}
+	s.table(rows, "member", "cell", "ready", "why", "seat", "generation", "coreAgeMs", "parent", "openVisits", "held", "build")
+	return s.ended(mute)
+}
+
+func seats(s *shell, w []string) (int, error) {
+	v, from, err := s.head()
+	if err != nil {
+		return failed, err
+	}
+	s.table(list(v["seats"]), "seat", "member", "incarnation", "staged", "shrunk")
+	s.note("%s seats in all; generation %s, in force %s, grown %s; told by %s, %s ms old", str(v["seatCount"]), str(v["generation"]), str(v["inForce"]), str(v["grown"]), from, str(v["coreAgeMs"]))
+	return good, nil
+}
+
+func pools(s *shell, w []string) (int, error) {
+	rows, mute, err := s.each("data", "/pools")
+	if err != nil {
+		return failed, err
+	}
+	var out []map[string]any
+	for _, r := range rows {
+		if len(w) > 0 && w[0] != r["member"] {
+			continue
+		}
+		for _, p := range list(r["pools"]) {
+			p["member"] = r["member"]
+			if p["Lane"] == "" {
+				p["Lane"] = "(probe)"
+			}
+			out = append(out, p)
+		}
+	}
+	s.table(out, "member", "Lane", "Addr", "Service", "Cap", "Busy", "Idle")
+	return s.ended(mute)
+}
+
+func cells(s *shell, w []string) (int, error) {
+	v, from, err := s.head()
+	if err != nil {
+		return failed, err
+	}
+	s.table(list(v["cells"]), "cell", "holder", "epoch", "ageMs")
+	s.note("told by %s", from)
+	return good, nil
+}
+
+func backends(s *shell, w []string) (int, error) {
+	_, from, err := s.head()
+	if err != nil {
+		return failed, err
+	}
+	v, err := fetch(from, "/backends")
+	if err != nil {
+		return failed, err
+	}
+	rows := list(v["backends"])
+	sort.Slice(rows, func(i, j int) bool { return str(rows[i]["address"]) < str(rows[j]["address"]) })
+	s.table(rows, "cell", "address", "service", "incarnation", "state", "slotCount", "work", "beat", "ageMs", "fresh")
+	s.note("told by %s", from)
+	return good, nil
+}
+
+func disks(s *shell, w []string) (int, error) {
+	rows, mute, err := s.each("control", "/fleet")
+	if err != nil {
+		return failed, err
+	}
+	s.table(rows, "member", "cell", "role", "term", "commit", "diskAiling", "ringUsed", "coreAgeMs")
+	for _, r := range rows {
+		if r["role"] == "leader" {
+			s.table(list(r["roster"]), "voter", "member", "learner", "address")
+		}
+	}
+	return s.ended(mute)
+}
+
+func history(s *shell, w []string) (int, error) {
+	rows, mute, err := s.each("control", "/desired/history")
+	if err != nil {
+		return failed, err
+	}
+	for _, r := range rows {
+		if r["leader"] == true {
+			s.table(list(r["history"]), "generation", "changeId", "author", "bytes")
+			return good, nil
+		}
+	}
+	s.note("no leader just now; silent: %s", strings.Join(mute, ", "))
+	return failed, nil
+}
+
+func (s *shell) state(gen string) ([]byte, string, error) {
+	path := "/desired"
+	if gen != "" {
+		path += "/" + gen
+	}
+	last := error(ErrDoors)
+	for _, d := range s.doors {
+		resp, err := web.Get("http://" + d + path)
+		if err != nil {
+			last = merry.Wrap(ErrAsk, merry.WithCause(err))
+			continue
+		}
+		b, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err == nil && resp.StatusCode == 200 {
+			return b, strings.Trim(resp.Header.Get("ETag"), `"`), nil
+		}
+		last = merry.Wrap(ErrAsk, merry.AppendMessagef("%s answered %d", d, resp.StatusCode))
+	}
+	return nil, "", last
+}
+
+func show(s *shell, w []string) (int, error) {
+	gen := ""
+	if len(w) > 0 {
+		gen = w[0]
+	}
+	b, g, err := s.state(gen)
+	if err != nil {
+		return failed, err
+	}
+	var out bytes.Buffer
+	json.Indent(&out, b, "", " ")
+	fmt.Fprintln(s.out, out.String())
+	s.note("generation %s", g)
+	return good, nil
+}
+
+func (s *shell) faults(list []desired.Fault) {
+	for _, f := range list {
+		fmt.Fprintf(s.out, "%s %s\n", f.Path, f.Text)
+	}
+}
+
+func one(w []string, what string) (string, error) {
+	if len(w) != 1 {
+		return "", merry.Errorf("name one %s", what)
+	}
+	return w[0], nil
+}
+
+func read(w []string) ([]byte, error) {
+	f, err := one(w, "file")
+	if err != nil {
+		return nil, err
+	}
+	return os.ReadFile(f)
+}
+
+func checkFile(s *shell, w []string) (int, error) {
+	b, err := read(w)
+	if err != nil {
+		return wrong, err
+	}
+	d, faults := desired.Read(b)
+	if len(faults) > 0 {
+		s.faults(faults)
+		return unsound, nil
+	}
+	for _, n := range d.ServiceNames() {
+		sum := d.Services[n].Probe.Slots
+		for _, l := range d.Lanes {
+			if l.Service == n {
+				sum += l.Slots
+			}
+		}
+		v := d.Services[n]
+		fmt.Fprintf(s.out, "service %s: %d seats x %d slots + reserve %d = %d of %d connections\n", n, d.Fleet.Seats(), sum, v.Reserve, d.Fleet.Seats()*sum+v.Reserve, v.MaxConnections)
+	}
+	return good, nil
+}
+
+func walk(path string, a, b any, say func(string)) {
+	x, okA := a.(map[string]any)
+	y, okB := b.(map[string]any)
+	if !okA || !okB {
+		if string(desired.Write(a)) != string(desired.Write(b)) {
+			switch {
+			case a == nil:
+				say("+ " + path + " " + string(desired.Write(b)))
+			case b == nil:
+				say("- " + path + " " + string(desired.Write(a)))
+			default:
+				say("~ " + path + " " + string(desired.Write(a)) + " -> " + string(desired.Write(b)))
+			}
+		}
+		return
+	}
+	all := map[string]bool{}
+	for k := range x {
+		all[k] = true
+	}
+	for k := range y {
+		all[k] = true
+	}
+	var names []string
+	for k := range all {
+		names = append(names, k)
+	}
+	sort.Strings(names)
+	for _, k := range names {
+		walk(path+"/"+k, x[k], y[k], say)
+	}
+}
+
+func diff(s *shell, w []string) (int, error) {
+	b, err := read(w)
+	if err != nil {
+		return wrong, err
+	}
+	now, gen, err := s.state("")
+	if err != nil {
+		return failed, err
+	}
+	a, _ := desired.ReadTree(now)
+	c, faults := desired.ReadTree(b)
+	if len(faults) > 0 {
+		s.faults(faults)
+		return unsound, nil
+	}
+	n := 0
+	walk("", a, c, func(l string) {
+		n++
+		fmt.Fprintln(s.out, l)
+	})
+	s.note("%d changes against generation %s", n, gen)
+	return good, nil
+}
+
+func (s *shell) put(method string, b []byte, gen string) (int, error) {
+	id := fmt.Sprintf("shell-%d-%d", os.Getpid(), time.Now().UnixNano())
+	last := error(ErrDoors)
+	for i := 0; i < 3*len(s.doors); i++ {
+		d := s.doors[i%len(s.doors)]
+		req, err := http.NewRequest(method, "http://"+d+"/desired", bytes.NewReader(b))
+		if err != nil {
+			return wrong, err
+		}
+		req.Header.Set("If-Match", gen)
+		req.Header.Set("Sloeturn-Change-Id", id)
+		req.Header.Set("Sloeturn-Author", os.Getenv("USER"))
+		start := time.Now()
+		c := http.Client{Timeout: 20 * time.Second}
+		resp, err := c.Do(req)
+		if err != nil {
+			last = merry.Wrap(ErrAsk, merry.WithCause(err))
+			continue
+		}
+		var v struct {
+			Generation uint64
+			Error      string
+			Faults     []desired.Fault
+		}
+		json.NewDecoder(resp.Body).Decode(&v)
+		resp.Body.Close()
+		switch resp.StatusCode {
+		case 200:
+			s.note("generation %d is in force, after %v", v.Generation, time.Since(start).Round(time.Millisecond))
+			return good, nil
+		case 412:
+			s.note("another change came first: the fleet stands at generation %d", v.Generation)
+			return late, nil
+		case 422:
+			s.faults(v.Faults)
+			return unsound, nil
+		}
+		last = merry.Wrap(ErrAsk, merry.AppendMessagef("%s answered %d: %s", d, resp.StatusCode, v.Error))
+	}
+	return failed, last
+}
+
+func apply(s *shell, w []string) (int, error) {
+	b, err := read(w)
+	if err != nil {
+		return wrong, err
+	}
+	_, gen, err := s.state("")
+	if err != nil {
+		return failed, err
+	}
+	return s.put("PUT", b, gen)
+}
+
+func merge(s *shell, w []string) (int, error) {
+	b, err := read(w)
+	if err != nil {
+		return wrong, err
+	}
+	_, gen, err := s.state("")
+	if err != nil {
+		return failed, err
+	}
+	return s.put("PATCH", b, gen)
+}
+
+func rollback(s *shell, w []string) (int, error) {
+	g, err := one(w, "generation")
+	if err != nil {
+		return wrong, err
+	}
+	b, _, err := s.state(g)
+	if err != nil {
+		return failed, err
+	}
+	_, gen, err := s.state("")
+	if err != nil {
+		return failed, err
+	}
+	return s.put("PUT", b, gen)
+}
+
+func (s *shell) post(addr, path string, v any) (int, error) {
+	b, _ := json.Marshal(v)
+	resp, err := web.Post("http://"+addr+path, "application/json", bytes.NewReader(b))
+	if err != nil {
+		return failed, merry.Wrap(ErrAsk, merry.WithCause(err))
+	}
+	defer resp.Body.Close()
+	out, _ := io.ReadAll(resp.Body)
+	fmt.Fprint(s.out, string(out))
+	if resp.StatusCode >= 300 {
+		return failed, nil
+	}
+	return good, nil
+}
+
+func free(s *shell, w []string) (int, error) {
+	k, err := one(w, "seat")
+	if err != nil {
+		return wrong, err
+	}
+	v, from, err := s.head()
+	if err != nil {
+		return failed, err
+	}
+	for _, l := range list(v["seats"]) {
+		if str(l["seat"]) != k {
+			continue
+		}
+		if !s.gone {
+			return wrong, merry.Errorf("seat %s is held by %s; say --yes-its-sockets-are-gone if that machine is off", k, str(l["member"]))
+		}
+		return s.post(from, "/seats/"+k+"/free", map[string]any{"member": l["member"], "incarnation": l["incarnation"], "proof": "its sockets are gone"})
+	}
+	return failed, merry.Errorf("seat %s is not held", k)
+}
+
+func (s *shell) find(name string) (string, error) {
+	v, _, err := s.head()
+	if err != nil {
+		return "", err
+	}
+	for _, c := range list(v["cards"]) {
+		if c["id"] == name {
+			return places(c), nil
+		}
+	}
+	return "", merry.Errorf("no member named %q", name)
+}
+
+func drain(s *shell, w []string) (int, error) {
+	n, err := one(w, "member")
+	if err != nil {
+		return wrong, err
+	}
+	addr, err := s.find(n)
+	if err != nil {
+		return failed, err
+	}
+	return s.post(addr, "/drain", nil)
+}
+
+func decisions(s *shell, w []string) (int, error) {
+	if len(w) == 0 {
+		return wrong, merry.Errorf("name a node")
+	}
+	addr, err := s.find(w[0])
+	if err != nil {
+		return failed, err
+	}
+	path := "/decisions"
+	if len(w) > 1 {
+		path += "?lane=" + w[1]
+	}
+	resp, err := web.Get("http://" + addr + path)
+	if err != nil {
+		return failed, merry.Wrap(ErrAsk, merry.WithCause(err))
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return partial, merry.Wrap(ErrAsk, merry.WithCause(err))
+	}
+	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+	for _, l := range lines[max(0, len(lines)-50):] {
+		if strings.Contains(l, s.filter) {
+			fmt.Fprintln(s.out, l)
+		}
+	}
+	return good, nil
+}
--- a/control/http.go
+++ b/control/http.go
@@ -21,6 +21,7 @@
 const (
 	beatLimit = 64 << 10
 	beatWait  = 2500 * time.Millisecond
+	readWait  = time.Second
 )
 
 func (n *Node) Registry() http.Handler {
@@ -63,7 +64,7 @@
 	}
 	done, stop := context.WithTimeout(r.Context(), beatWait)
 	defer stop()
-	got := n.Tell(done, a)
+	got := n.Tell(done, n.home(a))
 	if got.Code != 200 {
 		w.Header().Set("Retry-After", "1")
 		duty.Wrong(w, int(got.Code), got.Text, nil)
@@ -86,6 +87,7 @@
 		n.Put(Drain{})
 		duty.JSON(w, 202, map[string]any{"draining": true})
 	})
+	mux.HandleFunc("POST /events", n.events)
 	mux.HandleFunc("GET /metrics", n.metrics)
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { duty.JSON(w, 200, map[string]any{"live": true}) })
 	mux.HandleFunc("GET /ready", n.ready)
@@ -159,11 +161,16 @@
 		gen  uint64
 		lead string
 		ok   bool
+		wait bool
 	}
-	v, err := n.Query(func(s *State, now ident.Moment) any {
+	asked := ident.Now()
+	read := func(s *State, now ident.Moment) any {
+		if at, ok := s.leads(); ok && want == 0 && at.Before(asked) {
+			return found{wait: true}
+		}
 		if want != 0 {
 			if l := s.Book.Line(ident.Generation(want)); l != nil {
-				return found{l.Doc, want, "", true}
+				return found{l.Doc, want, "", true, false}
 			}
 			return found{ok: s.leading()}
 		}
@@ -177,10 +184,15 @@
 			return found{}
 		}
 		if l := s.Book.Line(s.Book.Generation); l != nil {
-			return found{l.Doc, l.Generation, "", true}
+			return found{l.Doc, l.Generation, "", true, false}
 		}
-		return found{[]byte("{}"), 0, "", true}
-	})
+		return found{[]byte("{}"), 0, "", true, false}
+	}
+	v, err := n.Query(read)
+	for err == nil && v.(found).wait && ident.Now().Sub(asked) < readWait {
+		time.Sleep(5 * time.Millisecond)
+		v, err = n.Query(read)
+	}
 	if err != nil {
 		duty.Wrong(w, 503, err.Error(), nil)
 		return
--- a/control/state.go
+++ b/control/state.go
@@ -162,6 +162,13 @@
 	s.out = append(s.out, wire.Send{To: to, Frame: f})
 }
 
+func (s *State) leads() (ident.Moment, bool) {
+	if s.Agree == nil {
+		return 0, false
+	}
+	return s.Agree.AsOf()
+}
+
 func (s *State) leading() bool { return s.Agree != nil && s.Agree.Firm() }
 
 func (s *State) heads() []string {
@@ -735,3 +742,14 @@
 	s.out = nil
 	return o
 }
+
+type moment = ident.Moment
+
+func HomeOf(r *relay.State, addr, own string, now ident.Moment) string {
+	for _, c := range ident.Keys(r.Cells) {
+		if r.Cells[c].Table[ident.Addr(addr)] != nil && r.CellFresh(c, now) {
+			return string(c)
+		}
+	}
+	return own
+}
--- a/data/state.go
+++ b/data/state.go
@@ -19,6 +19,7 @@
 
 const (
 	SeatWait     = 2 * time.Second
+	SeatPause    = 300 * time.Millisecond
 	OutcomeWait  = 10 * time.Second
 	AnnounceWait = time.Second
 	DrainGrace   = 2500 * time.Millisecond
@@ -141,6 +142,7 @@
 
 	seat      *wire.Seat
 	asking    bool
+	seatAt    ident.Moment
 	bars      map[ident.Addr]bar
 	guards    map[ident.Addr]*guard
 	lives     map[ident.Addr]string
@@ -343,6 +345,14 @@
 
 func (s *State) announce(token uint64, a *wire.Announce, now ident.Moment) {
 	a.Token = token
+	if a.Cell == "" {
+		a.Cell = string(s.Cell)
+		for _, c := range ident.Keys(s.Relay.Cells) {
+			if s.Relay.Cells[c].Table[ident.Addr(a.Addr)] != nil && s.Relay.CellFresh(c, now) {
+				a.Cell = string(c)
+			}
+		}
+	}
 	for _, h := range s.Relay.Core.GetHolds() {
 		if h.Cell == a.Cell {
 			if c := s.Members.Card(ident.Member(h.Holder)); c != nil {
@@ -419,10 +429,10 @@
 			s.seat = v
 		}
 	}
-	if s.seat != nil || s.asking || s.draining || !s.Relay.CoreFresh(now) || s.Relay.Core.SeatCount == 0 {
+	if s.seat != nil || s.asking || s.seatAt != 0 && now.Sub(s.seatAt) < SeatPause || s.draining || !s.Relay.CoreFresh(now) || s.Relay.Core.SeatCount == 0 {
 		return
 	}
-	s.asking = true
+	s.asking, s.seatAt = true, now
 	s.Mail.Post(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: string(s.Member), Addr: string(s.Addr), Incarnation: uint64(s.Incarnation)}}}, now.Add(SeatWait), seatTag{}, heads, now)
 }
 
--- /dev/null
+++ b/data/state_test.go
@@ -0,0 +1,31 @@
+package data
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/wire"
+)
+
+func TestANodeWithoutASeatAsksNowAndThenOnly(t *testing.T) {
+	now := ident.Moment(1e9)
+	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"10.0.0.2:1"}}, now)
+	asks := 0
+	for i := 0; i < 200; i++ {
+		now = now.Add(5 * time.Millisecond)
+		s.Relay.TakeCore(&wire.Core{Version: 1, SeatCount: 1, LeaderAddr: "10.0.0.2:1"}, nil, 0, now)
+		s.Step(now, Tick{})
+		for _, e := range s.Take() {
+			if m, ok := e.(wire.Send); ok && m.Frame.GetPropose() != nil {
+				asks++
+				s.Step(now, Got{&wire.Frame{Addr: m.To, Body: &wire.Frame_ProposeReply{ProposeReply: &wire.ProposeReply{Token: m.Frame.GetPropose().Token, Code: uint32(ledger.NoSeat)}}}})
+			}
+		}
+	}
+	require.LessOrEqual(t, asks, 4)
+	require.GreaterOrEqual(t, asks, 3)
+}
