A seat counts only below the least seat number of all generations still open

Cause: a node judged its seat by the newest generation alone. Lowering seats, growing slots, then raising seats again let seats that were beyond the fleet's size take fences at once, while the others still held the larger ones. Excluded: the floors themselves, seat reuse. Change: a seat counts while it is below SeatCount, the least over all generations from grown to newest; node and test share the rule.

--- /dev/null
+++ b/boot/boot_test.go
@@ -0,0 +1,36 @@
+package boot
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFlagsGoOverTheFileAndEveryFaultIsNamed(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "boot.json")
+	require.NoError(t, os.WriteFile(file, []byte(`{"name":"one","cell":"a","address":"127.0.0.1:1","http":"127.0.0.1:2","operators":"127.0.0.1:3","seeds":["127.0.0.2:1"],"drainMs":500}`), 0o600))
+	s, faults := Read(Flags{Boot: file, Name: "two"}, nil)
+	require.Empty(t, faults)
+	require.Equal(t, "two", s.Name)
+	require.Equal(t, 500, s.DrainMs)
+	_, faults = Read(Flags{Boot: file, Name: "No", Address: "host:7", LogLevel: "loud"}, &DiskFlags{Data: "d", Files: 1})
+	var paths []string
+	for _, f := range faults {
+		paths = append(paths, f.Path)
+	}
+	require.ElementsMatch(t, []string{"name", "address", "founders", "logLevel", "ringFiles"}, paths)
+}
+
+func TestReloadTakesWhatCanChangeAndNamesTheRest(t *testing.T) {
+	f := Flags{Name: "one", Cell: "a", Address: "127.0.0.1:1", HTTP: "127.0.0.1:2", Operators: "127.0.0.1:3", Seeds: []string{"127.0.0.2:1"}}
+	s, _ := Read(f, nil)
+	f.LogLevel, f.Cell = "debug", "b"
+	changed, fixed, faults := s.Reload(f, nil)
+	require.Empty(t, faults)
+	require.Equal(t, []string{"logLevel"}, changed)
+	require.Equal(t, []string{"cell"}, fixed)
+	require.Equal(t, "a", s.Cell)
+	require.Equal(t, "debug", s.LogLevel)
+}
--- a/cmd/fleetrun/fault.go
+++ b/cmd/fleetrun/fault.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"os"
 	"sort"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -75,6 +78,120 @@
 		pause(done, 5*time.Second)
 		return x.addr + " and " + y.addr + " serve each other's service", nil
 	}},
+	"kill-many": {true, func(done context.Context, f *fleet) (string, error) {
+		for _, p := range f.data[:len(f.data)/2] {
+			p.kill()
+		}
+		pause(done, time.Second)
+		for _, p := range f.data[:len(f.data)/2] {
+			if err := p.start(); err != nil {
+				return "", err
+			}
+		}
+		return f.back(done, "half of the nodes killed at once")
+	}},
+	"kill-all-disks": {true, func(done context.Context, f *fleet) (string, error) {
+		for _, p := range f.control {
+			p.kill()
+		}
+		for _, p := range f.control {
+			if err := p.start(); err != nil {
+				return "", err
+			}
+		}
+		return f.back(done, "every control process killed at once and started again")
+	}},
+	"lose-disk": {true, func(done context.Context, f *fleet) (string, error) {
+		if err := f.set(done, "PATCH", `{"fleet":{"retiring":1}}`, fmt.Sprint("before-loss-", time.Now().UnixNano())); err != nil {
+			return "", err
+		}
+		p, err := f.leader()
+		if err != nil {
+			return "", err
+		}
+		p.kill()
+		if err := os.RemoveAll(p.disk); err != nil {
+			return "", err
+		}
+		if err := p.start(); err != nil {
+			return "", err
+		}
+		at := time.Now()
+		for done.Err() == nil {
+			v, err := f.fleetLine()
+			if err == nil && f.voterBack(v, p.name) {
+				if got := uint64(v["generation"].(float64)); got < f.gen {
+					f.led.broken.say("acknowledged generation missing", "reads %d, acknowledged %d", got, f.gen)
+				}
+				return fmt.Sprintf("leader %s killed and its disk wiped just after a yes; voter again under a new id after %v", p.name, time.Since(at).Round(time.Millisecond)), nil
+			}
+			pause(done, 100*time.Millisecond)
+		}
+		return "", fmt.Errorf("the wiped disk holder did not become a voter again")
+	}},
+	"freeze-node": {true, func(done context.Context, f *fleet) (string, error) {
+		p := f.data[1]
+		p.signal(syscall.SIGSTOP)
+		pause(done, 8*time.Second)
+		p.signal(syscall.SIGCONT)
+		return f.back(done, p.name+" frozen for 8 s")
+	}},
+	"freeze-leader": {true, func(done context.Context, f *fleet) (string, error) {
+		p, err := f.leader()
+		if err != nil {
+			return "", err
+		}
+		p.signal(syscall.SIGSTOP)
+		pause(done, 6*time.Second)
+		p.signal(syscall.SIGCONT)
+		return f.back(done, p.name+" frozen for 6 s")
+	}},
+	"race": {false, func(done context.Context, f *fleet) (string, error) {
+		type said struct {
+			code int
+			gen  float64
+		}
+		got := make(chan said, 2)
+		for i := 0; i < 2; i++ {
+			go func() {
+				code, out, _ := f.change(done, "PATCH", fmt.Sprintf(`{"fleet":{"retiring":%d}}`, 1), f.gen, fmt.Sprintf("race-%d-%d", i, time.Now().UnixNano()), i)
+				g, _ := out["generation"].(float64)
+				got <- said{code, g}
+			}()
+		}
+		a, b := <-got, <-got
+		if (a.code == 200) == (b.code == 200) {
+			return "", fmt.Errorf("both racers heard %d and %d", a.code, b.code)
+		}
+		f.gen = uint64(max(a.gen, b.gen))
+		f.req.acked.Store(f.gen)
+		return fmt.Sprintf("racers heard %d and %d", a.code, b.code), nil
+	}},
+	"broken-desired": {false, func(done context.Context, f *fleet) (string, error) {
+		code, out, err := f.change(done, "PATCH", `{"fleet":{"nodes":-1},"lanes":{"x":{"slots":0}}}`, f.gen, fmt.Sprint("broken-", time.Now().UnixNano()), 1)
+		if err != nil || code != 422 {
+			return "", fmt.Errorf("heard %d %v", code, err)
+		}
+		return fmt.Sprintf("refused, naming %d faults", len(out["faults"].([]any))), nil
+	}},
+	"wrong-bytes": {true, func(done context.Context, f *fleet) (string, error) {
+		for _, m := range []string{"truncate", "garble", "oversize", "lose", "error"} {
+			f.backends[4].mode.Store(&m)
+			pause(done, 2*time.Second)
+		}
+		plain := ""
+		f.backends[4].mode.Store(&plain)
+		return f.backends[4].addr + " truncated, garbled, swelled, lost answers and said 503", nil
+	}},
+	"flood": {true, func(done context.Context, f *fleet) (string, error) {
+		before := f.req.tally.share()
+		flood, stop := context.WithTimeout(done, 6*time.Second)
+		defer stop()
+		f.req.flood(flood, f.plan.lanes[0], 600)
+		<-flood.Done()
+		after := f.req.tally.share()
+		return fmt.Sprintf("lane %s flooded at 600 more a second; share served on the other lanes %.4f before, %.4f by its end, ratio %.4f", f.plan.lanes[0].name, before, after, after/before), nil
+	}},
 	"change-desired": {false, func(done context.Context, f *fleet) (string, error) {
 		at := time.Now()
 		doc := strings.Replace(f.plan.desired, `"surge": 1`, `"surge": 0`, 1)
@@ -86,6 +203,45 @@
 	}},
 }
 
+func (f *fleet) back(done context.Context, what string) (string, error) {
+	at := time.Now()
+	for done.Err() == nil {
+		n := 0
+		c := http.Client{Timeout: 300 * time.Millisecond}
+		for _, p := range f.data {
+			resp, err := c.Get("http://" + p.http + "/ready")
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == 200 {
+					n++
+				}
+			}
+		}
+		if n == len(f.data) {
+			took := time.Since(at)
+			if took > 15*time.Second {
+				return "", fmt.Errorf("all nodes ready again only after %v", took)
+			}
+			return fmt.Sprintf("%s; all nodes ready %v after mending", what, took.Round(time.Millisecond)), nil
+		}
+		pause(done, 50*time.Millisecond)
+	}
+	return "", fmt.Errorf("the run ended before all nodes were ready again")
+}
+
+func (f *fleet) voterBack(v map[string]any, name string) bool {
+	voters, mine := 0, false
+	list, _ := v["roster"].([]any)
+	for _, e := range list {
+		m := e.(map[string]any)
+		if m["learner"] == false {
+			voters++
+			mine = mine || m["member"] == name
+		}
+	}
+	return voters >= 3 && (mine || f.plan.control > 3)
+}
+
 func faultOf(n string) *fault {
 	v, ok := faults[n]
 	if !ok {
--- a/cmd/fleetrun/requester.go
+++ b/cmd/fleetrun/requester.go
@@ -80,16 +80,17 @@
 }
 
 type tally struct {
-	lock     sync.Mutex
-	counts   map[string]int
-	reasons  map[string]int
-	served   []time.Duration
-	onceT    []time.Duration
-	refused  []time.Duration
-	perLane  map[string][2]int
-	okAt     []time.Time
-	goneAt   time.Time
-	unknowns int
+	lock    sync.Mutex
+	counts  map[string]int
+	reasons map[string]int
+	served  []time.Duration
+	onceT   []time.Duration
+	refused []time.Duration
+	perLane map[string][2]int
+	okAt    []time.Time
+	goneAt  time.Time
+	flooded string
+	mark    map[string][2]int
 }
 
 func (t *tally) add(lane, kind, reason string, took time.Duration, once bool) {
@@ -166,6 +167,34 @@
 	wait.Wait()
 }
 
+func (t *tally) share() float64 {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	n, ok := 0, 0
+	for l, v := range t.perLane {
+		if l != t.flooded {
+			n, ok = n+v[0]-t.mark[l][0], ok+v[1]-t.mark[l][1]
+		}
+	}
+	t.mark = map[string][2]int{}
+	for l, v := range t.perLane {
+		t.mark[l] = v
+	}
+	return float64(ok) / float64(max(1, n))
+}
+
+func (q *requesters) flood(done context.Context, l lanePlan, rate float64) {
+	q.tally.lock.Lock()
+	q.tally.flooded = l.name
+	q.tally.lock.Unlock()
+	go func() {
+		for done.Err() == nil {
+			time.Sleep(time.Duration(float64(time.Second) / rate))
+			go q.visit(l, false, false)
+		}
+	}()
+}
+
 func (q *requesters) visit(l lanePlan, retry, leave bool) {
 	key := ""
 	if l.once {
--- a/data/state.go
+++ b/data/state.go
@@ -203,7 +203,7 @@
 		return "desired state unreadable"
 	case s.seat == nil:
 		return "no seat"
-	case int(s.seat.Seat) >= s.Relay.Desired.Fleet.Seats():
+	case !ledger.Counts(s.Relay.Core, s.seat):
 		return "seat beyond the fleet's size"
 	}
 	return ""
@@ -438,7 +438,7 @@
 
 func (s *State) floors() map[ledger.Lot]int {
 	out := map[ledger.Lot]int{}
-	if s.seat == nil || s.signedOff || s.Relay.Desired == nil || int(s.seat.Seat) >= s.Relay.Desired.Fleet.Seats() {
+	if s.seat == nil || s.signedOff || s.Relay.Desired == nil || !ledger.Counts(s.Relay.Core, s.seat) {
 		return out
 	}
 	for _, f := range s.Relay.Core.Floors {
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -198,6 +198,8 @@
 	return n
 }
 
+func Counts(c *wire.Core, s *wire.Seat) bool { return s.Seat < c.SeatCount }
+
 func (b *Book) Floors() map[Lot]int {
 	out := map[Lot]int{}
 	first := true
--- /dev/null
+++ b/ledger/book_test.go
@@ -0,0 +1,119 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+type hand struct {
+	*Book
+	n uint64
+}
+
+func (h *hand) do(c *wire.Change) Result {
+	h.n++
+	return h.Apply(&wire.Entry{Index: h.n, Stamp: h.n * 10, Change: c})
+}
+
+func (h *hand) set(nodes, slots, most int) Result {
+	doc := fmt.Sprintf(`{"fleet":{"nodes":%d},"services":{"s":{"maxConnections":%d}},"tenants":{"t":{}},"lanes":{"l":{"tenant":"t","service":"s","slots":%d}}}`, nodes, most, slots)
+	return h.do(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(h.Generation), ChangeId: fmt.Sprint(h.n), Doc: []byte(doc)}}})
+}
+
+func (h *hand) take(i int) Result {
+	return h.do(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: fmt.Sprint("n", i), Addr: fmt.Sprint("a", i), Incarnation: 1}}})
+}
+
+func (h *hand) grow() {
+	h.do(&wire.Change{Body: &wire.Change_Mark{Mark: &wire.Mark{Grown: uint64(h.Generation), InForce: uint64(h.Generation)}}})
+}
+
+func TestFencesNeverSumPastACapWhileGenerationsChange(t *testing.T) {
+	for seed := int64(0); seed < 200; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		h := &hand{Book: NewBook()}
+		held := map[ident.Seat]int{}
+		most := 60
+		for i := 0; i < 80; i++ {
+			switch r.Intn(4) {
+			case 0:
+				nodes := 1 + r.Intn(8)
+				h.set(nodes, 1+r.Intn(most/nodes-1), most)
+			case 1:
+				h.take(r.Intn(12))
+			case 2:
+				s := ident.Seat(r.Intn(8))
+				if h.Seats[s] != nil {
+					held[s] = h.allowed(s)
+				}
+			case 3:
+				fit := true
+				for s := range h.Seats {
+					if held[s] > h.allowed(s) {
+						fit = false
+					}
+				}
+				if fit {
+					h.grow()
+				}
+			}
+			sum := 0
+			for s := range h.Seats {
+				sum += max(held[s], h.allowed(s))
+			}
+			require.LessOrEqual(t, sum, most, "seed %d step %d", seed, i)
+		}
+	}
+}
+
+func (h *hand) allowed(s ident.Seat) int {
+	if !Counts(h.Core(), h.Seats[s]) {
+		return 0
+	}
+	f := h.Floors()
+	return f[Lot{"l", "s"}] + f[Lot{"", "s"}]
+}
+
+func TestASeatGoesWithItsAddressAndIsNotGivenTwice(t *testing.T) {
+	h := &hand{Book: NewBook()}
+	h.set(2, 3, 60)
+	h.grow()
+	require.Equal(t, ident.Seat(0), h.take(1).Seat)
+	require.Equal(t, ident.Seat(1), h.take(2).Seat)
+	require.Equal(t, NoSeat, h.take(3).Code)
+	again := h.do(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: "n1", Addr: "a1", Incarnation: 2}}})
+	require.Equal(t, ident.Seat(0), again.Seat)
+	free := func(inc uint64) Result {
+		return h.do(&wire.Change{Body: &wire.Change_SeatFree{SeatFree: &wire.SeatFree{Seat: 0, Member: "n1", Incarnation: inc}}})
+	}
+	require.Equal(t, Stale, free(1).Code)
+	require.Equal(t, Done, free(2).Code)
+	require.Equal(t, ident.Seat(0), h.take(3).Seat)
+}
+
+func TestClaimsOutliveAnImageAndAreReleasedOnlyUnsent(t *testing.T) {
+	h := &hand{Book: NewBook()}
+	claim := func(b *Book, v string, body string) Result {
+		return b.Apply(&wire.Entry{Index: 9, Stamp: b.Stamp, Change: &wire.Change{Body: &wire.Change_Claim{Claim: &wire.Claim{Key: []byte("k"), Visit: v, Body: []byte(body)}}}})
+	}
+	require.Equal(t, Done, claim(h.Book, "v1", "x").Code)
+	h.do(&wire.Change{Body: &wire.Change_Release{Release: &wire.Release{Key: []byte("k"), Visit: "v0"}}})
+	require.Equal(t, Claimed, claim(h.Book, "v2", "x").Code)
+	require.Equal(t, Invalid, claim(h.Book, "v2", "y").Code)
+	b, err := ReadBook(h.Image())
+	require.NoError(t, err)
+	require.Equal(t, Claimed, claim(b, "v2", "x").Code)
+	h.do(&wire.Change{Body: &wire.Change_Release{Release: &wire.Release{Key: []byte("k"), Visit: "v1"}}})
+	require.Equal(t, Lost, claim(h.Book, "v1", "x").Code)
+	require.Equal(t, Done, claim(h.Book, "v2", "x").Code)
+	h.do(&wire.Change{Body: &wire.Change_Outcome{Outcome: &wire.Outcome{Key: []byte("k"), Visit: "v2", Status: 201}}})
+	require.Equal(t, uint32(201), claim(h.Book, "v3", "x").Status)
+	h.Apply(&wire.Entry{Index: 99, Stamp: h.Stamp + ClaimLifeMs + 1, Change: &wire.Change{Body: &wire.Change_Noop{Noop: &wire.Noop{}}}})
+	require.Empty(t, h.Claims)
+}
