--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"text/tabwriter"
@@ -16,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"sloeturn/desired"
+	"sloeturn/replay"
 )
 
 var (
@@ -61,6 +63,7 @@
 		"disks":     {"", "disk holders: role, commit, ailing, ring", disks},
 		"history":   {"", "generations kept", history},
 		"show":      {"[GENERATION]", "a desired state", show},
+		"replay":    {"FILE [POSITION]", "play events from a file, offline, and print the decisions", replayFile},
 		"check":     {"FILE", "check a desired state, offline", checkFile},
 		"diff":      {"FILE", "what FILE would change", diff},
 		"apply":     {"FILE", "make FILE the desired state", apply},
@@ -409,6 +412,27 @@
 	return os.ReadFile(f)
 }
 
+func replayFile(s *shell, w []string) (int, error) {
+	if len(w) == 0 {
+		return wrong, merry.Errorf("name a file")
+	}
+	f, err := os.Open(w[0])
+	if err != nil {
+		return wrong, err
+	}
+	defer f.Close()
+	from := uint64(0)
+	if len(w) > 1 {
+		if from, err = strconv.ParseUint(w[1], 10, 64); err != nil {
+			return wrong, merry.Errorf("%q is not a position", w[1])
+		}
+	}
+	if err := replay.New(s.out, from).Play(f); err != nil {
+		return failed, err
+	}
+	return good, nil
+}
+
 func checkFile(s *shell, w []string) (int, error) {
 	b, err := read(w)
 	if err != nil {
