--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -17,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"sloeturn/desired"
+	"sloeturn/nginximport"
 	"sloeturn/replay"
 )
 
@@ -64,6 +65,7 @@
 		"history":   {"", "generations kept", history},
 		"show":      {"[GENERATION]", "a desired state", show},
 		"replay":    {"FILE [POSITION]", "play events from a file, offline, and print the decisions", replayFile},
+		"import":    {"FILE TENANT NODES", "turn an nginx file into a desired state, offline; lists what it did not take", importFile},
 		"check":     {"FILE", "check a desired state, offline", checkFile},
 		"diff":      {"FILE", "what FILE would change", diff},
 		"apply":     {"FILE", "make FILE the desired state", apply},
@@ -433,6 +435,29 @@
 	return good, nil
 }
 
+func importFile(s *shell, w []string) (int, error) {
+	if len(w) != 3 {
+		return wrong, merry.Errorf("name a file, a tenant and how many nodes")
+	}
+	b, err := os.ReadFile(w[0])
+	if err != nil {
+		return wrong, err
+	}
+	n, err := strconv.Atoi(w[2])
+	if err != nil || n < 1 || n > 4096 || !desired.NameOK(w[1]) {
+		return wrong, merry.Errorf("%q is not a tenant's name, or %q not a number of nodes", w[1], w[2])
+	}
+	r, err := nginximport.Import(string(b), w[1], n)
+	if err != nil {
+		return unsound, err
+	}
+	fmt.Fprintln(s.out, string(r.Doc))
+	for _, l := range r.Left {
+		fmt.Fprintln(os.Stderr, "not taken:", l)
+	}
+	return good, nil
+}
+
 func checkFile(s *shell, w []string) (int, error) {
 	b, err := read(w)
 	if err != nil {
