--- a/cell/state.go
+++ b/cell/state.go
@@ -41,8 +41,39 @@
 	life  uint64
 	sums  [Parts]uint64
 	Nodes []string
+	tombs tombs
 }
 
+const TombsKept = 256
+
+type tombs struct {
+	list []*wire.Gone
+	from uint64
+}
+
+func (t *tombs) add(addr string, ver uint64) {
+	t.list = append(t.list, &wire.Gone{Addr: addr, Version: ver})
+	if len(t.list) > TombsKept {
+		t.from = t.list[0].Version
+		t.list = append([]*wire.Gone(nil), t.list[1:]...)
+	}
+}
+
+func (t *tombs) since(ver uint64) ([]*wire.Gone, bool) {
+	if ver < t.from {
+		return nil, false
+	}
+	var out []*wire.Gone
+	for _, g := range t.list {
+		if g.Version > ver {
+			out = append(out, g)
+		}
+	}
+	return out, true
+}
+
+func NodesSum(nodes []string) uint64 { return ident.Hash(nodes...) }
+
 func New(c ident.Cell, e ident.Epoch) *Soundness {
 	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}}
 }
@@ -65,6 +96,8 @@
 	b := s.table[a]
 	s.sums[Part(string(a))] -= Sum(string(a), b.Version)
 	delete(s.table, a)
+	s.ver++
+	s.tombs.add(string(a), s.ver)
 }
 
 func (s *Soundness) Digests() []uint64 { return append([]uint64(nil), s.sums[:]...) }
@@ -146,6 +179,37 @@
 	return out
 }
 
+func (s *Soundness) line(b *Backend, now ident.Moment) *wire.Backend {
+	return &wire.Backend{Addr: string(b.Addr), Service: string(b.Service), Incarnation: b.Life, Slots: uint32(b.Slots), State: uint32(b.State), ColdNs: int64(max(0, b.ColdTo.Sub(now))), Beat: b.Beat, Version: b.Version, Work: uint32(b.Work)}
+}
+
+func (s *Soundness) News(have *wire.CellHave, now ident.Moment) *wire.CellNews {
+	n := &wire.CellNews{Cell: string(s.Cell), Epoch: uint64(s.Epoch), Upto: s.ver}
+	same := have != nil && have.Epoch == uint64(s.Epoch)
+	if same && have.NodesSum == NodesSum(s.Nodes) {
+		n.NodesSame = true
+	} else {
+		n.Nodes = s.Nodes
+	}
+	if same && len(have.Digests) == 0 && have.Upto > 0 {
+		if gone, ok := s.tombs.since(have.Upto); ok {
+			n.Delta, n.Gone = true, gone
+			for _, b := range s.Lines() {
+				if b.Version > have.Upto {
+					n.Changed = append(n.Changed, s.line(b, now))
+				}
+			}
+			return n
+		}
+	}
+	var sums []uint64
+	if same {
+		sums = have.Digests
+	}
+	n.Ranges = s.Ranges(sums, now)
+	return n
+}
+
 func (s *Soundness) Ranges(have []uint64, now ident.Moment) []*wire.Range {
 	var out []*wire.Range
 	lines := s.Lines()
@@ -156,7 +220,7 @@
 		r := &wire.Range{Part: uint32(p)}
 		for _, b := range lines {
 			if Part(string(b.Addr)) == p {
-				r.Backends = append(r.Backends, &wire.Backend{Addr: string(b.Addr), Service: string(b.Service), Incarnation: b.Life, Slots: uint32(b.Slots), State: uint32(b.State), ColdNs: int64(max(0, b.ColdTo.Sub(now))), Beat: b.Beat, Version: b.Version, Work: uint32(b.Work)})
+				r.Backends = append(r.Backends, s.line(b, now))
 			}
 		}
 		out = append(out, r)
@@ -171,8 +235,11 @@
 	Known bool
 	Nodes []string
 	Table map[ident.Addr]*wire.Backend
+	Upto  uint64
 	sums  [Parts]uint64
+	tombs tombs
 	rev   uint64
+	asks  int
 }
 
 func NewCopy(c ident.Cell) *Copy {
@@ -192,19 +259,33 @@
 		c.Epoch = e
 		c.Table = map[ident.Addr]*wire.Backend{}
 		c.sums = [Parts]uint64{}
+		c.Upto, c.tombs = 0, tombs{from: n.Upto}
 		c.Known = false
 		c.rev++
 		if len(n.Ranges) < Parts {
 			return true
 		}
 	}
+	if n.Delta {
+		if !c.Known {
+			return false
+		}
+		c.delta(n)
+	}
 	for _, r := range n.Ranges {
 		if r.Part >= Parts {
 			continue
 		}
-		for a := range c.Table {
+		here := map[string]bool{}
+		for _, b := range r.Backends {
+			here[b.Addr] = true
+		}
+		for _, a := range ident.Keys(c.Table) {
 			if Part(string(a)) == int(r.Part) {
 				delete(c.Table, a)
+				if !here[string(a)] {
+					c.tombs.add(string(a), n.Upto)
+				}
 			}
 		}
 		c.sums[r.Part] = 0
@@ -214,7 +295,8 @@
 		}
 		c.rev++
 	}
-	if !same(c.Nodes, n.Nodes) {
+	c.Upto = max(c.Upto, n.Upto)
+	if !n.NodesSame && !same(c.Nodes, n.Nodes) {
 		c.Nodes = n.Nodes
 		c.rev++
 	}
@@ -222,6 +304,71 @@
 	return true
 }
 
+func (c *Copy) delta(n *wire.CellNews) {
+	for _, g := range n.Gone {
+		a := ident.Addr(g.Addr)
+		if b := c.Table[a]; b != nil && b.Version < g.Version {
+			c.sums[Part(g.Addr)] -= Sum(b.Addr, b.Version)
+			delete(c.Table, a)
+			c.rev++
+		}
+		if g.Version > c.Upto {
+			c.tombs.add(g.Addr, g.Version)
+		}
+	}
+	for _, b := range n.Changed {
+		a := ident.Addr(b.Addr)
+		old := c.Table[a]
+		if old != nil && old.Version >= b.Version {
+			continue
+		}
+		if old != nil {
+			c.sums[Part(b.Addr)] -= Sum(b.Addr, old.Version)
+		}
+		c.sums[Part(b.Addr)] += Sum(b.Addr, b.Version)
+		c.Table[a] = b
+		c.rev++
+	}
+}
+
+const WholeEvery = 16
+
+func (c *Copy) Have() *wire.CellHave {
+	h := &wire.CellHave{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Upto: c.Upto, NodesSum: NodesSum(c.Nodes)}
+	if c.asks%WholeEvery == 0 || !c.Known {
+		h.Digests = c.Digests()
+	}
+	c.asks++
+	return h
+}
+
+func (c *Copy) News(have *wire.CellHave, age time.Duration) *wire.CellNews {
+	n := &wire.CellNews{Cell: string(c.Cell), Epoch: uint64(c.Epoch), AgeNs: int64(age), Upto: c.Upto}
+	same := have != nil && have.Epoch == uint64(c.Epoch)
+	if same && have.NodesSum == NodesSum(c.Nodes) {
+		n.NodesSame = true
+	} else {
+		n.Nodes = c.Nodes
+	}
+	if same && len(have.Digests) == 0 && have.Upto > 0 {
+		if gone, ok := c.tombs.since(have.Upto); ok {
+			n.Delta, n.Gone = true, gone
+			for _, a := range ident.Keys(c.Table) {
+				if b := c.Table[a]; b.Version > have.Upto {
+					n.Changed = append(n.Changed, b)
+				}
+			}
+			return n
+		}
+	}
+	var sums []uint64
+	if same {
+		sums = have.Digests
+	}
+	n.Ranges = c.Ranges(sums)
+	return n
+}
+
 func same(a, b []string) bool {
 	if len(a) != len(b) {
 		return false
--- /dev/null
+++ b/cell/state_test.go
@@ -0,0 +1,121 @@
+package cell
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+func equal(t *testing.T, s *Soundness, c *Copy, why string) {
+	require.Len(t, c.Table, len(s.Lines()), why)
+	for _, b := range s.Lines() {
+		require.NotNil(t, c.Table[b.Addr], why)
+		require.Equal(t, b.Version, c.Table[b.Addr].Version, why)
+	}
+	require.Equal(t, s.Digests(), c.Digests(), why)
+}
+
+func hear(s *Soundness, r *rand.Rand, now ident.Moment) {
+	a := &wire.Announce{Addr: fmt.Sprint("b", r.Intn(40)), Service: fmt.Sprint("s", r.Intn(2)), Slots: 4, Incarnation: fmt.Sprint(r.Intn(2))}
+	a.State = uint32([]int{Ready, Ready, Ready, Leaving, Gone}[r.Intn(5)])
+	s.Hear(a, now)
+}
+
+func TestCopiesDownAChainAreEqualAfterEachAsk(t *testing.T) {
+	for seed := int64(0); seed < 40; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		now := ident.Moment(1e9)
+		s := New("a", 1)
+		near, far := NewCopy("a"), NewCopy("a")
+		for i := 0; i < 300; i++ {
+			now = now.Add(100 * time.Millisecond)
+			for k := r.Intn(20); k > 0; k-- {
+				hear(s, r, now)
+			}
+			s.Tick(now)
+			if r.Intn(40) == 0 {
+				next := New("a", s.Epoch+1)
+				hear(next, r, now)
+				s = next
+			}
+			if r.Intn(3) > 0 {
+				near.Take(s.News(near.Have(), now), now)
+				equal(t, s, near, fmt.Sprint(seed, i))
+			}
+			if h := far.Have(); near.Known && r.Intn(3) > 0 && (h.Epoch < uint64(near.Epoch) || h.Upto <= near.Upto) {
+				far.Take(near.News(h, 0), near.AsOf)
+				require.Equal(t, near.Digests(), far.Digests(), "seed %d step %d", seed, i)
+				require.Len(t, far.Table, len(near.Table))
+			}
+		}
+	}
+}
+
+func TestDivergenceIsMendedByDigestsForFewerBytesThanTheWhole(t *testing.T) {
+	now := ident.Moment(1e9)
+	s := New("a", 1)
+	for i := 0; i < 200; i++ {
+		s.Hear(&wire.Announce{Addr: fmt.Sprint("b", i), Service: "s", Slots: 4}, now)
+	}
+	c := NewCopy("a")
+	whole := proto.Size(s.News(c.Have(), now))
+	c.Take(s.News(c.Have(), now), now)
+	delete(c.Table, "b7")
+	c.sums[Part("b7")]++
+	mend := 0
+	for i := 0; i < WholeEvery; i++ {
+		n := s.News(c.Have(), now)
+		mend += proto.Size(n)
+		c.Take(n, now)
+	}
+	equal(t, s, c, "mended")
+	require.Less(t, mend*4, whole)
+}
+
+func TestSlotsAreDealtWholeAndEvenly(t *testing.T) {
+	nodes := []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6"}
+	var list []Share
+	all := 0
+	for i := 0; i < 9; i++ {
+		list = append(list, Share{ident.Addr(fmt.Sprint("b", i)), 1 + i%4})
+		all += 1 + i%4
+	}
+	sum, least, most := 0, 99, 0
+	for _, n := range nodes {
+		mine := 0
+		for _, k := range Deal(list, nodes, n, 3) {
+			mine += k
+		}
+		sum, least, most = sum+mine, min(least, mine), max(most, mine)
+	}
+	require.Equal(t, all, sum)
+	require.LessOrEqual(t, most-least, 1)
+	require.Empty(t, Deal(list, nodes, "stranger", 3))
+}
+
+func TestADrainSticksAndAnAddressChangesHands(t *testing.T) {
+	now := ident.Moment(1e9)
+	s := New("a", 1)
+	say := func(service, life string, state int) {
+		s.Hear(&wire.Announce{Addr: "b", Service: service, Incarnation: life, Slots: 4, State: uint32(state)}, now)
+	}
+	say("x", "1", Ready)
+	say("x", "1", Leaving)
+	say("x", "1", Ready)
+	require.Empty(t, s.Counts())
+	say("x", "2", Ready)
+	require.Equal(t, 1, s.Counts()["x"])
+	say("y", "3", Ready)
+	require.Equal(t, map[ident.Service]int{"y": 1}, s.Counts())
+	say("x", "2", Gone)
+	require.Equal(t, 1, s.Counts()["y"])
+	s.Tick(now.Add(BeatSilence + time.Second))
+	require.Empty(t, s.Lines())
+}
--- a/control/state.go
+++ b/control/state.go
@@ -482,11 +482,7 @@
 		if h == nil {
 			continue
 		}
-		var sums []uint64
-		if k := have[c]; k != nil && k.Epoch == uint64(h.epoch) {
-			sums = k.Digests
-		}
-		n.Cells = append(n.Cells, &wire.CellNews{Cell: c, Epoch: uint64(h.epoch), Holder: string(s.Member), Ranges: h.sound.Ranges(sums, now), Nodes: h.sound.Nodes})
+		n.Cells = append(n.Cells, h.sound.News(have[c], now))
 	}
 	return n
 }
@@ -539,11 +535,7 @@
 		k = cell.NewCopy(c)
 		s.Relay.Cells[c] = k
 	}
-	var sums []uint64
-	if k.Epoch == h.epoch {
-		sums = k.Digests()
-	}
-	k.Take(&wire.CellNews{Cell: string(c), Epoch: uint64(h.epoch), Ranges: h.sound.Ranges(sums, now), Nodes: h.sound.Nodes}, now)
+	k.Take(h.sound.News(k.Have(), now), now)
 }
 
 func (s *State) tick(now ident.Moment) {
--- a/relay/state.go
+++ b/relay/state.go
@@ -114,8 +114,7 @@
 		a.Core = s.Core.Version
 	}
 	for _, k := range s.cellNames() {
-		c := s.Cells[k]
-		a.Cells = append(a.Cells, &wire.CellHave{Cell: string(k), Epoch: uint64(c.Epoch), Digests: c.Digests()})
+		a.Cells = append(a.Cells, s.Cells[k].Have())
 	}
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: a}}})
 }
@@ -211,13 +210,10 @@
 		if !c.Known {
 			continue
 		}
-		var sums []uint64
-		if h := have[string(k)]; h != nil && h.Epoch == uint64(c.Epoch) {
-			sums = h.Digests
-		} else if h != nil && h.Epoch > uint64(c.Epoch) {
+		if h := have[string(k)]; h != nil && (h.Epoch > uint64(c.Epoch) || h.Epoch == uint64(c.Epoch) && h.Upto > c.Upto) {
 			continue
 		}
-		n.Cells = append(n.Cells, &wire.CellNews{Cell: string(k), Epoch: uint64(c.Epoch), AgeNs: int64(now.Sub(c.AsOf)), Ranges: c.Ranges(sums), Nodes: c.Nodes})
+		n.Cells = append(n.Cells, c.News(have[string(k)], now.Sub(c.AsOf)))
 	}
 	return n
 }
