A cell's next holder hears beats while it waits for the old tenure to end

Cause: beats that came in the 1.2 s wait heard 503 and the backend's next beat is 1.5 to 2.5 s on, so a lost cell stayed unused for two waits in a row. Excluded: silence detection (1.2 s and a round of gossip), the leader's choice. Change: beats in the wait are taken; drains and sign-offs still hear 503 until it speaks.

--- a/control/state.go
+++ b/control/state.go
@@ -511,6 +511,15 @@
 		s.announced(p, 200, "")
 		return
 	}
+	if h := s.holds[c]; h != nil && now.Sub(s.Relay.CoreAsOf) < relay.CellTenure {
+		h.sound.Hear(a, now)
+		if a.State == cell.Ready {
+			s.announced(p, 200, "")
+		} else {
+			s.announced(p, 503, "the holder of cell "+a.Cell+" starts in a moment")
+		}
+		return
+	}
 	for _, h := range s.Relay.Core.GetHolds() {
 		if h.Cell != a.Cell {
 			continue
