Stand-in backends keep the places of an old instance apart; three more simulated faults

Cause: 8 answers were reported lost with no fault about. A stand-in's visit begun before its restart gave its place back to the new instance's count, whose visits then hung past workMs. Excluded: a machine stall (refusals stayed at 187 ms), planned stops (rolling restart lost none), the gateway (the visits had reached their backend).

--- a/cmd/fleetrun/backend.go
+++ b/cmd/fleetrun/backend.go
@@ -235,9 +235,10 @@
 		return
 	}
 	b.led.run(r.Header.Get("Idempotency-Key"), r.Header.Get("Sloeturn-Visit"), b.addr)
-	b.work_ <- struct{}{}
+	places := b.work_
+	places <- struct{}{}
 	time.Sleep(b.work())
-	<-b.work_
+	<-places
 	b.served.Add(1)
 	nonce := r.Header.Get("X-Nonce")
 	out, _ := json.Marshal(map[string]any{"nonce": nonce, "sum": digest(nonce, string(body)), "by": b.addr})
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -264,7 +264,7 @@
 			if p.node == nil {
 				return
 			}
-			p.node.arrive(lane, key, 2*time.Second, func(a forward.Answer, served bool) {
+			id := p.node.arrive(lane, key, 2*time.Second, func(a forward.Answer, served bool) {
 				if heard {
 					return
 				}
@@ -286,6 +286,9 @@
 					again()
 				}
 			})
+			if n := p.node; id != "" && w.Rand.Intn(25) == 0 {
+				n.later(time.Duration(w.Rand.Intn(60))*ms, func() { p.step(data.Gone{Visit: id}) })
+			}
 		}
 		if p.frozen {
 			p.held = append(p.held, go_)
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -413,11 +413,11 @@
 	n.later(0, func() { n.forget(t) })
 }
 
-func (n *nodeSim) arrive(lane, key string, left time.Duration, done func(a forward.Answer, served bool)) {
+func (n *nodeSim) arrive(lane, key string, left time.Duration, done func(a forward.Answer, served bool)) ident.Visit {
 	d := n.state.Relay.Desired
 	if d == nil || d.Lanes[ident.Lane(lane)] == nil {
 		done(forward.Answer{Status: 503, Ran: forward.RanNo, Reason: "no desired state"}, false)
-		return
+		return ""
 	}
 	n.visits++
 	rule := d.Lanes[ident.Lane(lane)]
@@ -430,4 +430,5 @@
 		a.Body = []byte("body")
 	}
 	n.p.step(data.Arrive{Arrival: a})
+	return id
 }
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -162,7 +162,7 @@
 			}
 		})
 	}
-	switch w.Rand.Intn(30) {
+	switch w.Rand.Intn(32) {
 	case 0:
 		w.Kill(node)
 		later(span, func() { w.Start(node) })
@@ -376,6 +376,28 @@
 		w.Kill(late)
 		later(100*ms, func() { w.Start(late) })
 		return "freeze a node while an address changes hands"
+	case 29:
+		head.disk.full = true
+		w.Say("%s: disk is full", head.Name)
+		if head.up && head.control != nil {
+			head.step(diskEvent(true))
+		}
+		full := head.disk
+		later(span+3*time.Second, func() {
+			if head.disk == full {
+				w.Kill(head)
+				full.full = false
+				w.Start(head)
+			}
+		})
+		return "fill a disk"
+	case 30:
+		if w.disksUp() == w.Controls && w.voters() {
+			w.Kill(head)
+			later(13*time.Second, func() { w.Start(head) })
+			return "take a disk holder away for long"
+		}
+		return "none"
 	case 28:
 		for i := 0; i < w.Nodes; i++ {
 			if w.Rand.Intn(2) == 0 {
