--- a/cmd/fleetrun/fault.go
+++ b/cmd/fleetrun/fault.go
@@ -133,6 +133,37 @@
 		}
 		return "", fmt.Errorf("the wiped disk holder did not become a voter again")
 	}},
+	"swap-holder": {true, func(done context.Context, f *fleet) (string, error) {
+		if f.plan.control < 4 {
+			return "no disk holder to spare here; left out", nil
+		}
+		v, err := f.fleetLine()
+		if err != nil {
+			return "", err
+		}
+		var out *proc
+		for _, p := range f.control {
+			if p.name != v["leader"] && f.votes(v, p.name) {
+				out = p
+			}
+		}
+		if out == nil {
+			return "", fmt.Errorf("no voter but the leader")
+		}
+		out.term(10 * time.Second)
+		at := time.Now()
+		for done.Err() == nil {
+			if v, err := f.fleetLine(); err == nil && f.voters(v) >= 3 && !f.votes(v, out.name) {
+				took := time.Since(at)
+				if err := f.set(done, "PATCH", `{"fleet":{"retiring":1}}`, fmt.Sprint("after-swap-", at.UnixNano())); err != nil {
+					return "", err
+				}
+				return fmt.Sprintf("%s left for good; the spare disk holder votes in its place after %v, and a change was taken", out.name, took.Round(time.Millisecond)), out.start()
+			}
+			pause(done, 100*time.Millisecond)
+		}
+		return "", fmt.Errorf("the spare disk holder did not take its place")
+	}},
 	"freeze-node": {true, func(done context.Context, f *fleet) (string, error) {
 		p := f.data[1]
 		p.signal(syscall.SIGSTOP)
@@ -244,6 +275,16 @@
 	return n
 }
 
+func (f *fleet) votes(v map[string]any, name string) bool {
+	list, _ := v["roster"].([]any)
+	for _, e := range list {
+		if m := e.(map[string]any); m["member"] == name && m["learner"] == false {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *fleet) voterOf(v map[string]any, name string) string {
 	list, _ := v["roster"].([]any)
 	for _, e := range list {
