--- a/simulate/backend.go
+++ b/simulate/backend.go
@@ -147,7 +147,10 @@
 		case b.mode == "lose" && w.Rand.Intn(2) == 0:
 			how = forward.Broken
 		case b.mode == "garble" && w.Rand.Intn(2) == 0:
-			how = forward.Garbled
+			t.bad = true
+			if how = forward.Garbled; w.Weak == "answers" {
+				how = forward.Whole
+			}
 		}
 		w.at(time.Duration(100+w.Rand.Intn(1000))*time.Microsecond, func() {
 			if how == forward.Broken {
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -139,6 +139,9 @@
 }
 
 func (w *World) Bad(basis uint64, k int) {
+	if l := w.Leader(); l != nil && w.Weak == "check" {
+		l.control.Agree.Propose(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(l.control.Book.Generation), ChangeId: fmt.Sprint("unchecked-", k), Doc: []byte(`{"fleet":{"nodes":0}}`)}}}, l.clock())
+	}
 	w.Set(basis, `{"fleet":{"nodes":0},"lanes":{"x":{}}}`, fmt.Sprintf("bad-%d", k), func(code ledger.Code, gen uint64) {
 		if code == ledger.Done {
 			w.Break("invalid desired state acknowledged", "as generation %d", gen)
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -32,6 +32,7 @@
 	arrived ident.Moment
 	link    *link
 	frozen  bool
+	bad     bool
 	done    func(a forward.Answer, served bool)
 }
 
@@ -179,6 +180,9 @@
 			if t := n.trips[e.Visit]; t != nil && t.done != nil {
 				d := t.done
 				t.done = nil
+				if t.bad {
+					w.Break("garbled answer passed on", "%s", t.visit)
+				}
 				d(forward.Answer{Status: 200, Ran: forward.RanYes}, true)
 			}
 		case pass.Close:
@@ -222,7 +226,7 @@
 			w.Say("%s visit %s lane %s: %s to %s at %s %s", p.Name, e.Visit, e.Lane, e.From, e.To, e.Addr, e.Note)
 		case data.Exit:
 			w.Say("%s ends", p.Name)
-			w.at(0, func() { p.stopNow() })
+			n.leave()
 			w.at(300*ms, func() {
 				if w.mended {
 					w.Start(p)
@@ -232,6 +236,21 @@
 	}
 }
 
+func (n *nodeSim) leave() {
+	w := n.p.w
+	for _, v := range ident.Keys(n.trips) {
+		if k := n.state.Find(v); k != nil && k.Phase == forward.Sent && n.trips[v].link != nil {
+			w.Break("planned stop cut a visit", "%s left %s behind", n.p.Name, v)
+		}
+	}
+	p := n.p
+	w.at(0, func() {
+		if p.node == n {
+			p.stopNow()
+		}
+	})
+}
+
 func (n *nodeSim) guard(e data.Guard) {
 	l := n.open(string(e.Addr), pass.Key{Lane: pass.ProbeLane, Addr: e.Addr}, e.Life)
 	if l == nil {
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -298,6 +298,9 @@
 				any.step(stopControl())
 			} else {
 				any.step(stopNode())
+				if w.Weak == "drain" {
+					any.node.leave()
+				}
 			}
 			later(span+4*time.Second, func() {
 				w.Kill(any)
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -562,6 +562,12 @@
 		for _, c := range f.GetAsk().GetConfirms() {
 			c.Staged, c.Shrunk = 1<<40, 1<<40
 		}
+	case "basis":
+		if c := f.GetPropose().GetChange().GetSetDesired(); c != nil {
+			if l := p.w.Leader(); l != nil {
+				c.Basis = uint64(l.control.Book.Generation)
+			}
+		}
 	case "fence":
 		for _, l := range f.GetNews().GetCore().GetFloors() {
 			l.Slots *= 8
