A holder's table and a relay's copy answer an ask by the same rules

Read over again: the choice between what is newer, what differs by range and the whole stood twice, once for a holder and once for a copy. Both now give their parts to one function.

--- a/cell/state.go
+++ b/cell/state.go
@@ -183,33 +183,50 @@
 	return &wire.Backend{Addr: string(b.Addr), Service: string(b.Service), Incarnation: b.Life, Slots: uint32(b.Slots), State: uint32(b.State), ColdNs: int64(max(0, b.ColdTo.Sub(now))), Beat: b.Beat, Version: b.Version, Work: uint32(b.Work)}
 }
 
-func (s *Soundness) News(have *wire.CellHave, now ident.Moment) *wire.CellNews {
-	n := &wire.CellNews{Cell: string(s.Cell), Epoch: uint64(s.Epoch), Upto: s.ver}
-	same := have != nil && have.Epoch == uint64(s.Epoch)
-	if same && have.NodesSum == NodesSum(s.Nodes) {
+type sheet struct {
+	epoch ident.Epoch
+	upto  uint64
+	nodes []string
+	tombs *tombs
+	newer func(ver uint64) []*wire.Backend
+	parts func(sums []uint64) []*wire.Range
+}
+
+func (h sheet) news(c ident.Cell, have *wire.CellHave) *wire.CellNews {
+	n := &wire.CellNews{Cell: string(c), Epoch: uint64(h.epoch), Upto: h.upto}
+	if have == nil || have.Epoch != uint64(h.epoch) {
+		n.Nodes, n.Ranges = h.nodes, h.parts(nil)
+		return n
+	}
+	if have.NodesSum == NodesSum(h.nodes) {
 		n.NodesSame = true
 	} else {
-		n.Nodes = s.Nodes
+		n.Nodes = h.nodes
 	}
-	if same && len(have.Digests) == 0 && have.Upto > 0 {
-		if gone, ok := s.tombs.since(have.Upto); ok {
-			n.Delta, n.Gone = true, gone
-			for _, b := range s.Lines() {
-				if b.Version > have.Upto {
-					n.Changed = append(n.Changed, s.line(b, now))
-				}
-			}
+	if len(have.Digests) == 0 && have.Upto > 0 {
+		if gone, ok := h.tombs.since(have.Upto); ok {
+			n.Delta, n.Gone, n.Changed = true, gone, h.newer(have.Upto)
 			return n
 		}
 	}
-	var sums []uint64
-	if same {
-		sums = have.Digests
-	}
-	n.Ranges = s.Ranges(sums, now)
+	n.Ranges = h.parts(have.Digests)
 	return n
 }
 
+func (s *Soundness) News(have *wire.CellHave, now ident.Moment) *wire.CellNews {
+	newer := func(ver uint64) []*wire.Backend {
+		var out []*wire.Backend
+		for _, b := range s.Lines() {
+			if b.Version > ver {
+				out = append(out, s.line(b, now))
+			}
+		}
+		return out
+	}
+	parts := func(sums []uint64) []*wire.Range { return s.Ranges(sums, now) }
+	return sheet{s.Epoch, s.ver, s.Nodes, &s.tombs, newer, parts}.news(s.Cell, have)
+}
+
 func (s *Soundness) Ranges(have []uint64, now ident.Moment) []*wire.Range {
 	var out []*wire.Range
 	lines := s.Lines()
@@ -343,29 +360,17 @@
 }
 
 func (c *Copy) News(have *wire.CellHave, age time.Duration) *wire.CellNews {
-	n := &wire.CellNews{Cell: string(c.Cell), Epoch: uint64(c.Epoch), AgeNs: int64(age), Upto: c.Upto}
-	same := have != nil && have.Epoch == uint64(c.Epoch)
-	if same && have.NodesSum == NodesSum(c.Nodes) {
-		n.NodesSame = true
-	} else {
-		n.Nodes = c.Nodes
-	}
-	if same && len(have.Digests) == 0 && have.Upto > 0 {
-		if gone, ok := c.tombs.since(have.Upto); ok {
-			n.Delta, n.Gone = true, gone
-			for _, a := range ident.Keys(c.Table) {
-				if b := c.Table[a]; b.Version > have.Upto {
-					n.Changed = append(n.Changed, b)
-				}
+	newer := func(ver uint64) []*wire.Backend {
+		var out []*wire.Backend
+		for _, a := range ident.Keys(c.Table) {
+			if b := c.Table[a]; b.Version > ver {
+				out = append(out, b)
 			}
-			return n
 		}
+		return out
 	}
-	var sums []uint64
-	if same {
-		sums = have.Digests
-	}
-	n.Ranges = c.Ranges(sums)
+	n := sheet{c.Epoch, c.Upto, c.Nodes, &c.tombs, newer, c.Ranges}.news(c.Cell, have)
+	n.AgeNs = int64(age)
 	return n
 }
 
