One random incarnation per life; a seat passes only to who names its last holder

Cause: incarnations came from the wall clock. After a jump back the member table raised its own while seat, confirmations and courier kept the first; and a late or doubled seat request of a dead self took the seat from the live one. Two lives started at the same wall time could share proposal tokens, so that a late 'done' for one claim could be read as another's. Now an incarnation is 64 random bits for a life, never changed; a card's rank, raised on hearing of oneself, orders lives in the member table; a seat request names the incarnation it follows. In the simulator every life has a clock origin of its own and clocks leap. Excluded: an order by start time at the leader, which cannot tell a late frame from a new one.

--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -35,7 +35,7 @@
 	log := boot.NewLogger(os.Stderr, set.LogLevel, set.Name)
 	n, err := control.NewNode(control.Boot{
 		Member: ident.Member(set.Name), Addr: ident.Addr(set.Address), HTTP: set.HTTP + "," + set.Operators, Cell: ident.Cell(set.Cell),
-		Incarnation: ident.Incarnation(time.Now().UnixNano()), Seeds: boot.Addrs(set.Seeds), Founders: boot.Addrs(set.Founders), Build: boot.Build, Seed: time.Now().UnixNano(),
+		Incarnation: ident.NewIncarnation(), Seeds: boot.Addrs(set.Seeds), Founders: boot.Addrs(set.Founders), Build: boot.Build, Seed: int64(ident.NewIncarnation()),
 	}, control.Disks{Path: set.Data, Files: set.Files, Size: int64(set.FileMB) << 20}, log)
 	if err != nil {
 		level.Error(log).Log("part", "main", "msg", "Cannot start.", "why", err)
--- a/cmd/dataplane/main.go
+++ b/cmd/dataplane/main.go
@@ -34,7 +34,7 @@
 	log := boot.NewLogger(os.Stderr, set.LogLevel, set.Name)
 	n := data.NewNode(data.Boot{
 		Member: ident.Member(set.Name), Addr: ident.Addr(set.Address), HTTP: set.HTTP + "," + set.Operators, Cell: ident.Cell(set.Cell),
-		Incarnation: ident.Incarnation(time.Now().UnixNano()), Seeds: boot.Addrs(set.Seeds), Build: boot.Build,
+		Incarnation: ident.NewIncarnation(), Seeds: boot.Addrs(set.Seeds), Build: boot.Build,
 	}, log)
 	if err := n.Open(); err != nil {
 		level.Error(log).Log("part", "main", "msg", "Cannot start.", "why", err)
--- a/control/state.go
+++ b/control/state.go
@@ -625,7 +625,7 @@
 func (s *State) cells(now ident.Moment) {
 	mine := map[ident.Cell]*wire.Hold{}
 	for _, h := range s.Relay.Core.GetHolds() {
-		if h.Holder == string(s.Member) && h.Incarnation == s.Members.Self.Incarnation {
+		if h.Holder == string(s.Member) && h.Incarnation == uint64(s.Incarnation) {
 			mine[ident.Cell(h.Cell)] = h
 		}
 	}
--- a/data/state.go
+++ b/data/state.go
@@ -427,7 +427,13 @@
 		return
 	}
 	s.asking, s.seatAt = true, now
-	s.Mail.Post(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: string(s.Member), Addr: string(s.Addr), Incarnation: uint64(s.Incarnation)}}}, now.Add(SeatWait), seatTag{}, heads, now)
+	basis := uint64(0)
+	for _, v := range s.Relay.Core.Seats {
+		if v.Addr == string(s.Addr) {
+			basis = v.Incarnation
+		}
+	}
+	s.Mail.Post(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: string(s.Member), Addr: string(s.Addr), Incarnation: uint64(s.Incarnation), Basis: basis}}}, now.Add(SeatWait), seatTag{}, heads, now)
 }
 
 func (s *State) floors() map[ledger.Lot]int {
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"crypto/rand"
+	"encoding/binary"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -43,6 +45,12 @@
 	return Moment(t.Nano())
 }
 
+func NewIncarnation() Incarnation {
+	var b [8]byte
+	rand.Read(b[:])
+	return Incarnation(binary.BigEndian.Uint64(b[:]) | 1)
+}
+
 func Hash(parts ...string) uint64 {
 	h := fnv.New64a()
 	for _, p := range parts {
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -247,11 +247,17 @@
 func (b *Book) seatTake(c *wire.SeatTake) Result {
 	if s := b.SeatOf(ident.Addr(c.Addr)); s != nil {
 		if s.Incarnation != c.Incarnation || s.Member != c.Member {
+			if s.Incarnation != c.Basis {
+				return Result{Code: Stale}
+			}
 			b.Seats[ident.Seat(s.Seat)] = &wire.Seat{Seat: s.Seat, Member: c.Member, Addr: c.Addr, Incarnation: c.Incarnation, Since: uint64(b.Index)}
 			b.turn()
 		}
 		return Result{Seat: ident.Seat(s.Seat)}
 	}
+	if c.Basis != 0 {
+		return Result{Code: Stale}
+	}
 	n := b.SeatCount()
 	for i := 0; i < n; i++ {
 		k := ident.Seat(i)
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -87,8 +87,10 @@
 	require.Equal(t, ident.Seat(0), h.take(1).Seat)
 	require.Equal(t, ident.Seat(1), h.take(2).Seat)
 	require.Equal(t, NoSeat, h.take(3).Code)
-	again := h.do(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: "n1", Addr: "a1", Incarnation: 2}}})
+	again := h.do(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: "n1", Addr: "a1", Incarnation: 2, Basis: 1}}})
 	require.Equal(t, ident.Seat(0), again.Seat)
+	require.Equal(t, Stale, h.take(1).Code)
+	require.Equal(t, uint64(2), h.Seats[0].Incarnation)
 	free := func(inc uint64) Result {
 		return h.do(&wire.Change{Body: &wire.Change_SeatFree{SeatFree: &wire.SeatFree{Seat: 0, Member: "n1", Incarnation: inc}}})
 	}
--- a/member/state.go
+++ b/member/state.go
@@ -48,6 +48,7 @@
 func New(self *wire.Card, seeds []ident.Addr, now ident.Moment) *State {
 	s := &State{Self: self, Seeds: seeds, cards: map[ident.Member]*wire.Card{}, heard: map[ident.Member]ident.Moment{}, dead: map[ident.Member]ident.Moment{}}
 	s.since = now
+	self.Rank = 1
 	s.put(self, now)
 	return s
 }
@@ -61,7 +62,7 @@
 	for _, a := range c.Accusers {
 		n += ident.Hash("accuser", a)
 	}
-	return n + ident.Hash(c.Id, c.Addr, strconv.FormatUint(c.Incarnation, 10), strconv.FormatUint(c.Version, 10), strconv.Itoa(int(c.State)))
+	return n + ident.Hash(c.Id, c.Addr, strconv.FormatUint(c.Incarnation, 10), strconv.FormatUint(c.Rank, 10), strconv.FormatUint(c.Version, 10), strconv.Itoa(int(c.State)))
 }
 
 func (s *State) put(c *wire.Card, now ident.Moment) {
@@ -149,8 +150,8 @@
 }
 
 func newer(a, b *wire.Card) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
+	if a.Rank != b.Rank {
+		return a.Rank > b.Rank
 	}
 	return a.Version > b.Version
 }
@@ -178,17 +179,19 @@
 }
 
 func (s *State) learnSelf(c *wire.Card, now ident.Moment) {
-	if c.Incarnation > s.Self.Incarnation || c.Incarnation == s.Self.Incarnation && (c.Version > s.Self.Version || c.Version == s.Self.Version && (len(c.Accusers) > 0 || c.State == Silent)) {
-		n := proto.Clone(s.Self).(*wire.Card)
-		n.Incarnation = c.Incarnation
-		n.Version = c.Version + 1
-		if c.Incarnation > s.Self.Incarnation {
-			n.Incarnation, n.Version = c.Incarnation+1, 1
-		}
-		n.Accusers = nil
-		s.Self = n
-		s.put(n, now)
+	other := c.Incarnation != s.Self.Incarnation
+	said := c.Version > s.Self.Version || c.Version == s.Self.Version && (len(c.Accusers) > 0 || c.State == Silent)
+	if c.Rank < s.Self.Rank || c.Rank == s.Self.Rank && !other && !said {
+		return
+	}
+	n := proto.Clone(s.Self).(*wire.Card)
+	n.Rank, n.Version = c.Rank, c.Version+1
+	if other {
+		n.Rank, n.Version = c.Rank+1, 1
 	}
+	n.Accusers = nil
+	s.Self = n
+	s.put(n, now)
 }
 
 func (s *State) accuse(old *wire.Card, who []string, now ident.Moment) {
--- a/member/state_test.go
+++ b/member/state_test.go
@@ -94,3 +94,16 @@
 	most := 20 * (Watchers*4 + 1) * 5
 	require.LessOrEqual(t, w.sent, most)
 }
+
+func TestANewLifeIsKnownWhateverTheClockSays(t *testing.T) {
+	w := newTown(8)
+	w.run(3 * time.Second)
+	for life := uint64(90); life > 80; life-- {
+		w.all["a5"] = New(&wire.Card{Id: "m5", Addr: "a5", Incarnation: life}, []ident.Addr{"a0", "a1", "a2"}, w.now)
+		w.run(2 * time.Second)
+		for _, a := range ident.Keys(w.all) {
+			require.Equal(t, life, w.all[a].Card("m5").Incarnation, a)
+			require.Equal(t, uint32(Live), w.see(a, "m5"), a)
+		}
+	}
+}
--- a/relay/state.go
+++ b/relay/state.go
@@ -343,7 +343,7 @@
 		if len(heads) == 0 {
 			return
 		}
-		p.to = heads[(int(t)+p.turn)%len(heads)]
+		p.to = heads[(t+uint64(p.turn))%uint64(len(heads))]
 	}
 	p.turn++
 	c.out = append(c.out, wire.Send{To: p.to, Frame: &wire.Frame{Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: t, Change: p.change}}}})
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -165,6 +165,12 @@
 	if line := l.control.Book.ByChange(w.ackedDoc); line == nil && uint64(l.control.Book.Generation) < w.acked+ledger.HistoryKept {
 		w.Break("acknowledged generation missing", "%s has no change %s", l.Name, w.ackedDoc)
 	}
+	for _, v := range l.control.Book.Seats {
+		if w.lives[v.Incarnation] < w.lives[w.seated[v.Addr]] {
+			w.Break("a dead self took a seat", "seat %d of %s", v.Seat, v.Addr)
+		}
+		w.seated[v.Addr] = v.Incarnation
+	}
 	for _, h := range l.control.Book.History {
 		if _, faults := desired.Read(h.Doc); len(faults) > 0 {
 			w.Break("invalid desired state took effect", "generation %d", h.Generation)
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -162,7 +162,7 @@
 			}
 		})
 	}
-	switch w.Rand.Intn(32) {
+	switch w.Rand.Intn(34) {
 	case 0:
 		w.Kill(node)
 		later(span, func() { w.Start(node) })
@@ -401,6 +401,26 @@
 			return "take a disk holder away for long"
 		}
 		return "none"
+	case 31:
+		for i := 0; i < 5; i++ {
+			later(time.Duration(i*800)*ms, func() {
+				w.Kill(node)
+				w.slow = 0
+				w.Start(node)
+				late := time.Duration(150+w.Rand.Intn(150)) * ms
+				w.at(late, func() { w.slow, w.double = 2*time.Second, 0.5 })
+				w.at(late+100*ms, func() { w.slow, w.double = 0, 0 })
+			})
+		}
+		return "restart a node over and over on slow links"
+	case 32:
+		for _, p := range w.Procs {
+			if w.Rand.Intn(2) == 0 {
+				w.Say("%s: clock leaps", p.Name)
+				p.skew += span
+			}
+		}
+		return "clocks leap"
 	case 28:
 		for i := 0; i < w.Nodes; i++ {
 			if w.Rand.Intn(2) == 0 {
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -143,6 +143,8 @@
 	recent   []attempt
 	ready    func() []*Proc
 	waits    map[uint64]waiter
+	lives    map[uint64]int
+	seated   map[string]uint64
 }
 
 func (w *World) at(d time.Duration, do func()) {
@@ -166,7 +168,7 @@
 
 func New(c Config) *World {
 	w := &World{Config: c, Rand: rand.New(rand.NewSource(c.Seed)), Now: ident.Moment(1e15), byAddr: map[string]*Proc{}, byPlace: map[string]*Backend{}, cut: map[[2]string]bool{},
-		Broken: map[string]string{}, Count: map[string]int{}, keys: map[string][]string{}, ranBy: map[string]int{}, further: map[string][]ident.Moment{}, traffic: map[string][]ident.Moment{}, told: map[string]uint64{}, waits: map[uint64]waiter{}}
+		Broken: map[string]string{}, Count: map[string]int{}, keys: map[string][]string{}, ranBy: map[string]int{}, further: map[string][]ident.Moment{}, traffic: map[string][]ident.Moment{}, told: map[string]uint64{}, waits: map[uint64]waiter{}, lives: map[uint64]int{}, seated: map[string]uint64{}}
 	w.start, w.most = w.Now, Cap
 	for i := 0; i < c.Controls; i++ {
 		w.add(&Proc{Name: fmt.Sprintf("control-%d", i), Addr: fmt.Sprintf("10.0.1.%d:7000", i+1), Cell: w.cellName(i), disk: w.blank()})
@@ -209,10 +211,9 @@
 	}
 	p.up, p.frozen, p.held = true, false, nil
 	p.life++
-	inc := ident.Incarnation(uint64(w.Now)/1000 + w.Rand.Uint64()%1000)
-	if w.Rand.Intn(4) == 0 {
-		inc -= ident.Incarnation(uint64(time.Hour) / 1000)
-	}
+	inc := ident.Incarnation(w.Rand.Uint64())
+	p.skew = time.Duration(w.Rand.Int63n(int64(1000 * time.Hour)))
+	w.lives[uint64(inc)] = len(w.lives)
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
 		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: w.seeds(), Founders: w.seeds(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63()}
@@ -303,6 +304,7 @@
 		}
 		w.at(late, func() {
 			if to.up && (to.life == life || w.Rand.Intn(2) == 0) {
+				w.weakenArrival(f)
 				if to.control != nil {
 					to.step(control.Got{Frame: f})
 				} else {
@@ -567,3 +569,12 @@
 		}
 	}
 }
+
+func (w *World) weakenArrival(f *wire.Frame) {
+	c := f.GetPropose().GetChange().GetSeatTake()
+	if l := w.Leader(); c != nil && l != nil && w.Weak == "seat" {
+		if v := l.control.Book.SeatOf(ident.Addr(c.Addr)); v != nil {
+			c.Basis = v.Incarnation
+		}
+	}
+}
