A guard counts only once a beat sent after it connected was heard while it stood

A cell's holder counts pulses, ten a second, and they go down with its news. Whoever hears a beat notes the pulse it knew, then looks whether the beat's connection still stands: only then does the beat carry the pulse. A node takes the pulse of news asked for after its guard stood; a beat with a later pulse proves the guard. Answers that name the service prove it at once. A beat of another service with an older pulse than the newest is passed over. A leaving said by the backend itself ends with a ready said later; a drain notice still sticks. Excluded: ages on beats (the way from backend to hearer is not timed by anybody), incarnations made by the holder (they told nothing of the process). Stand-ins of the simulator are bare, one in four still names itself.

--- a/cell/beat.go
+++ b/cell/beat.go
@@ -56,7 +56,7 @@
 		}
 		return i
 	}
-	a := &wire.Announce{State: uint32(kind)}
+	a := &wire.Announce{State: uint32(kind), Notice: kind == Leaving}
 	a.Service = text("service", true)
 	a.Addr = text("address", true)
 	a.Cell = text("cell", false)
--- a/cell/state.go
+++ b/cell/state.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"fmt"
+	"math"
 	"sort"
 	"strconv"
 	"time"
@@ -16,7 +18,9 @@
 
 	Parts       = 8
 	BeatSilence = 7 * time.Second
+	PulseEvery  = 100 * time.Millisecond
 	SlotLimit   = 4096
+	Bare        = "bare-"
 )
 
 type Backend struct {
@@ -31,6 +35,8 @@
 	Beat    uint64
 	Version uint64
 	Work    int
+	Pulse   uint64
+	LeftAt  uint64
 }
 
 type Soundness struct {
@@ -38,7 +44,8 @@
 	Epoch ident.Epoch
 	table map[ident.Addr]*Backend
 	ver   uint64
-	life  uint64
+	pulse uint64
+	beat  ident.Moment
 	sums  [Parts]uint64
 	Nodes []string
 	tombs tombs
@@ -75,7 +82,7 @@
 func NodesSum(nodes []string) uint64 { return ident.Hash(nodes...) }
 
 func New(c ident.Cell, e ident.Epoch) *Soundness {
-	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}}
+	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}, pulse: 1}
 }
 
 func Part(addr string) int { return int(ident.Hash(addr) % Parts) }
@@ -112,22 +119,35 @@
 		return
 	}
 	cold := time.Duration(a.ColdNs)
-	if b == nil || b.Service != ident.Service(a.Service) || a.Incarnation != "" && a.Incarnation != b.Life || a.Incarnation == "" && cold > 0 && now.Add(cold).After(b.ColdTo.Add(time.Second)) {
-		if b != nil {
-			s.drop(addr)
-		}
-		s.life++
+	pulse := uint64(0)
+	if a.Epoch == uint64(s.Epoch) {
+		pulse = a.Pulse
+	}
+	if b != nil && b.Service != ident.Service(a.Service) && pulse < b.Pulse {
+		return
+	}
+	if b == nil || s.another(b, a, pulse, now.Add(cold)) {
 		life := a.Incarnation
 		if life == "" {
-			life = "cell-" + strconv.FormatUint(uint64(s.Epoch), 10) + "-" + strconv.FormatUint(s.life, 10)
+			life = Bare + a.Service
+		}
+		if b != nil {
+			if life == b.Life {
+				life = fmt.Sprintf("%s-%d-%d", life, s.Epoch, s.pulse)
+			}
+			s.drop(addr)
 		}
 		b = &Backend{Addr: addr, Service: ident.Service(a.Service), Life: life, ColdAll: cold}
 		s.table[addr] = b
 	}
 	b.Slots = int(min(a.Slots, SlotLimit))
-	if b.State != Leaving || a.State == Leaving {
-		b.State = int(a.State)
+	if b.State != Leaving && a.State == Leaving {
+		b.State = Leaving
+		if b.LeftAt = s.pulse; a.Notice {
+			b.LeftAt = math.MaxUint64
+		}
 	}
+	b.Pulse = max(b.Pulse, pulse)
 	b.ColdTo = now.Add(cold)
 	b.Heard = now
 	b.Beat++
@@ -135,6 +155,17 @@
 	s.touch(b)
 }
 
+func (s *Soundness) another(b *Backend, a *wire.Announce, pulse uint64, coldTo ident.Moment) bool {
+	if b.Service != ident.Service(a.Service) {
+		return true
+	}
+	if a.Incarnation != "" {
+		return a.Incarnation != b.Life
+	}
+	back := b.State == Leaving && a.State == Ready && pulse > b.LeftAt
+	return back || a.ColdNs > 0 && coldTo.After(b.ColdTo.Add(time.Second))
+}
+
 func Work(b *Backend, now ident.Moment) int {
 	if b.State != Ready {
 		return 0
@@ -148,6 +179,10 @@
 }
 
 func (s *Soundness) Tick(now ident.Moment) {
+	if now.Sub(s.beat) >= PulseEvery {
+		s.beat = now
+		s.pulse++
+	}
 	for _, b := range s.Lines() {
 		if now.Sub(b.Heard) > BeatSilence {
 			s.drop(b.Addr)
@@ -180,11 +215,12 @@
 }
 
 func (s *Soundness) line(b *Backend, now ident.Moment) *wire.Backend {
-	return &wire.Backend{Addr: string(b.Addr), Service: string(b.Service), Incarnation: b.Life, Slots: uint32(b.Slots), State: uint32(b.State), ColdNs: int64(max(0, b.ColdTo.Sub(now))), Beat: b.Beat, Version: b.Version, Work: uint32(b.Work)}
+	return &wire.Backend{Addr: string(b.Addr), Service: string(b.Service), Incarnation: b.Life, Slots: uint32(b.Slots), State: uint32(b.State), ColdNs: int64(max(0, b.ColdTo.Sub(now))), Beat: b.Beat, Version: b.Version, Work: uint32(b.Work), Pulse: b.Pulse}
 }
 
 type sheet struct {
 	epoch ident.Epoch
+	pulse uint64
 	upto  uint64
 	nodes []string
 	tombs *tombs
@@ -193,7 +229,7 @@
 }
 
 func (h sheet) news(c ident.Cell, have *wire.CellHave) *wire.CellNews {
-	n := &wire.CellNews{Cell: string(c), Epoch: uint64(h.epoch), Upto: h.upto}
+	n := &wire.CellNews{Cell: string(c), Epoch: uint64(h.epoch), Pulse: h.pulse, Upto: h.upto}
 	if have == nil || have.Epoch != uint64(h.epoch) {
 		n.Nodes, n.Ranges = h.nodes, h.parts(nil)
 		return n
@@ -224,7 +260,7 @@
 		return out
 	}
 	parts := func(sums []uint64) []*wire.Range { return s.Ranges(sums, now) }
-	return sheet{s.Epoch, s.ver, s.Nodes, &s.tombs, newer, parts}.news(s.Cell, have)
+	return sheet{s.Epoch, s.pulse, s.ver, s.Nodes, &s.tombs, newer, parts}.news(s.Cell, have)
 }
 
 func (s *Soundness) Ranges(have []uint64, now ident.Moment) []*wire.Range {
@@ -248,6 +284,7 @@
 type Copy struct {
 	Cell  ident.Cell
 	Epoch ident.Epoch
+	Pulse uint64
 	AsOf  ident.Moment
 	Known bool
 	Nodes []string
@@ -276,7 +313,7 @@
 		c.Epoch = e
 		c.Table = map[ident.Addr]*wire.Backend{}
 		c.sums = [Parts]uint64{}
-		c.Upto, c.tombs = 0, tombs{from: n.Upto}
+		c.Upto, c.tombs, c.Pulse = 0, tombs{from: n.Upto}, 0
 		c.Known = false
 		c.rev++
 		if len(n.Ranges) < Parts {
@@ -317,6 +354,7 @@
 		c.Nodes = n.Nodes
 		c.rev++
 	}
+	c.Pulse = max(c.Pulse, n.Pulse)
 	c.Known, c.AsOf = true, asOf
 	return true
 }
@@ -369,7 +407,7 @@
 		}
 		return out
 	}
-	n := sheet{c.Epoch, c.Upto, c.Nodes, &c.tombs, newer, c.Ranges}.news(c.Cell, have)
+	n := sheet{c.Epoch, c.Pulse, c.Upto, c.Nodes, &c.tombs, newer, c.Ranges}.news(c.Cell, have)
 	n.AgeNs = int64(age)
 	return n
 }
--- a/cmd/seeds/main.go
+++ b/cmd/seeds/main.go
@@ -18,7 +18,7 @@
 	From    int64  `arg:"--from" default:"1" help:"first seed"`
 	Count   int    `arg:"--count" default:"100" help:"how many seeds"`
 	Seconds int    `arg:"--seconds" default:"30" help:"simulated seconds of faults for each seed"`
-	Weak    string `arg:"--weak" help:"take one guard out: claims, gate, fence, ack, sync, told, identity, fresh, answers, drain, check, basis, seat"`
+	Weak    string `arg:"--weak" help:"take one guard out: claims, gate, fence, ack, sync, told, identity, fresh, answers, drain, check, basis, seat, stands"`
 	Scale   []int  `arg:"--scale" help:"instead: traffic and times at these multiples of today's machines"`
 	Trace   bool   `arg:"--trace" help:"print the whole trace of the first seed"`
 	All     bool   `arg:"--all" help:"print a line for every seed"`
--- a/control/events.go
+++ b/control/events.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 
 	"sloeturn/cell"
 	"sloeturn/desired"
+	"sloeturn/duty"
 	"sloeturn/ledger"
 	"sloeturn/wire"
 )
@@ -66,8 +68,8 @@
 			t.Error, t.Faults = "not sound", faults
 			return t
 		}
-		got := n.Tell(r.Context(), n.home(a))
-		t.OK, t.Error = got.Code == 200, got.Text
+		code, text := n.hear(r.Context(), a, func() bool { return duty.Stands(r) })
+		t.OK, t.Error = code == 200, text
 		return t
 	}
 	if e.Event != "desired" {
@@ -104,13 +106,11 @@
 	return v.(uint64)
 }
 
-func (n *Node) home(a *wire.Announce) *wire.Announce {
-	if a.Cell != "" {
-		return a
+func (n *Node) hear(done context.Context, a *wire.Announce, stands func() bool) (uint32, string) {
+	n.Query(func(s *State, now moment) any { s.Relay.Address(a, s.Cell, now); return nil })
+	if !stands() {
+		a.Pulse = 0
 	}
-	v, err := n.Query(func(s *State, now moment) any { return s.Relay.Home(a.Addr, string(s.Cell), now) })
-	if err == nil {
-		a.Cell = v.(string)
-	}
-	return a
+	got := n.Tell(done, a)
+	return got.Code, got.Text
 }
--- a/control/http.go
+++ b/control/http.go
@@ -23,10 +23,7 @@
 
 func (n *Node) Registry() http.Handler {
 	mux := http.NewServeMux()
-	duty.Registry(mux, func(done context.Context, a *wire.Announce) (uint32, string) {
-		got := n.Tell(done, n.home(a))
-		return got.Code, got.Text
-	})
+	duty.Registry(mux, n.hear)
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { duty.JSON(w, 200, map[string]any{"live": true}) })
 	mux.HandleFunc("GET /ready", n.ready)
 	return mux
--- a/data/guard.go
+++ b/data/guard.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
+	"sloeturn/cell"
 	"sloeturn/ident"
 )
 
@@ -69,12 +71,13 @@
 		if err != nil {
 			return "the probe's answer broke off"
 		}
-		if why := unsound(resp, body, g); why != "" {
+		named, why := unsound(resp, body, g)
+		if why != "" {
 			return why
 		}
 		if !made {
 			made = true
-			n.Put(GuardMade{g.Addr, g.Life})
+			n.Put(GuardMade{g.Addr, g.Life, named})
 		}
 		c.SetDeadline(time.Now().Add(g.Probe.Every))
 		if _, err := b.Peek(1); err == nil {
@@ -85,27 +88,25 @@
 	}
 }
 
-func unsound(resp *http.Response, body []byte, g Guard) string {
+func unsound(resp *http.Response, body []byte, g Guard) (named bool, why string) {
 	if resp.StatusCode >= 500 {
-		return "the probe was answered " + resp.Status
+		return false, "the probe was answered " + resp.Status
 	}
 	if resp.Close {
-		return "the backend does not keep the probe's connection"
+		return false, "the backend does not keep the probe's connection"
 	}
 	var who struct {
 		Service     string `json:"service"`
 		Incarnation string `json:"incarnation"`
 	}
 	if json.Unmarshal(body, &who) != nil {
-		return ""
+		return false, ""
 	}
 	if who.Service != "" && ident.Service(who.Service) != g.Service {
-		return "the address now serves " + who.Service
+		return false, "the address now serves " + who.Service
 	}
-	if who.Incarnation != "" && g.Life != who.Incarnation && !isMade(g.Life) {
-		return "another incarnation answers"
+	if who.Incarnation != "" && g.Life != who.Incarnation && !strings.HasPrefix(g.Life, cell.Bare) {
+		return false, "another incarnation answers"
 	}
-	return ""
+	return who.Service != "", ""
 }
-
-func isMade(life string) bool { return len(life) > 5 && life[:5] == "cell-" }
--- a/data/http.go
+++ b/data/http.go
@@ -61,7 +61,11 @@
 		duty.JSON(w, 503, map[string]any{"ready": false, "why": why})
 	})
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { duty.JSON(w, 200, map[string]any{"live": true}) })
-	duty.Registry(mux, func(done context.Context, a *wire.Announce) (uint32, string) {
+	duty.Registry(mux, func(done context.Context, a *wire.Announce, stands func() bool) (uint32, string) {
+		n.query(func(s *State, now ident.Moment) any { s.Relay.Address(a, s.Cell, now); return nil })
+		if !stands() {
+			a.Pulse = 0
+		}
 		got := n.Tell(done, a)
 		return got.Code, got.Text
 	})
--- a/data/state.go
+++ b/data/state.go
@@ -59,8 +59,9 @@
 	}
 	Gone      struct{ Visit ident.Visit }
 	GuardMade struct {
-		Addr ident.Addr
-		Life string
+		Addr  ident.Addr
+		Life  string
+		Named bool
 	}
 	GuardLost struct {
 		Addr ident.Addr
@@ -116,6 +117,9 @@
 	life  string
 	up    bool
 	ended bool
+	made  ident.Moment
+	epoch ident.Epoch
+	need  uint64
 }
 
 type bar struct {
@@ -284,7 +288,7 @@
 		s.Gone(e.Visit, now)
 	case GuardMade:
 		if g := s.guards[e.Addr]; g != nil && g.life == e.Life && !g.ended {
-			g.up = true
+			g.made, g.up = now, e.Named
 			s.rev = 0
 			s.refresh(now)
 		}
@@ -349,9 +353,6 @@
 
 func (s *State) announce(token uint64, a *wire.Announce, now ident.Moment) {
 	a.Token = token
-	if a.Cell == "" {
-		a.Cell = s.Relay.Home(a.Addr, string(s.Cell), now)
-	}
 	for _, h := range s.Relay.Core.GetHolds() {
 		if h.Cell == a.Cell {
 			if c := s.Members.Card(ident.Member(h.Holder)); c != nil {
@@ -461,10 +462,36 @@
 	return b.String()
 }
 
+func (s *State) prove(now ident.Moment) {
+	for a, g := range s.guards {
+		if g.up || g.ended || g.made == 0 {
+			continue
+		}
+		for c, k := range s.Relay.Cells {
+			b := k.Table[a]
+			if b == nil || b.Incarnation != g.life || !s.Relay.CellFresh(c, now) {
+				continue
+			}
+			if g.need == 0 || g.epoch != k.Epoch {
+				g.need = 0
+				if !k.AsOf.Before(g.made) {
+					g.epoch, g.need = k.Epoch, k.Pulse+1
+				}
+				continue
+			}
+			if b.Pulse >= g.need {
+				g.up = true
+				s.rev = 0
+			}
+		}
+	}
+}
+
 func (s *State) refresh(now ident.Moment) {
 	if !s.Relay.CoreKnown {
 		return
 	}
+	s.prove(now)
 	rev, fresh := s.Relay.Revision(), s.freshKey(now)
 	if rev == s.rev && fresh == s.fresh {
 		s.confirm()
--- a/duty/beat.go
+++ b/duty/beat.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"sloeturn/cell"
 	"sloeturn/wire"
 )
@@ -15,7 +19,31 @@
 	beatWait  = 2500 * time.Millisecond
 )
 
-type Tell func(done context.Context, a *wire.Announce) (code uint32, text string)
+type Tell func(done context.Context, a *wire.Announce, stands func() bool) (code uint32, text string)
+
+type connKey struct{}
+
+func WithConn(done context.Context, c net.Conn) context.Context {
+	return context.WithValue(done, connKey{}, c)
+}
+
+func Stands(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(syscall.Conn)
+	if !ok || r.Context().Err() != nil {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = n > 0 || err == unix.EAGAIN
+	})
+	return err == nil && open
+}
 
 func Registry(mux *http.ServeMux, tell Tell) {
 	for event, kind := range cell.Events {
@@ -36,7 +64,7 @@
 	}
 	done, stop := context.WithTimeout(r.Context(), beatWait)
 	defer stop()
-	code, text := tell(done, a)
+	code, text := tell(done, a, func() bool { return Stands(r) })
 	if code != 200 {
 		w.Header().Set("Retry-After", "1")
 		Wrong(w, int(code), text, nil)
--- a/duty/loop.go
+++ b/duty/loop.go
@@ -142,6 +142,7 @@
 		}
 		only := func(http.Handler) http.Handler { return h }
 		srv := khttp.NewServer(khttp.Listener(ear), khttp.Timeout(0), khttp.Filter(only))
+		srv.ConnContext = WithConn
 		srv.ReadHeaderTimeout = 5 * time.Second
 		srv.IdleTimeout = 2 * time.Minute
 		all = append(all, srv)
--- a/relay/state.go
+++ b/relay/state.go
@@ -77,7 +77,7 @@
 	return k != nil && k.Known && now.Sub(k.AsOf) < CellFresh
 }
 
-func (s *State) Home(addr, own string, now ident.Moment) string {
+func (s *State) home(addr, own string, now ident.Moment) string {
 	for _, c := range s.cellNames() {
 		if s.Cells[c].Table[ident.Addr(addr)] != nil && s.CellFresh(c, now) {
 			return string(c)
@@ -86,6 +86,16 @@
 	return own
 }
 
+func (s *State) Address(a *wire.Announce, own ident.Cell, now ident.Moment) {
+	if a.Cell == "" {
+		a.Cell = s.home(a.Addr, string(own), now)
+	}
+	a.Epoch, a.Pulse = 0, 0
+	if k := s.Cells[ident.Cell(a.Cell)]; k != nil && k.Known {
+		a.Epoch, a.Pulse = uint64(k.Epoch), k.Pulse
+	}
+}
+
 func (s *State) Confirm(c *wire.Confirm) {
 	old := s.confirms[c.Member]
 	if old != nil && old.Incarnation == c.Incarnation {
--- a/simulate/backend.go
+++ b/simulate/backend.go
@@ -25,14 +25,14 @@
 	leftAt  ident.Moment
 	stuck   bool
 	mode    string
-	serial  int
+	names   bool
 	Most    int
 }
 
 const Cap = 60
 
 func (w *World) addBackend(i int) {
-	b := &Backend{w: w, name: fmt.Sprintf("backend-%d", i), place: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200+1), service: serviceName(i % w.Services), cell: w.cellName(i), slots: w.Slots, links: map[uint64]*link{}}
+	b := &Backend{w: w, name: fmt.Sprintf("backend-%d", i), place: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200+1), service: serviceName(i % w.Services), cell: w.cellName(i), slots: w.Slots, links: map[uint64]*link{}, names: i%4 == 3}
 	w.Backends = append(w.Backends, b)
 	w.byPlace[b.place] = b
 	w.at(time.Duration(w.Rand.Intn(1000))*ms, b.start)
@@ -62,10 +62,22 @@
 }
 
 func (b *Backend) announce(state int, heard func(bool)) {
+	late := ms
+	if b.w.Rand.Intn(10) == 0 {
+		late = time.Duration(b.w.Rand.Intn(3000)) * ms
+	}
+	b.send(state, late, heard)
+}
+
+func (b *Backend) send(state int, late time.Duration, heard func(bool)) {
 	w := b.w
 	p := w.Procs[w.Rand.Intn(len(w.Procs))]
-	a := &wire.Announce{Cell: b.cell, Addr: b.place, Service: b.service, Slots: uint32(b.slots), State: uint32(state), Incarnation: b.life}
-	w.tell(p, a, func(ok bool) {
+	a := &wire.Announce{Cell: b.cell, Addr: b.place, Service: b.service, Slots: uint32(b.slots), State: uint32(state)}
+	if b.names {
+		a.Incarnation = b.life
+	}
+	life := b.lives
+	w.tell(p, a, late, func() bool { return b.up && b.lives == life }, func(ok bool) {
 		if heard != nil {
 			heard(ok)
 		}
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -41,22 +41,35 @@
 	return 2
 }
 
-func (w *World) tell(p *Proc, a *wire.Announce, heard func(bool)) {
+func (w *World) tell(p *Proc, a *wire.Announce, late time.Duration, stands func() bool, heard func(bool)) {
 	w.seq++
 	t := w.seq<<8 | 1
 	w.waits[t] = waiter{token: t, heard: func(code uint32) { heard(code == 200) }}
-	w.at(ms, func() {
-		if !p.up || p.frozen {
+	var hear func()
+	hear = func() {
+		switch {
+		case !p.up:
 			w.announced(t, 503)
 			return
+		case p.frozen:
+			p.held = append(p.held, hear)
+			return
+		case p.control != nil:
+			p.control.Relay.Address(a, ident.Cell(p.Cell), p.clock())
+		default:
+			p.node.state.Relay.Address(a, ident.Cell(p.Cell), p.clock())
+		}
+		if !stands() && w.Weak != "stands" {
+			a.Pulse = 0
 		}
 		if p.control != nil {
 			p.step(control.Announce{Token: t, Announce: a})
 		} else {
 			p.step(data.Announce{Token: t, Announce: a})
 		}
-	})
-	w.at(3*time.Second, func() { w.announced(t, 503) })
+	}
+	w.at(late, hear)
+	w.at(late+3*time.Second, func() { w.announced(t, 503) })
 }
 
 func (w *World) announced(t uint64, code uint32) {
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -258,13 +258,13 @@
 		if !l.open || n.guards[e.Addr] != l {
 			return
 		}
-		if (b.service != string(e.Service) || b.life != e.Life) && n.p.w.Weak != "identity" {
+		if b.names && (b.service != string(e.Service) || b.life != e.Life) && n.p.w.Weak != "identity" {
 			delete(n.guards, e.Addr)
 			n.dropLink(l)
 			n.p.step(data.GuardLost{Addr: e.Addr, Life: e.Life, Why: "another answers"})
 			return
 		}
-		n.p.step(data.GuardMade{Addr: e.Addr, Life: e.Life})
+		n.p.step(data.GuardMade{Addr: e.Addr, Life: e.Life, Named: b.names || n.p.w.Weak == "identity"})
 	})
 }
 
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"sloeturn/cell"
 	"sloeturn/ledger"
 )
 
@@ -162,7 +163,7 @@
 			}
 		})
 	}
-	switch w.Rand.Intn(34) {
+	switch w.Rand.Intn(35) {
 	case 0:
 		w.Kill(node)
 		later(span, func() { w.Start(node) })
@@ -413,6 +414,16 @@
 			})
 		}
 		return "restart a node over and over on slow links"
+	case 33:
+		if back.up && back.state == cell.Ready {
+			for i := 0; i < 12; i++ {
+				back.send(cell.Ready, time.Duration(200+i*300)*ms, nil)
+			}
+			back.crash()
+			back.service = serviceName(w.Rand.Intn(w.Services))
+			later(50*ms, back.start)
+		}
+		return "an address changes hands while its old beats are under way"
 	case 32:
 		for _, p := range w.Procs {
 			if w.Rand.Intn(2) == 0 {
