A backend that closes idle connections, or all, is served; a node is ready once proven

Cause: an idle connection closed by the backend barred it until its next beat, and a probe answered with a close made it unsound for good; a bare backend may do either. A node said ready before any guard was proven and refused what came. Now a closed idle connection or a lost answer asks the guard: its answer lifts the bar at once. A refused connect still waits for a beat. Where the probe's connection is closed after the answer, the node keeps one that it asks nothing on. A node says ready once each service with a ready backend has one proven, or after 6 s.

--- a/data/guard.go
+++ b/data/guard.go
@@ -15,18 +15,25 @@
 	"sloeturn/ident"
 )
 
-type Times struct {
+type sentry struct {
+	Guard
+	stop  func()
 	lock  sync.Mutex
-	Probe uint64
+	conn  net.Conn
+	idle  bool
+	asked uint64
+	told  uint64
 }
 
 func (n *Node) startGuard(g Guard) {
 	done, stop := context.WithCancel(context.Background())
+	s := &sentry{Guard: g, stop: stop}
 	n.lock.Lock()
-	n.guards[g.Addr] = stop
+	n.guards[g.Addr] = s
 	n.lock.Unlock()
 	go func() {
-		why := n.runGuard(done, g)
+		defer stop()
+		why := n.runGuard(done, s)
 		n.lock.Lock()
 		delete(n.guards, g.Addr)
 		n.lock.Unlock()
@@ -34,32 +41,75 @@
 	}()
 }
 
-func (n *Node) endGuard(e GuardEnd) {
+func (n *Node) sentry(a ident.Addr) *sentry {
 	n.lock.Lock()
-	stop := n.guards[e.Addr]
-	n.lock.Unlock()
-	if stop != nil {
-		stop()
+	defer n.lock.Unlock()
+	return n.guards[a]
+}
+
+func (n *Node) endGuard(e GuardEnd) {
+	if s := n.sentry(e.Addr); s != nil {
+		s.stop()
+	}
+}
+
+func (n *Node) askGuard(e GuardAsk) {
+	if s := n.sentry(e.Addr); s != nil && s.Life == e.Life {
+		s.ask()
 	}
 }
 
-func (n *Node) runGuard(done context.Context, g Guard) string {
+func (s *sentry) ask() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.asked++
+	if s.idle {
+		s.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+func (s *sentry) rest(c net.Conn, d time.Duration) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.asked > s.told {
+		return false
+	}
+	s.conn, s.idle = c, true
+	c.SetDeadline(time.Now().Add(d))
+	return true
+}
+
+func (s *sentry) wake() uint64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.idle = false
+	return s.asked
+}
+
+func (n *Node) connect(done context.Context, s *sentry) (net.Conn, error) {
 	d := net.Dialer{Timeout: 500 * time.Millisecond}
-	c, err := d.DialContext(done, "tcp", string(g.Addr))
+	c, err := d.DialContext(done, "tcp", string(s.Addr))
+	if err == nil {
+		context.AfterFunc(done, func() { c.Close() })
+	}
+	return c, err
+}
+
+func (n *Node) runGuard(done context.Context, s *sentry) string {
+	c, err := n.connect(done, s)
 	if err != nil {
 		return "the probe was refused"
 	}
-	defer c.Close()
-	go func() {
-		<-done.Done()
-		c.Close()
-	}()
+	defer func() { c.Close() }()
+	n.lock.Lock()
+	silent := n.silent[s.Addr]
+	n.lock.Unlock()
 	b := bufio.NewReader(c)
-	made := false
-	for {
-		req, _ := http.NewRequest("GET", "http://"+string(g.Addr)+g.Probe.Path, nil)
-		req.Header.Set("Sloeturn-Probe", string(g.Service))
-		c.SetDeadline(time.Now().Add(g.Probe.Wait))
+	for made := false; !silent; made = true {
+		asked := s.wake()
+		req, _ := http.NewRequest("GET", "http://"+string(s.Addr)+s.Probe.Path, nil)
+		req.Header.Set("Sloeturn-Probe", string(s.Service))
+		c.SetDeadline(time.Now().Add(s.Probe.Wait))
 		if err := req.Write(c); err != nil {
 			return "the probe's connection broke"
 		}
@@ -71,30 +121,55 @@
 		if err != nil {
 			return "the probe's answer broke off"
 		}
-		named, why := unsound(resp, body, g)
+		named, why := unsound(resp, body, s.Guard)
 		if why != "" {
 			return why
 		}
+		if resp.Close {
+			n.lock.Lock()
+			n.silent[s.Addr] = true
+			n.lock.Unlock()
+			if made {
+				return "the backend closed the probe's connection"
+			}
+			c.Close()
+			if c, err = n.connect(done, s); err != nil {
+				return "the probe was refused"
+			}
+			b.Reset(c)
+			break
+		}
 		if !made {
-			made = true
-			n.Put(GuardMade{g.Addr, g.Life, named})
+			n.Put(GuardMade{s.Addr, s.Life, named})
+		} else if asked > s.told {
+			n.Put(GuardSound{s.Addr, s.Life})
 		}
-		c.SetDeadline(time.Now().Add(g.Probe.Every))
-		if _, err := b.Peek(1); err == nil {
-			return "the probe's connection sent bytes nobody asked for"
-		} else if e, ok := err.(net.Error); !ok || !e.Timeout() {
-			return "the probe's connection broke"
+		s.told = asked
+		if !s.rest(c, s.Probe.Every) {
+			continue
+		}
+		if why := ended(b); why != "" {
+			return why
 		}
 	}
+	n.Put(GuardMade{s.Addr, s.Life, false})
+	c.SetDeadline(time.Time{})
+	return ended(b)
+}
+
+func ended(b *bufio.Reader) string {
+	if _, err := b.Peek(1); err == nil {
+		return "the probe's connection sent bytes nobody asked for"
+	} else if e, ok := err.(net.Error); !ok || !e.Timeout() {
+		return "the probe's connection broke"
+	}
+	return ""
 }
 
 func unsound(resp *http.Response, body []byte, g Guard) (named bool, why string) {
 	if resp.StatusCode >= 500 {
 		return false, "the probe was answered " + resp.Status
 	}
-	if resp.Close {
-		return false, "the backend does not keep the probe's connection"
-	}
 	var who struct {
 		Service     string `json:"service"`
 		Incarnation string `json:"incarnation"`
--- a/data/node.go
+++ b/data/node.go
@@ -69,7 +69,8 @@
 	lock   sync.Mutex
 	idle   map[pass.Key][]*conn
 	calls  map[ident.Visit]*call
-	guards map[ident.Addr]func()
+	guards map[ident.Addr]*sentry
+	silent map[ident.Addr]bool
 	asks   map[uint64]chan Announced
 	token  atomic.Uint64
 	count  atomic.Uint64
@@ -77,11 +78,10 @@
 	ready  atomic.Pointer[string]
 	ended  chan struct{}
 	over   sync.Once
-	Times  *Times
 }
 
 func NewNode(b Boot, l log.Logger) *Node {
-	n := &Node{Log: l, Stream: NewStream(65536), idle: map[pass.Key][]*conn{}, calls: map[ident.Visit]*call{}, guards: map[ident.Addr]func(){}, asks: map[uint64]chan Announced{}, ended: make(chan struct{}), Times: &Times{}}
+	n := &Node{Log: l, Stream: NewStream(65536), idle: map[pass.Key][]*conn{}, calls: map[ident.Visit]*call{}, guards: map[ident.Addr]*sentry{}, silent: map[ident.Addr]bool{}, asks: map[uint64]chan Announced{}, ended: make(chan struct{})}
 	n.State = New(b, ident.Now())
 	n.Hub = &wire.Hub{Name: string(b.Member), Addr: string(b.Addr), Build: b.Build, Incarnation: uint64(b.Incarnation), Log: l, Take: func(f *wire.Frame) { n.Offer(Got{f}) }}
 	n.Step = n.State.Step
@@ -138,6 +138,8 @@
 			n.startGuard(e)
 		case GuardEnd:
 			n.endGuard(e)
+		case GuardAsk:
+			n.askGuard(e)
 		case Announced:
 			n.announced(e)
 		case Adopt:
@@ -149,7 +151,7 @@
 			n.over.Do(func() { close(n.ended) })
 		}
 	}
-	why := n.State.Unready(now)
+	why := n.State.Why(now)
 	if *n.ready.Load() != why {
 		n.ready.Store(&why)
 	}
--- a/data/state.go
+++ b/data/state.go
@@ -23,6 +23,7 @@
 	OutcomeWait  = 10 * time.Second
 	AnnounceWait = time.Second
 	DrainGrace   = 2500 * time.Millisecond
+	WarmWait     = 6 * time.Second
 )
 
 type (
@@ -63,6 +64,10 @@
 		Life  string
 		Named bool
 	}
+	GuardSound struct {
+		Addr ident.Addr
+		Life string
+	}
 	GuardLost struct {
 		Addr ident.Addr
 		Life string
@@ -89,6 +94,10 @@
 		Addr ident.Addr
 		Life string
 	}
+	GuardAsk struct {
+		Addr ident.Addr
+		Life string
+	}
 	Shed      struct{ Lives map[ident.Addr]string }
 	Announced struct {
 		Token uint64
@@ -128,6 +137,7 @@
 	beat    uint64
 	epoch   ident.Epoch
 	cell    ident.Cell
+	ask     bool
 }
 
 type pending struct {
@@ -155,6 +165,8 @@
 	fresh     string
 	adopted   ident.Generation
 	ready     bool
+	warm      bool
+	warmAt    ident.Moment
 	draining  bool
 	drainAt   ident.Moment
 	signedOff bool
@@ -213,6 +225,38 @@
 	return ""
 }
 
+func (s *State) Why(now ident.Moment) string {
+	if why := s.Unready(now); why != "" || s.warm {
+		return why
+	}
+	return "no backend proven yet"
+}
+
+func (s *State) warmUp(now ident.Moment) {
+	if s.warm || s.Unready(now) != "" {
+		return
+	}
+	if s.warmAt == 0 {
+		s.warmAt = now
+	}
+	known, up := map[string]bool{}, map[string]bool{}
+	for c, k := range s.Relay.Cells {
+		for a, b := range k.Table {
+			if g := s.guards[a]; b.State == cell.Ready && s.Relay.CellFresh(c, now) && s.Relay.Desired.Services[ident.Service(b.Service)] != nil {
+				known[b.Service] = true
+				up[b.Service] = up[b.Service] || g != nil && g.up
+			}
+		}
+	}
+	s.warm = now.Sub(s.warmAt) > WarmWait
+	for n := range known {
+		if !up[n] {
+			return
+		}
+	}
+	s.warm = true
+}
+
 func (s *State) gate(v *forward.Visit, now ident.Moment) (ident.Moment, string) {
 	if s.signedOff {
 		return 0, "signed off"
@@ -292,6 +336,12 @@
 			s.rev = 0
 			s.refresh(now)
 		}
+	case GuardSound:
+		if g := s.guards[e.Addr]; g != nil && g.up && g.life == e.Life && s.bars[e.Addr].ask {
+			delete(s.bars, e.Addr)
+			s.rev = 0
+			s.refresh(now)
+		}
 	case GuardLost:
 		s.guardLost(e, now)
 	case Announce:
@@ -405,10 +455,11 @@
 	s.takeSeat(heads, now)
 	s.State.Tick(now)
 	s.finish(heads, now)
-	ready := s.Unready(now) == ""
+	s.warmUp(now)
+	ready := s.Why(now) == ""
 	if ready != s.ready {
 		s.ready = ready
-		s.out = append(s.out, Note{map[bool]string{true: "Ready.", false: "Not ready: " + s.Unready(now) + "."}[ready]})
+		s.out = append(s.out, Note{map[bool]string{true: "Ready.", false: "Not ready: " + s.Why(now) + "."}[ready]})
 	}
 	s.Members.Update(func(c *wire.Card) { c.Ready, c.Leaving = s.ready, s.draining }, now)
 	s.Members.Tick(now)
@@ -643,7 +694,7 @@
 	delete(s.guards, e.Addr)
 	s.Pass.Unhold(pass.Key{Lane: pass.ProbeLane, Addr: e.Addr})
 	if !g.ended {
-		s.bar(e.Addr)
+		s.bar(e.Addr, false)
 		s.Pass.Bar(e.Addr)
 		s.out = append(s.out, Note{"Backend " + string(e.Addr) + " is unsound: " + e.Why + "."})
 	}
@@ -651,12 +702,18 @@
 	s.refresh(now)
 }
 
-func (s *State) bar(a ident.Addr) {
+func (s *State) bar(a ident.Addr, ask bool) {
+	if old, ok := s.bars[a]; ok && !old.ask {
+		ask = false
+	}
 	for c, k := range s.Relay.Cells {
 		if b := k.Table[a]; b != nil {
-			s.bars[a] = bar{life: b.Incarnation, service: b.Service, beat: b.Beat, epoch: k.Epoch, cell: c}
+			s.bars[a] = bar{life: b.Incarnation, service: b.Service, beat: b.Beat, epoch: k.Epoch, cell: c, ask: ask}
 		}
 	}
+	if g := s.guards[a]; ask && g != nil && g.up {
+		s.out = append(s.out, GuardAsk{a, g.life})
+	}
 }
 
 func (s *State) finish(heads []string, now ident.Moment) {
@@ -696,7 +753,7 @@
 		case forward.Outcome:
 			s.Mail.Post(&wire.Change{Body: &wire.Change_Outcome{Outcome: &wire.Outcome{Key: e.Visit.Arrival.Key, Visit: string(e.Visit.Visit), Status: uint32(e.Status)}}}, now.Add(OutcomeWait), otherTag{}, heads, now)
 		case forward.Bar:
-			s.bar(e.Addr)
+			s.bar(e.Addr, e.Ask)
 			s.rev = 0
 		default:
 			s.out = append(s.out, e)
--- a/forward/state.go
+++ b/forward/state.go
@@ -105,7 +105,10 @@
 		Visit  *Visit
 		Status int
 	}
-	Bar   struct{ Addr ident.Addr }
+	Bar struct {
+		Addr ident.Addr
+		Ask  bool
+	}
 	Trace struct {
 		Visit ident.Visit
 		Lane  ident.Lane
@@ -295,7 +298,7 @@
 func (s *State) LinkFailed(id ident.Visit, shot int, key pass.Key, bar bool, now ident.Moment) {
 	if bar {
 		s.State.Bar(key.Addr)
-		s.emit(Bar{key.Addr})
+		s.emit(Bar{key.Addr, false})
 	}
 	s.State.Release(key, false)
 	v := s.visits[id]
@@ -403,7 +406,7 @@
 func (s *State) Freed(key pass.Key, keep, bar bool, now ident.Moment) {
 	if bar {
 		s.State.Bar(key.Addr)
-		s.emit(Bar{key.Addr})
+		s.emit(Bar{key.Addr, true})
 	}
 	s.State.Release(key, keep)
 	s.passed(now)
@@ -412,7 +415,7 @@
 func (s *State) IdleBroke(key pass.Key, bar bool, now ident.Moment) {
 	if bar {
 		s.State.Bar(key.Addr)
-		s.emit(Bar{key.Addr})
+		s.emit(Bar{key.Addr, true})
 	}
 	s.State.IdleGone(key)
 	s.passed(now)
--- a/simulate/backend.go
+++ b/simulate/backend.go
@@ -26,13 +26,15 @@
 	stuck   bool
 	mode    string
 	names   bool
+	closes  bool
+	tires   bool
 	Most    int
 }
 
 const Cap = 60
 
 func (w *World) addBackend(i int) {
-	b := &Backend{w: w, name: fmt.Sprintf("backend-%d", i), place: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200+1), service: serviceName(i % w.Services), cell: w.cellName(i), slots: w.Slots, links: map[uint64]*link{}, names: i%4 == 3}
+	b := &Backend{w: w, name: fmt.Sprintf("backend-%d", i), place: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200+1), service: serviceName(i % w.Services), cell: w.cellName(i), slots: w.Slots, links: map[uint64]*link{}, names: i%4 == 3, tires: i%4 == 1, closes: i%8 == 6}
 	w.Backends = append(w.Backends, b)
 	w.byPlace[b.place] = b
 	w.at(time.Duration(w.Rand.Intn(1000))*ms, b.start)
@@ -123,6 +125,18 @@
 	}
 }
 
+func (b *Backend) tire(l *link) {
+	if !b.tires {
+		return
+	}
+	b.w.at(time.Duration(200+b.w.Rand.Intn(1000))*ms, func() {
+		if l.idle && l.open {
+			b.w.close(l)
+			b.w.at(ms, func() { l.from.broke(l) })
+		}
+	})
+}
+
 func (b *Backend) take(t *trip, l *link) {
 	w := b.w
 	if !l.open || !b.up || w.byPlace[l.place] != b {
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -202,6 +202,17 @@
 			})
 		case data.Guard:
 			n.later(n.wait(), func() { n.guard(e) })
+		case data.GuardAsk:
+			n.later(n.wait(), func() {
+				l := n.guards[e.Addr]
+				if b := w.byPlace[string(e.Addr)]; l != nil && l.open && l.life == e.Life && !b.closes {
+					n.later(n.wait(), func() {
+						if l.open {
+							p.step(data.GuardSound{Addr: e.Addr, Life: e.Life})
+						}
+					})
+				}
+			})
 		case data.GuardEnd:
 			n.later(n.wait(), func() {
 				if l := n.guards[e.Addr]; l != nil && l.life == e.Life {
@@ -367,9 +378,11 @@
 		} else {
 			n.p.step(data.Ended{Visit: t.visit, Ending: how, Status: status})
 		}
-		keep := how == forward.Whole && l.open
+		b := n.p.w.byPlace[l.place]
+		keep := how == forward.Whole && l.open && !b.closes
 		if keep {
 			l.idle = true
+			b.tire(l)
 		} else {
 			delete(n.links, l.id)
 			n.p.w.close(l)
--- a/simulate/seeds_test.go
+++ b/simulate/seeds_test.go
@@ -24,7 +24,7 @@
 		"claims": "ran twice", "gate": "sent to a leaving backend", "fresh": "sent to a leaving backend", "fence": "lane past its fence",
 		"ack": "older generation served", "told": "told not run, but it ran", "identity": "ran on a service nobody allowed",
 		"check": "invalid desired state took effect", "basis": "both racers heard yes",
-		"answers": "garbled answer passed on", "drain": "planned stop cut a visit", "seat": "a dead self took a seat",
+		"answers": "garbled answer passed on", "drain": "planned stop cut a visit", "seat": "a dead self took a seat", "stands": "ran on a service nobody allowed",
 	} {
 		t.Run(weak, func(t *testing.T) {
 			t.Parallel()
