Scripted peers at the sockets; a stalled loop refuses in time by a word at the writer

Cause: the answer to a waiting visit came only from the event loop; stalled by a second it refused after a second. Now the handler gives up by itself 190 ms after arrival, and handler and writer decide by one swap whether the visit was written: never 'no' for a byte sent. Scripted peers on real sockets: 16 wrong answers (lengths, chunks, two answers, half heads, other protocols) are 502 unknown, answers nobody asked for on a kept connection are not read, closes before, during and after the write, bare probes, unfit fields.

--- a/data/http.go
+++ b/data/http.go
@@ -29,6 +29,7 @@
 	expiryMost   = 3600000
 	keyLimit     = 256
 	bodyPatience = 2 * time.Second
+	Patience     = forward.GiveUp + 10*time.Millisecond
 )
 
 type verdict struct {
@@ -221,11 +222,23 @@
 		no(503, "node busy", time.Second)
 		return
 	}
-	select {
-	case got := <-k.ans:
-		n.reply(w, view.gen, id, got)
-	case <-r.Context().Done():
-		n.Put(Gone{id})
+	late := time.NewTimer(Patience)
+	defer late.Stop()
+	for {
+		select {
+		case got := <-k.ans:
+			n.reply(w, view.gen, id, got)
+			return
+		case <-r.Context().Done():
+			n.Put(Gone{id})
+			return
+		case <-late.C:
+			if k.fate.CompareAndSwap(open, refused) {
+				no(503, "node too slow", 2*time.Second)
+				n.Put(Gone{id})
+				return
+			}
+		}
 	}
 }
 
--- a/data/node.go
+++ b/data/node.go
@@ -52,8 +52,15 @@
 	out    []byte
 	end    ident.Moment
 	expiry ident.Moment
+	fate   atomic.Int32
 }
 
+const (
+	open = iota
+	written
+	refused
+)
+
 type view struct {
 	gen     ident.Generation
 	desired *desired.State
@@ -402,6 +409,11 @@
 		n.drop(e.Visit)
 		return
 	}
+	if !k.fate.CompareAndSwap(open, written) {
+		n.Put(NotWritten{e.Visit, "given up before writing"})
+		n.drop(e.Visit)
+		return
+	}
 	sent, err := c.Write(b.Bytes())
 	if err != nil && sent == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
 		n.finish(k, c, false, true)
--- /dev/null
+++ b/data/peer_test.go
@@ -0,0 +1,315 @@
+package data
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/cell"
+	"sloeturn/desired"
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/wire"
+)
+
+type peer struct {
+	addr   string
+	probe  string
+	lock   sync.Mutex
+	script map[string]string
+	seen   map[string]int
+	linked chan net.Conn
+}
+
+func answer200(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func newPeer(t *testing.T, probe string) *peer {
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ear.Close() })
+	p := &peer{addr: ear.Addr().String(), probe: probe, script: map[string]string{}, seen: map[string]int{}, linked: make(chan net.Conn, 64)}
+	go func() {
+		for {
+			c, err := ear.Accept()
+			if err != nil {
+				return
+			}
+			go p.talk(c)
+		}
+	}()
+	return p
+}
+
+func (p *peer) talk(c net.Conn) {
+	defer c.Close()
+	b := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		if r.Header.Get("Sloeturn-Probe") != "" {
+			io.WriteString(c, p.probe)
+			continue
+		}
+		select {
+		case p.linked <- c:
+		default:
+		}
+		if r.URL.Path == "/slam" {
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		p.lock.Lock()
+		p.seen[r.URL.Path]++
+		say, ok := p.script[r.URL.Path]
+		p.lock.Unlock()
+		if !ok {
+			say = answer200(fmt.Sprintf(`{"path":%q}`, r.URL.Path))
+		}
+		say, end := strings.CutSuffix(say, "!close")
+		io.WriteString(c, say)
+		if end {
+			return
+		}
+	}
+}
+
+func (p *peer) saw(path string) int {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.seen[path]
+}
+
+type rig struct {
+	*Node
+	t     *testing.T
+	core  *wire.Core
+	sound *cell.Soundness
+	doc   []byte
+	web   *httptest.Server
+	peer  *peer
+}
+
+const rigDoc = `{"fleet":{"nodes":1},"services":{"s":{"maxConnections":40}},"tenants":{"t":{}},"lanes":{"l":{"tenant":"t","service":"s","slots":2,"waiters":0,"answerBytes":4096}}}`
+
+func newRig(t *testing.T, probe string) *rig {
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := ear.Addr().String()
+	ear.Close()
+	g := &rig{t: t, doc: []byte(rigDoc), peer: newPeer(t, probe), sound: cell.New("a", 1)}
+	g.Node = NewNode(Boot{Member: "n", Addr: ident.Addr(addr), Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"127.0.0.1:9"}}, log.NewNopLogger())
+	require.NoError(t, g.Open())
+	t.Cleanup(g.Close)
+	d, faults := desired.Read(g.doc)
+	require.Empty(t, faults)
+	g.core = &wire.Core{Version: 1, Generation: 1, InForce: 1, Grown: 1, SeatCount: 1, LeaderAddr: "127.0.0.1:9", Seats: []*wire.Seat{{Member: "n", Addr: addr, Incarnation: 7}}}
+	for k, n := range ledger.Slots(d) {
+		g.core.Floors = append(g.core.Floors, &wire.Floor{Lane: string(k.Lane), Service: string(k.Service), Slots: uint32(n)})
+	}
+	g.sound.Nodes = []string{"n"}
+	g.beat(0)
+	g.web = httptest.NewServer(g.Handler())
+	t.Cleanup(g.web.Close)
+	return g
+}
+
+func (g *rig) beat(pulse uint64) {
+	g.query(func(s *State, now ident.Moment) any {
+		g.sound.Hear(&wire.Announce{Addr: g.peer.addr, Service: "s", Slots: 2, Epoch: 1, Pulse: pulse}, now)
+		g.sound.Tick(now)
+		if s.Relay.Cells["a"] == nil {
+			s.Relay.Cells["a"] = cell.NewCopy("a")
+		}
+		k := s.Relay.Cells["a"]
+		s.Relay.TakeCore(g.core, g.doc, 1, now)
+		k.Take(g.sound.News(k.Have(), now), now)
+		s.refresh(now)
+		return nil
+	})
+}
+
+func (g *rig) until(what func(s *State) bool) {
+	for end := ident.Now().Add(5 * time.Second); ; {
+		g.beat(0)
+		if g.query(func(s *State, now ident.Moment) any { return what(s) }).(bool) {
+			return
+		}
+		require.True(g.t, ident.Now().Before(end))
+	}
+}
+
+func (g *rig) guard(s *State) *guard { return s.guards[ident.Addr(g.peer.addr)] }
+
+func (g *rig) up() {
+	g.until(func(s *State) bool { k := g.guard(s); return k != nil && k.up })
+}
+
+func (g *rig) visit(path, body string) (int, string, string, http.Header) {
+	r, err := http.NewRequest("POST", g.web.URL+"/lanes/l"+path, strings.NewReader(body))
+	require.NoError(g.t, err)
+	r.Header.Set("Sloeturn-Expiry-Ms", "900")
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(g.t, err)
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	require.NoError(g.t, err)
+	return resp.StatusCode, resp.Header.Get("Sloeturn-Ran"), string(got), resp.Header
+}
+
+func TestWhatAnAnswerMustBeToBePassedOn(t *testing.T) {
+	g := newRig(t, answer200(`{"service":"s"}`))
+	head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	bad := map[string]string{
+		"/short":      head + "Content-Length: 20\r\n\r\n{}!close",
+		"/long":       head + "Content-Length: 2\r\n\r\n{}{}",
+		"/cut-chunk":  head + "Transfer-Encoding: chunked\r\n\r\n9\r\n{\"a\"!close",
+		"/bad-chunk":  head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n{}\r\n!close",
+		"/no-end":     head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n!close",
+		"/two":        answer200(`{}`) + answer200(`{}`),
+		"/words":      answer200(`{"a":`),
+		"/open":       head + "\r\n{}!close",
+		"/lengths":    head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{} !close",
+		"/negative":   head + "Content-Length: -2\r\n\r\n{}!close",
+		"/huge":       answer200(`"` + strings.Repeat("x", 5000) + `"`),
+		"/silent":     "!close",
+		"/not-http":   "SSH-2.0-x\r\n\r\n!close",
+		"/half-head":  "HTTP/1.1 200 OK\r\nContent-Ty!close",
+		"/gateway":    "HTTP/1.1 503 No\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+		"/other-kind": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n!close",
+	}
+	g.peer.script = bad
+	for _, path := range ident.Keys(bad) {
+		g.up()
+		status, ran, body, h := g.visit(path, "{}")
+		require.Equal(t, 502, status, path)
+		require.Equal(t, "unknown", ran, path)
+		require.Empty(t, h.Get("Retry-After"), path)
+		require.NotContains(t, body, "xxx")
+		require.Equal(t, 1, g.peer.saw(path), path)
+		g.until(func(s *State) bool { return len(s.bars) == 0 })
+	}
+	g.peer.script = map[string]string{"/early": "HTTP/1.1 103 Early Hints\r\n\r\n" + answer200(`{"a":1}`)}
+	for _, path := range []string{"/early", "/plain"} {
+		g.up()
+		status, ran, _, _ := g.visit(path, "{}")
+		require.Equal(t, 200, status, path)
+		require.Equal(t, "yes", ran, path)
+	}
+}
+
+func TestAKeptConnectionThatSpeaksUnaskedIsNotReadFrom(t *testing.T) {
+	g := newRig(t, answer200(`{"service":"s"}`))
+	for i := 0; i < 5; i++ {
+		g.up()
+		status, _, _, _ := g.visit("/first", "{}")
+		require.Equal(t, 200, status)
+		c := <-g.peer.linked
+		g.until(func(s *State) bool { return s.Pass.Held() >= 2 })
+		io.WriteString(c, answer200(`{"path":"nobody asked"}`))
+		g.until(func(s *State) bool { return s.Pass.Held() == 1 && len(s.bars) == 0 })
+		status, ran, body, _ := g.visit("/second", "{}")
+		require.Equal(t, 200, status)
+		require.Equal(t, "yes", ran)
+		require.Contains(t, body, "/second")
+		c = <-g.peer.linked
+		c.Close()
+		g.until(func(s *State) bool { return s.Pass.Held() == 1 && len(s.bars) == 0 })
+	}
+}
+
+func TestAConnectionSlammedWhileWritingIsNeverCalledNotRunOnceBytesLeft(t *testing.T) {
+	g := newRig(t, answer200(`{"service":"s"}`))
+	for i := 0; i < 5; i++ {
+		g.up()
+		status, ran, _, _ := g.visit("/slam", strings.Repeat("x", 60<<10))
+		require.Equal(t, 502, status)
+		require.Equal(t, "unknown", ran)
+		g.until(func(s *State) bool { return len(s.bars) == 0 })
+	}
+}
+
+func TestAStalledLoopStillRefusesInTimeAndSendsNothing(t *testing.T) {
+	g := newRig(t, answer200(`{"service":"s"}`))
+	g.up()
+	stall, stalled := make(chan struct{}), make(chan struct{})
+	g.Put(Query{func(*State, ident.Moment) { close(stalled); <-stall }})
+	<-stalled
+	at := ident.Now()
+	status, ran, _, h := g.visit("/late", "{}")
+	took := ident.Now().Sub(at)
+	close(stall)
+	require.Equal(t, 503, status)
+	require.Equal(t, "no", ran)
+	require.NotEmpty(t, h.Get("Retry-After"))
+	require.Less(t, took, Patience+100*time.Millisecond)
+	g.until(func(s *State) bool { return s.Open() == 0 })
+	require.Zero(t, g.peer.saw("/late"))
+}
+
+func TestABareBackendIsUsedOnceABeatSentAfterItsGuardIsHeard(t *testing.T) {
+	for _, probe := range []string{"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno", answer200(`"fine"`), "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"} {
+		g := newRig(t, probe)
+		g.until(func(s *State) bool { k := g.guard(s); return k != nil && k.need > 0 })
+		for i := 0; i < 3; i++ {
+			g.beat(1)
+			status, ran, body, _ := g.visit("/x", "{}")
+			require.Equal(t, 503, status)
+			require.Equal(t, "no", ran)
+			require.Contains(t, body, "no backend ready")
+		}
+		g.beat(1 << 30)
+		status, _, _, _ := g.visit("/x", "{}")
+		require.Equal(t, 200, status)
+		require.Equal(t, 1, g.peer.saw("/x"))
+	}
+}
+
+func TestFieldsThatDoNotFitHearANamedFaultAndReachNobody(t *testing.T) {
+	g := newRig(t, answer200(`{"service":"s"}`))
+	g.up()
+	for _, c := range []struct {
+		path, expiry, key, want string
+		status                  int
+	}{
+		{"/lanes/none/x", "900", "", "no such lane", 404},
+		{"/lanes/", "900", "", "no such lane", 404},
+		{"/else", "900", "", "no such path", 404},
+		{"/lanes/l/x", "", "", "is missing", 400},
+		{"/lanes/l/x", "soon", "", "whole number", 400},
+		{"/lanes/l/x", "1e3", "", "whole number", 400},
+		{"/lanes/l/x", "99999999999999999999", "", "whole number", 400},
+		{"/lanes/l/x", "3600001", "", "whole number", 400},
+		{"/lanes/l/x", "-5", "", "expiry passed", 504},
+		{"/lanes/l/x", "0", "", "expiry passed", 504},
+	} {
+		r, _ := http.NewRequest("POST", g.web.URL+c.path, bytes.NewReader([]byte("{}")))
+		r.Header.Set("Sloeturn-Expiry-Ms", c.expiry)
+		resp, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		require.Equal(t, c.status, resp.StatusCode, c)
+		require.Equal(t, "no", resp.Header.Get("Sloeturn-Ran"), c)
+		require.Contains(t, string(body), c.want, c)
+	}
+	status, ran, _, _ := g.visit("/big", strings.Repeat("x", 65<<10))
+	require.Equal(t, 413, status)
+	require.Equal(t, "no", ran)
+	require.Zero(t, g.peer.saw("/x")+g.peer.saw("/big"))
+}
