A cell's holder that leaves hands its table to the heir it names

Cause: the leader named the next holder, which started blank: a wait of 1.2 s and a beat for each planned stop, and again when the home holder came back. Now the leaving holder stops hearing, sends its table, drains included, to the heir (the cell's own control process first), and the heir asks the log for the cell on the very epoch it inherits; then it speaks at once, for the old one has stopped. The leader steps in after 1.5 s, or when a live holder's news is 4 s old.

--- a/cell/state.go
+++ b/cell/state.go
@@ -89,6 +89,29 @@
 
 func Sum(addr string, ver uint64) uint64 { return ident.Hash(addr, strconv.FormatUint(ver, 10)) }
 
+func (s *Soundness) Bequeath(now ident.Moment) *wire.Bequest {
+	q := &wire.Bequest{Cell: string(s.Cell), Epoch: uint64(s.Epoch)}
+	for _, b := range s.Lines() {
+		q.Backends = append(q.Backends, s.line(b, now))
+	}
+	return q
+}
+
+func Inherit(q *wire.Bequest, e ident.Epoch, now ident.Moment) *Soundness {
+	s := New(ident.Cell(q.Cell), e)
+	for _, l := range q.Backends {
+		cold := time.Duration(l.ColdNs)
+		b := &Backend{Addr: ident.Addr(l.Addr), Service: ident.Service(l.Service), Life: l.Incarnation, Slots: int(l.Slots), State: int(l.State), ColdTo: now.Add(cold), ColdAll: cold, Heard: now}
+		if l.Notice {
+			b.LeftAt = math.MaxUint64
+		}
+		b.Work = Work(b, now)
+		s.table[b.Addr] = b
+		s.touch(b)
+	}
+	return s
+}
+
 func (s *Soundness) touch(b *Backend) {
 	p := Part(string(b.Addr))
 	if b.Version != 0 {
@@ -215,7 +238,7 @@
 }
 
 func (s *Soundness) line(b *Backend, now ident.Moment) *wire.Backend {
-	return &wire.Backend{Addr: string(b.Addr), Service: string(b.Service), Incarnation: b.Life, Slots: uint32(b.Slots), State: uint32(b.State), ColdNs: int64(max(0, b.ColdTo.Sub(now))), Beat: b.Beat, Version: b.Version, Work: uint32(b.Work), Pulse: b.Pulse}
+	return &wire.Backend{Addr: string(b.Addr), Service: string(b.Service), Incarnation: b.Life, Slots: uint32(b.Slots), State: uint32(b.State), ColdNs: int64(max(0, b.ColdTo.Sub(now))), Beat: b.Beat, Version: b.Version, Work: uint32(b.Work), Pulse: b.Pulse, Notice: b.LeftAt == math.MaxUint64}
 }
 
 type sheet struct {
--- a/cmd/seeds/main.go
+++ b/cmd/seeds/main.go
@@ -18,7 +18,7 @@
 	From    int64  `arg:"--from" default:"1" help:"first seed"`
 	Count   int    `arg:"--count" default:"100" help:"how many seeds"`
 	Seconds int    `arg:"--seconds" default:"30" help:"simulated seconds of faults for each seed"`
-	Weak    string `arg:"--weak" help:"take one guard out: claims, gate, fence, ack, sync, told, identity, fresh, answers, drain, check, basis, seat, stands, law, budget, patience"`
+	Weak    string `arg:"--weak" help:"take one guard out: claims, gate, fence, ack, sync, told, identity, fresh, answers, drain, check, basis, seat, stands, law, budget, patience, will"`
 	Scene   string `arg:"--scene" help:"instead of mixed faults: one scene, or 'list'"`
 	Scale   []int  `arg:"--scale" help:"instead: traffic and times at these multiples of today's machines"`
 	Trace   bool   `arg:"--trace" help:"print the whole trace of the first seed"`
@@ -59,7 +59,7 @@
 	var wait sync.WaitGroup
 	var bad []*simulate.Result
 	faults, broken := map[string]int{}, map[string]int{}
-	var worst, gap, back time.Duration
+	var worst, gap, back, blind time.Duration
 	served, most, ratio := 0, 0, 1.0
 	for i := 0; i < runtime.NumCPU(); i++ {
 		wait.Add(1)
@@ -82,7 +82,7 @@
 				for k := range r.Broken {
 					broken[k]++
 				}
-				worst, gap, back = max(worst, r.Refusal), max(gap, r.Gap), max(back, r.Back)
+				worst, gap, back, blind = max(worst, r.Refusal), max(gap, r.Gap), max(back, r.Back), max(blind, r.Blind)
 				if r.Ratio > 0 {
 					ratio = min(ratio, r.Ratio)
 				}
@@ -112,7 +112,7 @@
 		}
 	}
 	fmt.Printf("faults caused: %v\n", faults)
-	fmt.Printf("%d seeds in %v: %d served, worst refusal %v, longest time with nothing served %v, longest way back %v, most connections at one backend %d of %d, least ratio %.3f\n", a.Count, time.Since(start).Round(time.Millisecond), served, worst, gap, back, most, simulate.Cap, ratio)
+	fmt.Printf("%d seeds in %v: %d served, worst refusal %v, longest time with nothing served %v, longest way back %v, most connections at one backend %d of %d, least ratio %.3f, longest without a cell's news %v\n", a.Count, time.Since(start).Round(time.Millisecond), served, worst, gap, back, most, simulate.Cap, ratio, blind)
 	if len(bad) > 0 {
 		fmt.Printf("%d seeds broke a promise: %v\n", len(bad), broken)
 		os.Exit(1)
--- a/control/state.go
+++ b/control/state.go
@@ -20,6 +20,10 @@
 	HoldEvery    = time.Second
 	HomeStable   = 4 * time.Second
 	MarkEvery    = 300 * time.Millisecond
+	CedeEvery    = 300 * time.Millisecond
+	CedeGrace    = 1500 * time.Millisecond
+	HeirWait     = 600 * time.Millisecond
+	DeafWait     = 4 * time.Second
 	AnnounceWait = time.Second
 	DesiredWait  = 15 * time.Second
 	HopsMost     = 2
@@ -79,6 +83,16 @@
 	epoch ident.Epoch
 	start ident.Moment
 	sound *cell.Soundness
+	heir  *wire.Card
+	will  *wire.Bequest
+	sent  ident.Moment
+	named ident.Moment
+	turns int
+}
+
+type seen struct {
+	incarnation uint64
+	at          ident.Moment
 }
 
 type asker struct {
@@ -117,7 +131,9 @@
 	setIndex uint64
 	holds    map[ident.Cell]*hold
 	holdAt   map[ident.Cell]ident.Moment
-	liveFrom map[string]ident.Moment
+	liveFrom map[string]seen
+	leftFrom map[string]ident.Moment
+	wills    map[ident.Cell]*wire.Bequest
 	markAt   ident.Moment
 	genAt    ident.Moment
 	genSeen  ident.Generation
@@ -132,7 +148,7 @@
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]ident.Moment{}, passes: map[uint64]pending{}}
+	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]pending{}}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build, Voter: string(b.Voter)}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
@@ -230,6 +246,8 @@
 		s.Relay.News(b.News, f.Addr, now)
 	case *wire.Frame_Announce:
 		s.announceFrom(f.Addr, b.Announce, now)
+	case *wire.Frame_Bequest:
+		s.bequest(b.Bequest, now)
 	case *wire.Frame_AnnounceReply:
 		r := b.AnnounceReply
 		if p, ok := s.passes[r.Token]; ok {
@@ -429,7 +447,6 @@
 	s.waits, s.asked = map[uint64]asker{}, map[asker]bool{}
 	s.forces, s.queue, s.setIndex = nil, nil, 0
 	s.genAt = now
-	s.liveFrom = map[string]ident.Moment{}
 }
 
 func (s *State) publish(now ident.Moment) {
@@ -453,7 +470,7 @@
 
 func (s *State) active(c ident.Cell, now ident.Moment) *hold {
 	h := s.holds[c]
-	if h == nil || now.Before(h.start) || now.Sub(s.Relay.CoreAsOf) >= relay.CellTenure {
+	if h == nil || h.heir != nil || now.Before(h.start) || now.Sub(s.Relay.CoreAsOf) >= relay.CellTenure {
 		return nil
 	}
 	return h
@@ -511,6 +528,10 @@
 		s.announced(p, 200, "")
 		return
 	}
+	if h := s.holds[c]; h != nil && h.heir != nil {
+		s.onward(p, a, h.heir.Addr)
+		return
+	}
 	if h := s.holds[c]; h != nil && now.Sub(s.Relay.CoreAsOf) < relay.CellTenure {
 		h.sound.Hear(a, now)
 		if a.State == cell.Ready {
@@ -528,16 +549,82 @@
 		if card == nil || h.Holder == string(s.Member) || a.Hops >= HopsMost {
 			break
 		}
-		s.passID++
-		s.passes[s.passID] = p
-		n := proto.Clone(a).(*wire.Announce)
-		n.Token, n.Hops = s.passID, a.Hops+1
-		s.send(card.Addr, &wire.Frame{Body: &wire.Frame_Announce{Announce: n}})
+		s.onward(p, a, card.Addr)
 		return
 	}
 	s.announced(p, 503, "cell "+a.Cell+" has no holder just now")
 }
 
+func (s *State) onward(p pending, a *wire.Announce, to string) {
+	s.passID++
+	s.passes[s.passID] = p
+	n := proto.Clone(a).(*wire.Announce)
+	n.Token, n.Hops = s.passID, a.Hops+1
+	s.send(to, &wire.Frame{Body: &wire.Frame_Announce{Announce: n}})
+}
+
+func (s *State) standing() []*wire.Card {
+	var out []*wire.Card
+	for _, c := range s.Members.Ring() {
+		if c.Role == member.Control && !c.Leaving {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (s *State) heirOf(c ident.Cell, h *hold, now ident.Moment) *wire.Card {
+	var list []*wire.Card
+	for _, k := range s.standing() {
+		switch {
+		case k.Id == string(s.Member):
+		case k.Cell == string(c) && (s.draining || s.Cell != c && now.Sub(h.start) > HomeStable && now.Sub(s.liveFrom[k.Id].at) > HomeStable):
+			return k
+		default:
+			list = append(list, k)
+		}
+	}
+	if len(list) == 0 || !s.draining && h.heir == nil {
+		return nil
+	}
+	return list[(int(ident.Hash(string(c))%uint64(len(list)))+h.turns)%len(list)]
+}
+
+func (s *State) cede(c ident.Cell, h *hold, now ident.Moment) {
+	if h.heir == nil {
+		if s.active(c, now) == nil {
+			return
+		}
+		heir := s.heirOf(c, h, now)
+		if heir == nil {
+			return
+		}
+		s.copyCell(c, h, now)
+		h.heir, h.will, h.named = heir, h.sound.Bequeath(now), now
+		s.out = append(s.out, Note{"Cedes cell " + string(c) + " to " + heir.Id + "."})
+	}
+	if now.Sub(h.named) > HeirWait {
+		h.turns++
+		if k := s.heirOf(c, h, now); k != nil {
+			h.heir, h.named = k, now
+		}
+	}
+	if h.sent == 0 || now.Sub(h.sent) >= CedeEvery {
+		h.sent = now
+		s.send(h.heir.Addr, &wire.Frame{Body: &wire.Frame_Bequest{Bequest: h.will}})
+	}
+}
+
+func (s *State) bequest(q *wire.Bequest, now ident.Moment) {
+	c := ident.Cell(q.Cell)
+	if s.draining || s.holds[c] != nil {
+		return
+	}
+	s.wills[c] = q
+	s.Mail.Hint(s.leaderAddr())
+	s.Mail.Post(&wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: q.Cell, Holder: string(s.Member), Incarnation: uint64(s.Incarnation), Basis: q.Epoch}}}, now.Add(CedeEvery), nil, s.heads(), now)
+}
+
 func (s *State) copyCell(c ident.Cell, h *hold, now ident.Moment) {
 	k := s.Relay.Cells[c]
 	if k == nil {
@@ -579,6 +666,7 @@
 		}
 	}
 	s.Relay.Tick(s.Members.Ring(), 0, targets, now)
+	s.look(now)
 	s.cells(now)
 	if s.leading() {
 		s.assign(now)
@@ -640,9 +728,14 @@
 		m, h := mine[c], s.holds[c]
 		if h == nil {
 			h = &hold{epoch: ident.Epoch(m.Epoch), start: now.Add(relay.CellTenure), sound: cell.New(c, ident.Epoch(m.Epoch))}
+			if q := s.wills[c]; q != nil && q.Epoch == m.Before {
+				h.start, h.sound = now, cell.Inherit(q, h.epoch, now)
+			}
+			delete(s.wills, c)
 			s.holds[c] = h
 			s.out = append(s.out, Note{"Holds cell " + string(c) + " soon."})
 		}
+		s.cede(c, h, now)
 		if s.active(c, now) == nil {
 			continue
 		}
@@ -652,26 +745,34 @@
 	}
 }
 
-func (s *State) assign(now ident.Moment) {
-	homes := map[string][]*wire.Card{}
-	var all []*wire.Card
-	want := map[string]bool{}
+func (s *State) look(now ident.Moment) {
 	for _, c := range s.Members.Ring() {
-		want[c.Cell] = true
-		if c.Role != member.Control || c.Leaving {
-			continue
+		if s.liveFrom[c.Id].incarnation != c.Incarnation {
+			s.liveFrom[c.Id] = seen{c.Incarnation, now}
+			delete(s.leftFrom, c.Id)
 		}
-		all = append(all, c)
-		if _, ok := s.liveFrom[c.Id]; !ok {
-			s.liveFrom[c.Id] = now
+		if _, ok := s.leftFrom[c.Id]; c.Leaving && !ok {
+			s.leftFrom[c.Id] = now
 		}
-		homes[c.Cell] = append(homes[c.Cell], c)
 	}
 	for id := range s.liveFrom {
 		if !s.Members.Live(ident.Member(id)) {
 			delete(s.liveFrom, id)
+			delete(s.leftFrom, id)
 		}
 	}
+}
+
+func (s *State) assign(now ident.Moment) {
+	homes := map[string][]*wire.Card{}
+	all := s.standing()
+	want := map[string]bool{}
+	for _, c := range s.Members.Ring() {
+		want[c.Cell] = true
+	}
+	for _, c := range all {
+		homes[c.Cell] = append(homes[c.Cell], c)
+	}
 	for c := range s.Book.Holds {
 		want[string(c)] = true
 	}
@@ -686,19 +787,20 @@
 			continue
 		}
 		h := s.Book.Holds[c]
-		sound, home := false, false
 		if h != nil {
 			k := s.Members.Card(ident.Member(h.Holder))
-			sound = k != nil && k.State == member.Live && k.Incarnation == h.Incarnation && !k.Leaving
-			home = k != nil && k.Cell == name
+			heard := max(s.holdAt[c], s.Agree.LedSince())
+			if n := s.Relay.Cells[c]; n != nil {
+				heard = max(heard, n.AsOf)
+			}
+			if k != nil && now.Sub(heard) < DeafWait && k.State == member.Live && k.Incarnation == h.Incarnation && (!k.Leaving || now.Sub(s.leftFrom[k.Id]) < CedeGrace) {
+				continue
+			}
 		}
 		pick := all[int(ident.Hash(name)%uint64(len(all)))]
 		if l := homes[name]; len(l) > 0 {
 			pick = l[0]
 		}
-		if sound && (home || pick.Cell != name || now.Sub(s.liveFrom[pick.Id]) < HomeStable) {
-			continue
-		}
 		basis := uint64(0)
 		if h != nil {
 			basis = h.Epoch
--- a/data/state.go
+++ b/data/state.go
@@ -618,7 +618,7 @@
 		}
 		e := seen[a][0]
 		lives[a] = e.Incarnation
-		if b, ok := s.bars[a]; ok && (b.cell != e.cell.Cell || b.life != e.Incarnation || b.service != e.Service || e.cell.Epoch > b.epoch || e.Beat > b.beat) {
+		if b, ok := s.bars[a]; ok && (b.cell != e.cell.Cell || b.life != e.Incarnation || b.service != e.Service || e.cell.Epoch > b.epoch && e.Beat > 0 || e.cell.Epoch == b.epoch && e.Beat > b.beat) {
 			delete(s.bars, a)
 		}
 		if s.Relay.Desired == nil || s.Relay.Desired.Services[ident.Service(e.Service)] == nil || e.State != cell.Ready {
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -286,7 +286,7 @@
 		return Result{Code: Stale}
 	}
 	b.Epoch++
-	b.Holds[ident.Cell(c.Cell)] = &wire.Hold{Cell: c.Cell, Holder: c.Holder, Incarnation: c.Incarnation, Epoch: uint64(b.Epoch)}
+	b.Holds[ident.Cell(c.Cell)] = &wire.Hold{Cell: c.Cell, Holder: c.Holder, Incarnation: c.Incarnation, Epoch: uint64(b.Epoch), Before: c.Basis}
 	b.turn()
 	return Result{}
 }
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -21,6 +21,7 @@
 	Faults  map[string]int
 	Back    time.Duration
 	Ratio   float64
+	Blind   time.Duration
 }
 
 func small(seed int64) Config {
--- a/simulate/scene.go
+++ b/simulate/scene.go
@@ -95,6 +95,34 @@
 			w.Isolate(l)
 		}
 	}),
+	{Name: "handover", Text: "every control process stops as planned and comes back, while backends drain", config: func(c *Config) { c.Cells, c.Nodes = 4, 8 }, play: func(w *World, r *Result, gen *uint64) {
+		stop := w.blind(r)
+		for i := 0; i < w.Controls; i++ {
+			p := w.Control(i)
+			back := w.Backends[w.Rand.Intn(len(w.Backends))]
+			w.at(time.Duration(w.Rand.Intn(1500))*ms, func() {
+				if back.up && back.state == cell.Ready {
+					back.Drain()
+					w.at(3*time.Second, func() {
+						back.announce(cell.Gone, nil)
+						back.crash()
+						back.start()
+					})
+				}
+			})
+			p.step(stopControl())
+			for k := 0; k < 80 && p.up; k++ {
+				w.Run(100 * ms)
+			}
+			w.Run(500 * ms)
+			w.Start(p)
+			w.Run(7 * time.Second)
+		}
+		stop()
+		if r.Blind > time.Second {
+			w.Break("a planned hand-over left a gap", "a node had no fresh news of a cell for %v", r.Blind)
+		}
+	}},
 	{Name: "peak", Text: "pools full at hanging backends while caps move between lanes, nodes freeze and seats change hands", config: func(c *Config) {
 		c.Slots, c.Rate, c.Backends, c.Nodes = 128, 400, 4, 8
 	}, play: func(w *World, r *Result, gen *uint64) {
@@ -178,6 +206,34 @@
 	return nil
 }
 
+func (w *World) blind(r *Result) (stop func()) {
+	from := map[string]ident.Moment{}
+	on := true
+	var look func()
+	look = func() {
+		for _, p := range w.Procs {
+			if p.node == nil || !p.node.state.Ready() {
+				continue
+			}
+			for i := 0; i < w.Cells; i++ {
+				c := ident.Cell(w.cellName(i))
+				name := p.Name + string(c)
+				k := p.node.state.Relay.Cells[c]
+				if k != nil && len(k.Table) > 0 && p.node.state.Relay.CellFresh(c, p.clock()) {
+					from[name] = w.Now
+				} else if from[name] != 0 {
+					r.Blind = max(r.Blind, w.Now.Sub(from[name]))
+				}
+			}
+		}
+		if on {
+			w.at(20*ms, look)
+		}
+	}
+	look()
+	return func() { on = false }
+}
+
 func (w *World) peakDoc(one, two, surge int) string {
 	doc := w.Doc0(w.Nodes-2, 0, 1, Cap)
 	for i := 0; i < w.Services; i++ {
--- a/simulate/seeds_test.go
+++ b/simulate/seeds_test.go
@@ -38,7 +38,7 @@
 		"ack": "older generation served", "told": "told not run, but it ran", "identity": "ran on a service nobody allowed",
 		"check": "invalid desired state took effect", "basis": "both racers heard yes", "sync": "acknowledged generation missing",
 		"answers": "garbled answer passed on", "drain": "planned stop cut a visit", "seat": "a dead self took a seat", "stands": "ran on a service nobody allowed",
-		"peak law": "too many connections", "tries budget": "too many further tries", "waits patience": "refusal late",
+		"peak law": "too many connections", "tries budget": "too many further tries", "waits patience": "refusal late", "handover will": "a planned hand-over left a gap",
 	} {
 		t.Run(weak, func(t *testing.T) {
 			t.Parallel()
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -291,6 +291,9 @@
 	w := p.w
 	f := proto.Clone(m.Frame).(*wire.Frame)
 	f.From, f.Addr = p.Name, p.Addr
+	if w.Weak == "will" && f.GetBequest() != nil {
+		return
+	}
 	w.weakenFrame(p, f)
 	w.Frames++
 	if w.sizeOf {
