fleetrun: bare backends by default, visits on kept connections of uneven load

Requesters hold 48 connections pinned to nodes, drawn unevenly (--skew). A node that is not ready closes its connections after each answer, so that kept ones move on.

--- a/cmd/fleetrun/backend.go
+++ b/cmd/fleetrun/backend.go
@@ -72,6 +72,7 @@
 	work    func() time.Duration
 	led     *ledger
 	beats   func() []string
+	names   bool
 
 	life     string
 	srv      *http.Server
@@ -178,7 +179,14 @@
 }
 
 func (b *backend) words() map[string]any {
-	return map[string]any{"service": b.service, "address": b.addr, "cell": b.cell, "slotCount": b.slots, "state": *b.state.Load(), "coldLeftMs": 0, "incarnation": b.life}
+	return b.tell(map[string]any{"service": b.service, "address": b.addr, "slotCount": b.slots, "state": *b.state.Load(), "coldLeftMs": 0})
+}
+
+func (b *backend) tell(v map[string]any) map[string]any {
+	if b.names {
+		v["cell"], v["incarnation"] = b.cell, b.life
+	}
+	return v
 }
 
 func (b *backend) beat(done context.Context) {
@@ -195,7 +203,7 @@
 func (b *backend) drain() error {
 	s := "leaving"
 	b.state.Store(&s)
-	_, err := b.post("/drains", map[string]any{"service": b.service, "address": b.addr, "cell": b.cell, "incarnation": b.life})
+	_, err := b.post("/drains", b.tell(map[string]any{"service": b.service, "address": b.addr}))
 	if err == nil {
 		b.leftAt.Store(time.Now().UnixNano())
 	}
@@ -204,7 +212,7 @@
 
 func (b *backend) signOff() {
 	b.stop()
-	b.post("/sign-offs", map[string]any{"service": b.service, "address": b.addr, "cell": b.cell, "incarnation": b.life})
+	b.post("/sign-offs", b.tell(map[string]any{"service": b.service, "address": b.addr}))
 }
 
 func digest(parts ...string) string {
@@ -216,6 +224,10 @@
 }
 
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/soundness" && !b.names {
+		http.Error(w, "no such path", 404)
+		return
+	}
 	if r.URL.Path == "/soundness" {
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(map[string]any{"service": b.service, "incarnation": b.life})
--- a/cmd/fleetrun/fleet.go
+++ b/cmd/fleetrun/fleet.go
@@ -89,7 +89,7 @@
 	gen      uint64
 }
 
-func newFleet(p *plan, bin, dir string, led *ledger) *fleet {
+func newFleet(p *plan, bin, dir string, skew float64, led *ledger) *fleet {
 	f := &fleet{plan: p, led: led}
 	var seeds, founders []string
 	for i := 0; i < 3; i++ {
@@ -109,7 +109,7 @@
 	n := 0
 	for s, sv := range p.services {
 		for i := 0; i < sv.backends; i++ {
-			b := &backend{plan: p, service: sv.name, addr: p.backendAddr(s, i), cell: p.cell(n), slots: sv.slots, most: sv.most, led: led, beats: f.doors}
+			b := &backend{plan: p, service: sv.name, addr: p.backendAddr(s, i), cell: p.cell(n), slots: sv.slots, most: sv.most, led: led, beats: f.doors, names: n%4 == 3}
 			n++
 			mean := 0.0
 			rate := 0.0
@@ -124,7 +124,7 @@
 			f.backends = append(f.backends, b)
 		}
 	}
-	f.plat = newPlatform(p, func() []string {
+	f.plat = newPlatform(p, skew, func() []string {
 		var out []string
 		for _, d := range f.data {
 			out = append(out, d.http)
--- a/cmd/fleetrun/requester.go
+++ b/cmd/fleetrun/requester.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand"
 	"net"
 	"net/http"
@@ -21,12 +22,17 @@
 	lock  sync.Mutex
 	ready []string
 	all   func() []string
-	http  *http.Client
+	lines []*line
+	skew  float64
 }
 
-func newPlatform(p *plan, all func() []string) *platform {
-	return &platform{plan: p, all: all, http: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 64, IdleConnTimeout: 3 * time.Second, DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext}}}
+func newPlatform(p *plan, skew float64, all func() []string) *platform {
+	out := &platform{plan: p, all: all, skew: skew}
+	for i := 0; i < lines; i++ {
+		out.lines = append(out.lines, &line{http: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 16, IdleConnTimeout: 3 * time.Second, DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext}}})
+	}
+	return out
 }
 
 func (p *platform) watch(done context.Context) {
@@ -64,13 +70,37 @@
 	}
 }
 
-func (p *platform) pick() string {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	if len(p.ready) == 0 {
-		return ""
+type line struct {
+	lock  sync.Mutex
+	node  string
+	until time.Time
+	http  *http.Client
+}
+
+const lines = 48
+
+func (p *platform) pick() (*line, string) {
+	k := int(float64(lines) * math.Pow(rand.Float64(), p.skew))
+	l := p.lines[min(k, lines-1)]
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if l.node == "" || time.Now().After(l.until) {
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		l.node = ""
+		if len(p.ready) > 0 {
+			l.node = p.ready[rand.Intn(len(p.ready))]
+			l.until = time.Now().Add(time.Duration(10+rand.Intn(30)) * time.Second)
+			l.http.CloseIdleConnections()
+		}
 	}
-	return p.ready[rand.Intn(len(p.ready))]
+	return l, l.node
+}
+
+func (l *line) leave() {
+	l.lock.Lock()
+	l.node = ""
+	l.lock.Unlock()
 }
 
 func (p *platform) count() int {
@@ -215,7 +245,7 @@
 }
 
 func (q *requesters) shot(l lanePlan, key string, leave bool) string {
-	node := q.plat.pick()
+	by, node := q.plat.pick()
 	if node == "" {
 		q.tally.add(l.name, "no node ready", "", 0, false)
 		return ""
@@ -244,8 +274,9 @@
 	}
 	acked := q.acked.Load()
 	start := time.Now()
-	resp, err := q.plat.http.Do(req)
+	resp, err := by.http.Do(req)
 	if err != nil {
+		by.leave()
 		kind := "connection failed"
 		if leave {
 			kind = "requester left"
@@ -256,6 +287,9 @@
 	got, err := io.ReadAll(resp.Body)
 	resp.Body.Close()
 	took := time.Since(start)
+	if resp.Close {
+		by.leave()
+	}
 	if err != nil {
 		q.tally.add(l.name, "connection failed", "", took, false)
 		return "?"
--- a/data/http.go
+++ b/data/http.go
@@ -44,6 +44,7 @@
 func (n *Node) refuse(w http.ResponseWriter, gen ident.Generation, v ident.Visit, a forward.Answer) {
 	h := w.Header()
 	h.Set("Sloeturn-Ran", string(a.Ran))
+	n.part(h)
 	h.Set("Sloeturn-Generation", strconv.FormatUint(uint64(gen), 10))
 	if a.RetryAfter > 0 && a.Ran == forward.RanNo {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
@@ -51,6 +52,12 @@
 	duty.JSON(w, a.Status, verdict{string(a.Ran), a.Reason, a.RetryAfter.Milliseconds(), uint64(gen), string(v), a.Known})
 }
 
+func (n *Node) part(h http.Header) {
+	if *n.ready.Load() != "" {
+		h.Set("Connection", "close")
+	}
+}
+
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
@@ -250,6 +257,7 @@
 	h := w.Header()
 	duty.CopyHead(h, a.resp.Header, "Retry-After")
 	h.Set("Sloeturn-Ran", string(forward.RanYes))
+	n.part(h)
 	h.Set("Sloeturn-Generation", strconv.FormatUint(uint64(gen), 10))
 	h.Set("Sloeturn-Visit", string(id))
 	if a.resp.Request.Method == "HEAD" {
