Slots are dealt after demand, and a lane lends what it has not used of late

Cause: the platform spreads connections, not visits, and slots were dealt evenly over nodes and split over lanes by weight: a node with many visits refused while others stood idle, and among lanes of equal weight the first by name had the extra slot at every node. Nodes say up the tree how many slots each service wanted (busy and waiting at most, and a fifth of what was refused, in half a second); a cell's holder hands the wants down with its list of nodes, at most once a second and not for small changes; every node deals by the same sums: a third evenly, the rest after demand. On a node a lane may pass its part while every other lane keeps what it lately used and one more. Fences and caps are not touched.

--- a/cell/state.go
+++ b/cell/state.go
@@ -47,10 +47,34 @@
 	pulse uint64
 	beat  ident.Moment
 	sums  [Parts]uint64
-	Nodes []string
+	Roll
 	tombs tombs
 }
 
+type Roll struct {
+	Nodes []string
+	Wants []*wire.Wants
+}
+
+func (r Roll) Sum() uint64 {
+	n := ident.Hash(r.Nodes...)
+	for _, w := range r.Wants {
+		for i, k := range w.ByNode {
+			n += ident.Hash(w.Service, strconv.Itoa(i), strconv.FormatUint(uint64(k), 10))
+		}
+	}
+	return n
+}
+
+func (r Roll) For(service string) []uint32 {
+	for _, w := range r.Wants {
+		if w.Service == service && len(w.ByNode) == len(r.Nodes) {
+			return w.ByNode
+		}
+	}
+	return nil
+}
+
 const TombsKept = 256
 
 type tombs struct {
@@ -79,8 +103,6 @@
 	return out, true
 }
 
-func NodesSum(nodes []string) uint64 { return ident.Hash(nodes...) }
-
 func New(c ident.Cell, e ident.Epoch) *Soundness {
 	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}, pulse: 1}
 }
@@ -245,7 +267,7 @@
 	epoch ident.Epoch
 	pulse uint64
 	upto  uint64
-	nodes []string
+	roll  Roll
 	tombs *tombs
 	newer func(ver uint64) []*wire.Backend
 	parts func(sums []uint64) []*wire.Range
@@ -254,13 +276,13 @@
 func (h sheet) news(c ident.Cell, have *wire.CellHave) *wire.CellNews {
 	n := &wire.CellNews{Cell: string(c), Epoch: uint64(h.epoch), Pulse: h.pulse, Upto: h.upto}
 	if have == nil || have.Epoch != uint64(h.epoch) {
-		n.Nodes, n.Ranges = h.nodes, h.parts(nil)
+		n.Nodes, n.Wants, n.Ranges = h.roll.Nodes, h.roll.Wants, h.parts(nil)
 		return n
 	}
-	if have.NodesSum == NodesSum(h.nodes) {
+	if have.NodesSum == h.roll.Sum() {
 		n.NodesSame = true
 	} else {
-		n.Nodes = h.nodes
+		n.Nodes, n.Wants = h.roll.Nodes, h.roll.Wants
 	}
 	if len(have.Digests) == 0 && have.Upto > 0 {
 		if gone, ok := h.tombs.since(have.Upto); ok {
@@ -283,7 +305,7 @@
 		return out
 	}
 	parts := func(sums []uint64) []*wire.Range { return s.Ranges(sums, now) }
-	return sheet{s.Epoch, s.pulse, s.ver, s.Nodes, &s.tombs, newer, parts}.news(s.Cell, have)
+	return sheet{s.Epoch, s.pulse, s.ver, s.Roll, &s.tombs, newer, parts}.news(s.Cell, have)
 }
 
 func (s *Soundness) Ranges(have []uint64, now ident.Moment) []*wire.Range {
@@ -310,7 +332,7 @@
 	Pulse uint64
 	AsOf  ident.Moment
 	Known bool
-	Nodes []string
+	Roll
 	Table map[ident.Addr]*wire.Backend
 	Upto  uint64
 	sums  [Parts]uint64
@@ -373,8 +395,8 @@
 		c.rev++
 	}
 	c.Upto = max(c.Upto, n.Upto)
-	if !n.NodesSame && !same(c.Nodes, n.Nodes) {
-		c.Nodes = n.Nodes
+	if r := (Roll{n.Nodes, n.Wants}); !n.NodesSame && r.Sum() != c.Roll.Sum() {
+		c.Roll = r
 		c.rev++
 	}
 	c.Pulse = max(c.Pulse, n.Pulse)
@@ -412,7 +434,7 @@
 const WholeEvery = 16
 
 func (c *Copy) Have() *wire.CellHave {
-	h := &wire.CellHave{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Upto: c.Upto, NodesSum: NodesSum(c.Nodes)}
+	h := &wire.CellHave{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Upto: c.Upto, NodesSum: c.Roll.Sum()}
 	if c.asks%WholeEvery == 0 || !c.Known {
 		h.Digests = c.Digests()
 	}
@@ -430,23 +452,11 @@
 		}
 		return out
 	}
-	n := sheet{c.Epoch, c.Pulse, c.Upto, c.Nodes, &c.tombs, newer, c.Ranges}.news(c.Cell, have)
+	n := sheet{c.Epoch, c.Pulse, c.Upto, c.Roll, &c.tombs, newer, c.Ranges}.news(c.Cell, have)
 	n.AgeNs = int64(age)
 	return n
 }
 
-func same(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func (c *Copy) Ranges(have []uint64) []*wire.Range {
 	var out []*wire.Range
 	for p := 0; p < Parts; p++ {
@@ -470,22 +480,43 @@
 	Work int
 }
 
-func Deal(list []Share, nodes []string, node string, turn uint64) map[ident.Addr]int {
+func Deal(list []Share, nodes []string, wants []uint32, node string, turn uint64) map[ident.Addr]int {
 	at := sort.SearchStrings(nodes, node)
 	if at == len(nodes) || nodes[at] != node {
 		return nil
 	}
-	n := len(nodes)
-	next := int(turn % uint64(n))
-	out := map[ident.Addr]int{}
+	var all, sum, most uint64
+	for _, w := range wants {
+		all += uint64(w)
+	}
+	upto := make([]uint64, len(nodes))
+	for i := range nodes {
+		sum++
+		if all > 0 {
+			sum += 2*uint64(wants[i]) + all/uint64(len(nodes))
+		}
+		upto[i] = sum
+	}
+	total := uint64(0)
 	for _, b := range list {
-		k := b.Work / n
-		more := b.Work % n
-		if (at+n-next)%n < more {
-			k++
+		total += uint64(b.Work)
+		most = max(most, uint64(b.Work))
+	}
+	out := map[ident.Addr]int{}
+	n, i := uint64(0), 0
+	for level := uint64(0); level < most; level++ {
+		for _, b := range list {
+			if uint64(b.Work) <= level {
+				continue
+			}
+			for upto[i] <= (n*sum+turn%sum)/total {
+				i++
+			}
+			if i == at {
+				out[b.Addr]++
+			}
+			n++
 		}
-		next = (next + more) % n
-		out[b.Addr] = k
 	}
 	return out
 }
--- a/cmd/seeds/main.go
+++ b/cmd/seeds/main.go
@@ -60,7 +60,7 @@
 	var bad []*simulate.Result
 	faults, broken := map[string]int{}, map[string]int{}
 	var worst, gap, back, blind time.Duration
-	served, most, ratio := 0, 0, 1.0
+	served, most, ratio, shares := 0, 0, 1.0, 0.0
 	for i := 0; i < runtime.NumCPU(); i++ {
 		wait.Add(1)
 		go func() {
@@ -86,6 +86,7 @@
 				if r.Ratio > 0 {
 					ratio = min(ratio, r.Ratio)
 				}
+				shares += r.Share
 				served, most = served+r.Count["served"], max(most, r.Most)
 				if a.All {
 					fmt.Println(r)
@@ -113,6 +114,9 @@
 	}
 	fmt.Printf("faults caused: %v\n", faults)
 	fmt.Printf("%d seeds in %v: %d served, worst refusal %v, longest time with nothing served %v, longest way back %v, most connections at one backend %d of %d, least ratio %.3f, longest without a cell's news %v\n", a.Count, time.Since(start).Round(time.Millisecond), served, worst, gap, back, most, simulate.Cap, ratio, blind)
+	if shares > 0 {
+		fmt.Printf("mean share served %.4f\n", shares/float64(a.Count))
+	}
 	if len(bad) > 0 {
 		fmt.Printf("%d seeds broke a promise: %v\n", len(bad), broken)
 		os.Exit(1)
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -20,6 +21,7 @@
 	HoldEvery    = time.Second
 	HomeStable   = 4 * time.Second
 	MarkEvery    = 300 * time.Millisecond
+	DealEvery    = time.Second
 	CedeEvery    = 300 * time.Millisecond
 	CedeGrace    = 1500 * time.Millisecond
 	HeirWait     = 600 * time.Millisecond
@@ -88,6 +90,7 @@
 	sent  ident.Moment
 	named ident.Moment
 	turns int
+	dealt ident.Moment
 }
 
 type seen struct {
@@ -710,6 +713,40 @@
 	return out
 }
 
+func (s *State) enroll(h *hold, now ident.Moment) {
+	nodes := s.nodes()
+	if slices.Equal(nodes, h.sound.Nodes) && now.Sub(h.dealt) < DealEvery {
+		return
+	}
+	h.dealt = now
+	by := map[string][]uint32{}
+	for i, n := range nodes {
+		for _, w := range s.Relay.ConfirmOf(n).GetWants() {
+			if by[w.Service] == nil {
+				by[w.Service] = make([]uint32, len(nodes))
+			}
+			by[w.Service][i] = w.Slots
+		}
+	}
+	r := cell.Roll{Nodes: nodes}
+	for _, v := range ident.Keys(by) {
+		if old := h.sound.For(v); slices.Equal(nodes, h.sound.Nodes) && old != nil && near(old, by[v]) {
+			by[v] = old
+		}
+		r.Wants = append(r.Wants, &wire.Wants{Service: v, ByNode: by[v]})
+	}
+	h.sound.Roll = r
+}
+
+func near(a, b []uint32) bool {
+	for i := range a {
+		if d := max(a[i], b[i]) - min(a[i], b[i]); d > 3 && 4*d > a[i] {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *State) cells(now ident.Moment) {
 	mine := map[ident.Cell]*wire.Hold{}
 	for _, h := range s.Relay.Core.GetHolds() {
@@ -740,7 +777,7 @@
 			continue
 		}
 		h.sound.Tick(now)
-		h.sound.Nodes = s.nodes()
+		s.enroll(h, now)
 		s.copyCell(c, h, now)
 	}
 }
--- a/data/state.go
+++ b/data/state.go
@@ -24,6 +24,7 @@
 	AnnounceWait = time.Second
 	DrainGrace   = 2500 * time.Millisecond
 	WarmWait     = 6 * time.Second
+	WantEvery    = 500 * time.Millisecond
 )
 
 type (
@@ -165,6 +166,10 @@
 	fresh     string
 	adopted   ident.Generation
 	ready     bool
+	wanted    map[ident.Service]float64
+	wants     []*wire.Want
+	wantAt    ident.Moment
+	turn      uint64
 	warm      bool
 	warmAt    ident.Moment
 	draining  bool
@@ -177,8 +182,9 @@
 }
 
 func New(b Boot, now ident.Moment) *State {
-	s := &State{Boot: b, bars: map[ident.Addr]bar{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}}
+	s := &State{Boot: b, bars: map[ident.Addr]bar{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}}
 	s.Pass = pass.New()
+	s.Pass.Salt = string(b.Member)
 	s.State = forward.New(s.Pass, s.gate)
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Data, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, false)
@@ -463,6 +469,9 @@
 	s.takeSeat(heads, now)
 	s.State.Tick(now)
 	s.finish(heads, now)
+	if s.Relay.Desired != nil {
+		s.want(now)
+	}
 	s.warmUp(now)
 	ready := s.Why(now) == ""
 	if ready != s.ready {
@@ -586,9 +595,27 @@
 	if s.Relay.Core.Generation == uint64(s.Relay.DocGen) && s.Pass.Within() {
 		c.Shrunk = uint64(s.Relay.DocGen)
 	}
+	s.turn++
+	c.Turn, c.Wants = s.turn, s.wants
 	s.Relay.Confirm(c)
 }
 
+func (s *State) want(now ident.Moment) {
+	if now.Sub(s.wantAt) < WantEvery {
+		return
+	}
+	s.wantAt = now
+	s.wants = nil
+	for _, v := range ident.Keys(s.Relay.Desired.Services) {
+		w := 0.7*s.wanted[v] + 0.3*s.Pass.Wanted(v)
+		s.wanted[v] = w
+		if k := uint32(4 * w); k > 0 {
+			s.wants = append(s.wants, &wire.Want{Service: string(v), Slots: k})
+		}
+	}
+	s.confirm()
+}
+
 type entry struct {
 	*wire.Backend
 	cell *cell.Copy
@@ -634,7 +661,7 @@
 	totals := map[ident.Service]int{}
 	for key, g := range groups {
 		c, v, _ := strings.Cut(key, " ")
-		for a, n := range cell.Deal(g, s.Relay.Cells[ident.Cell(c)].Nodes, string(s.Member), ident.Hash(key)) {
+		for a, n := range cell.Deal(g, s.Relay.Cells[ident.Cell(c)].Nodes, s.Relay.Cells[ident.Cell(c)].For(v), string(s.Member), ident.Hash(key)) {
 			shares[a] = n
 			totals[ident.Service(v)] += n
 		}
--- a/pass/state.go
+++ b/pass/state.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -65,6 +66,8 @@
 	LaneRule
 	most  int
 	busy  int
+	peak  int
+	use   float64
 	queue deque.Deque[waiter]
 }
 
@@ -92,12 +95,15 @@
 }
 
 type State struct {
+	Salt     string
 	pools    map[Key]*Pool
 	lanes    map[ident.Lane]*lane
 	floors   map[ledger.Lot]int
 	backends map[ident.Addr]*Backend
 	byName   map[ident.Service][]*Backend
 	load     map[ident.Addr]int
+	peak     map[ident.Service]int
+	missed   map[ident.Service]int
 	turn     int
 	out      Out
 	Admitted uint64
@@ -105,7 +111,7 @@
 }
 
 func New() *State {
-	return &State{pools: map[Key]*Pool{}, lanes: map[ident.Lane]*lane{}, floors: map[ledger.Lot]int{}, backends: map[ident.Addr]*Backend{}, byName: map[ident.Service][]*Backend{}, load: map[ident.Addr]int{}}
+	return &State{pools: map[Key]*Pool{}, lanes: map[ident.Lane]*lane{}, floors: map[ledger.Lot]int{}, backends: map[ident.Addr]*Backend{}, byName: map[ident.Service][]*Backend{}, load: map[ident.Addr]int{}, peak: map[ident.Service]int{}, missed: map[ident.Service]int{}}
 }
 
 func (s *State) Rules(rules []LaneRule, floors map[ledger.Lot]int) {
@@ -126,7 +132,7 @@
 			continue
 		}
 		for l.queue.Len() > 0 {
-			s.refuse(l.queue.PopFront().visit, NoBackend)
+			s.refuse(l.queue.PopFront().visit, l, NoBackend)
 		}
 		if l.busy == 0 {
 			delete(s.lanes, n)
@@ -218,7 +224,10 @@
 			l.most = all * l.Weight / sum
 			left -= l.most
 		}
-		sort.SliceStable(list, func(i, j int) bool { return all*list[i].Weight%sum > all*list[j].Weight%sum })
+		sort.SliceStable(list, func(i, j int) bool {
+			a, b := all*list[i].Weight%sum, all*list[j].Weight%sum
+			return a > b || a == b && ident.Hash(s.Salt, string(list[i].Lane)) > ident.Hash(s.Salt, string(list[j].Lane))
+		})
 		for i := 0; i < left; i++ {
 			list[i].most++
 		}
@@ -237,6 +246,20 @@
 	return p
 }
 
+func (s *State) spare(l *lane) bool {
+	free := 0
+	for _, b := range s.byName[l.Service] {
+		free += max(0, b.Share-s.load[b.Addr])
+	}
+	free--
+	for _, o := range s.lanes {
+		if o != l && o.Service == l.Service {
+			free -= max(0, min(o.most, int(math.Ceil(o.use))+1)-o.busy)
+		}
+	}
+	return free >= 0
+}
+
 func (s *State) pick(l *lane, skip map[ident.Addr]bool) (*Backend, Reason) {
 	if s.cap(l.Lane, l.Service) == 0 {
 		return nil, NoFence
@@ -244,7 +267,7 @@
 	if len(s.byName[l.Service]) == 0 {
 		return nil, NoBackend
 	}
-	if l.busy >= l.most && l.most > 0 {
+	if l.busy >= l.most && !s.spare(l) {
 		return nil, LaneFull
 	}
 	var best *Backend
@@ -297,18 +320,22 @@
 	l.busy++
 	s.load[b.Addr]++
 	s.Admitted++
+	s.asked(l)
 	s.out.Grants = append(s.out.Grants, g)
 }
 
-func (s *State) refuse(v ident.Visit, why Reason) {
+func (s *State) refuse(v ident.Visit, l *lane, why Reason) {
 	s.Refused++
+	if l != nil {
+		s.missed[l.Service]++
+	}
 	s.out.Refusals = append(s.out.Refusals, Refusal{v, why})
 }
 
 func (s *State) Ask(v ident.Visit, name ident.Lane, until ident.Moment, skip map[ident.Addr]bool, now ident.Moment) {
 	l := s.lanes[name]
 	if l == nil {
-		s.refuse(v, NoBackend)
+		s.refuse(v, nil, NoBackend)
 		return
 	}
 	if l.queue.Len() == 0 {
@@ -318,15 +345,39 @@
 			return
 		}
 		if why != LaneFull || !until.After(now) {
-			s.refuse(v, why)
+			s.refuse(v, l, why)
 			return
 		}
 	}
 	if l.queue.Len() >= l.Waiters || !until.After(now) {
-		s.refuse(v, QueueFull)
+		s.refuse(v, l, QueueFull)
 		return
 	}
 	l.queue.PushBack(waiter{v, until, skip})
+	s.asked(l)
+}
+
+func (s *State) asked(l *lane) {
+	l.peak = max(l.peak, l.busy+l.queue.Len())
+	n := 0
+	for _, o := range s.lanes {
+		if o.Service == l.Service {
+			n += o.busy + o.queue.Len()
+		}
+	}
+	s.peak[l.Service] = max(s.peak[l.Service], n)
+}
+
+func (s *State) Wanted(v ident.Service) float64 {
+	n := float64(s.peak[v]) + float64(s.missed[v])/5
+	for _, l := range s.lanes {
+		if l.Service == v {
+			l.use, l.peak = max(float64(l.peak), 0.9*l.use), l.busy
+		}
+	}
+	delete(s.peak, v)
+	delete(s.missed, v)
+	return n
 }
 
 func (s *State) serve() {
@@ -340,7 +391,7 @@
 			}
 			l.queue.PopFront()
 			if b == nil {
-				s.refuse(w.visit, why)
+				s.refuse(w.visit, l, why)
 				continue
 			}
 			s.grant(l, w.visit, b)
@@ -407,7 +458,7 @@
 	for _, n := range s.names() {
 		l := s.lanes[n]
 		for l.queue.Len() > 0 && !l.queue.Front().until.After(now) {
-			s.refuse(l.queue.PopFront().visit, WaitedOut)
+			s.refuse(l.queue.PopFront().visit, l, WaitedOut)
 		}
 	}
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -99,7 +99,11 @@
 func (s *State) Confirm(c *wire.Confirm) {
 	old := s.confirms[c.Member]
 	if old != nil && old.Incarnation == c.Incarnation {
-		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Seat: c.Seat, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk)}
+		last := c
+		if old.Turn > c.Turn {
+			last = old
+		}
+		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Seat: c.Seat, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk), Turn: last.Turn, Wants: last.Wants}
 	}
 	s.confirms[c.Member] = c
 }
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"sloeturn/control"
@@ -269,7 +270,7 @@
 		w.Count["no node ready"]++
 		return
 	}
-	p := list[w.Rand.Intn(len(list))]
+	p := list[int(float64(len(list))*math.Pow(w.Rand.Float64(), max(1, w.Skew)))]
 	tally, leaves := &share{why: map[string]int{}}, w.Rand.Intn(25) == 0
 	if n == 0 && !leaves {
 		tally = w.tally(lane)
--- a/simulate/scene.go
+++ b/simulate/scene.go
@@ -179,6 +179,13 @@
 			w.Run(time.Second)
 		}
 	}},
+	{Name: "uneven", Text: "some nodes get many more visits than others", config: func(c *Config) {
+		c.Backends, c.Nodes, c.Rate, c.Skew = 12, 8, 200, 2
+	}, play: func(w *World, r *Result, gen *uint64) {
+		from := w.since() + 2*time.Second
+		w.Run(20 * time.Second)
+		r.Share = w.served("", from, w.since()-2*time.Second).of()
+	}},
 	{Name: "flood", Text: "one lane is flooded, at one half of the run only", config: func(c *Config) { c.Backends, c.Slots = 8, 12 }, play: func(w *World, r *Result, gen *uint64) {
 		w.isolates(r, serviceName(0)+"-look", func(on bool) {
 			if on {
@@ -186,6 +193,13 @@
 			}
 		})
 	}},
+	{Name: "lane-hangs", Text: "the work of one lane hangs, at one half of the run only", config: func(c *Config) { c.Backends, c.Slots = 8, 12 }, play: func(w *World, r *Result, gen *uint64) {
+		w.isolates(r, serviceName(0)+"-look", func(on bool) {
+			if w.hang = ""; on {
+				w.hang = serviceName(0) + "-look"
+			}
+		})
+	}},
 	{Name: "class-hangs", Text: "the probes and one service hang, at one half of the run only", config: func(c *Config) { c.Backends, c.Slots = 8, 12 }, play: func(w *World, r *Result, gen *uint64) {
 		w.isolates(r, serviceName(0), func(on bool) {
 			for _, b := range w.Backends {
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -79,6 +79,7 @@
 	Weak     string
 	Trace    bool
 	Quiet    bool
+	Skew     float64
 	scene    *Scene
 }
 
@@ -148,6 +149,7 @@
 	waits    map[uint64]waiter
 	lives    map[uint64]int
 	unsynced bool
+	hang     string
 	fence    int
 	seconds  map[string]map[int]*share
 	pounce   forward.Phase
