Control processes stream their decisions too: holders, soundness, dealing, changes

Now GET /decisions on either daemon gives visits, fences, guards proven and unsound, and from control processes what the log decided (with its index, the same at every disk holder), refused changes, roles, soundness and the dealing of slots. A resumer names the life it read from: after a restart it hears so first, and what was overwritten is counted.

--- a/cell/state.go
+++ b/cell/state.go
@@ -5,6 +5,7 @@
 	"math"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"sloeturn/ident"
@@ -49,6 +50,21 @@
 	sums  [Parts]uint64
 	Roll
 	tombs tombs
+	moves []Move
+}
+
+type Move struct {
+	Addr     ident.Addr
+	Service  ident.Service
+	From, To string
+}
+
+var states = [...]string{"ready", "leaving", "gone"}
+
+func (s *Soundness) Moves() []Move {
+	out := s.moves
+	s.moves = nil
+	return out
 }
 
 type Roll struct {
@@ -66,6 +82,14 @@
 	return n
 }
 
+func (r Roll) Text() string {
+	var b strings.Builder
+	for _, w := range r.Wants {
+		fmt.Fprintf(&b, "%s %v ", w.Service, w.ByNode)
+	}
+	return strings.TrimSpace(b.String())
+}
+
 func (r Roll) For(service string) []uint32 {
 	for _, w := range r.Wants {
 		if w.Service == service && len(w.ByNode) == len(r.Nodes) {
@@ -148,6 +172,7 @@
 	b := s.table[a]
 	s.sums[Part(string(a))] -= Sum(string(a), b.Version)
 	delete(s.table, a)
+	s.moves = append(s.moves, Move{a, b.Service, states[b.State], "gone"})
 	s.ver++
 	s.tombs.add(string(a), s.ver)
 }
@@ -184,10 +209,12 @@
 		}
 		b = &Backend{Addr: addr, Service: ident.Service(a.Service), Life: life, ColdAll: cold}
 		s.table[addr] = b
+		s.moves = append(s.moves, Move{addr, b.Service, "", "ready"})
 	}
 	b.Slots = int(min(a.Slots, SlotLimit))
 	if b.State != Leaving && a.State == Leaving {
 		b.State = Leaving
+		s.moves = append(s.moves, Move{addr, b.Service, "ready", "leaving"})
 		if b.LeftAt = s.pulse; a.Notice {
 			b.LeftAt = math.MaxUint64
 		}
--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -73,7 +73,7 @@
 		"rollback":  {"GENERATION", "make an earlier generation the desired state again", rollback},
 		"free":      {"SEAT", "free a seat whose holder's sockets are gone", free},
 		"drain":     {"MEMBER", "ask a member to drain and end", drain},
-		"decisions": {"NODE [LANE]", "a node's latest decisions", decisions},
+		"decisions": {"MEMBER [LANE]", "a member's latest decisions", decisions},
 	}
 }
 
@@ -673,7 +673,7 @@
 
 func decisions(s *shell, w []string) (int, error) {
 	if len(w) == 0 {
-		return wrong, merry.Errorf("name a node")
+		return wrong, merry.Errorf("name a member")
 	}
 	addr, err := s.find(w[0])
 	if err != nil {
--- a/control/http.go
+++ b/control/http.go
@@ -61,6 +61,7 @@
 		duty.JSON(w, 202, map[string]any{"draining": true})
 	})
 	mux.HandleFunc("POST /events", n.events)
+	mux.Handle("GET /decisions", n.Stream)
 	mux.HandleFunc("GET /metrics", n.metrics)
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { duty.JSON(w, 200, map[string]any{"live": true}) })
 	mux.HandleFunc("GET /ready", n.ready)
--- a/control/node.go
+++ b/control/node.go
@@ -31,6 +31,7 @@
 
 type Node struct {
 	duty.Loop
+	*duty.Stream
 	State *State
 	Hub   *wire.Hub
 	Log   log.Logger
@@ -51,7 +52,7 @@
 }
 
 func NewNode(b Boot, d Disks, l log.Logger) (*Node, error) {
-	n := &Node{Log: l, asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1)}
+	n := &Node{Log: l, Stream: duty.NewStream(16384, b.Incarnation), asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1)}
 	var got *agreement.Recovered
 	if d.Path != "" {
 		dir, err := ringfile.OpenDir(d.Path)
@@ -171,6 +172,8 @@
 			n.tell(e.Token, e)
 		case Changed:
 			n.tell(e.Token, e.Reply)
+		case duty.Decision:
+			n.Add(e, now)
 		case Note:
 			level.Info(n.Log).Log("part", "control", "msg", e.Text)
 		case Exit:
--- a/control/state.go
+++ b/control/state.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"fmt"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -10,6 +12,7 @@
 	"sloeturn/agreement"
 	"sloeturn/cell"
 	"sloeturn/desired"
+	"sloeturn/duty"
 	"sloeturn/ident"
 	"sloeturn/ledger"
 	"sloeturn/member"
@@ -331,6 +334,7 @@
 			continue
 		}
 		if q.set.Basis != uint64(s.Book.Generation) {
+			s.decide(duty.Decision{Decision: "refused change", Note: "another change came first: " + q.set.ChangeId})
 			s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation)})
 			continue
 		}
@@ -346,6 +350,7 @@
 			_, faults = desired.Check(tree)
 		}
 		if len(faults) > 0 {
+			s.decide(duty.Decision{Decision: "refused change", Note: fmt.Sprintf("%s: %d faults, first %s %s", q.set.ChangeId, len(faults), faults[0].Path, faults[0].Text)})
 			r := &wire.ProposeReply{Code: uint32(ledger.Invalid), Generation: uint64(s.Book.Generation)}
 			for _, f := range faults {
 				r.Faults = append(r.Faults, &wire.Fault{Path: f.Path, Text: f.Text})
@@ -371,6 +376,7 @@
 
 func (s *State) applied(e *wire.Entry, now ident.Moment) {
 	r := s.Book.Apply(e)
+	s.logged(e, r)
 	a, ok := s.waits[e.Index]
 	delete(s.waits, e.Index)
 	delete(s.asked, a)
@@ -446,6 +452,7 @@
 		return
 	}
 	s.role = s.Agree.Role()
+	s.decide(duty.Decision{Decision: "role", To: s.role.String(), Note: fmt.Sprintf("term %d", s.Agree.Term())})
 	s.out = append(s.out, Note{"Now " + s.role.String() + "."})
 	s.waits, s.asked = map[uint64]asker{}, map[asker]bool{}
 	s.forces, s.queue, s.setIndex = nil, nil, 0
@@ -527,6 +534,7 @@
 	c := ident.Cell(a.Cell)
 	if h := s.active(c, now); h != nil {
 		h.sound.Hear(a, now)
+		s.moved(h)
 		s.copyCell(c, h, now)
 		s.announced(p, 200, "")
 		return
@@ -735,9 +743,46 @@
 		}
 		r.Wants = append(r.Wants, &wire.Wants{Service: v, ByNode: by[v]})
 	}
+	if r.Sum() != h.sound.Roll.Sum() {
+		s.decide(duty.Decision{Decision: "dealt", Cell: string(h.sound.Cell), Note: strings.Join(nodes, " ") + " " + r.Text()})
+	}
 	h.sound.Roll = r
 }
 
+func (s *State) decide(d duty.Decision) {
+	d.Generation = uint64(max(s.Book.Generation, s.Relay.DocGen))
+	s.out = append(s.out, d)
+}
+
+func (s *State) moved(h *hold) {
+	for _, m := range h.sound.Moves() {
+		s.decide(duty.Decision{Decision: "soundness", Cell: string(h.sound.Cell), Backend: string(m.Addr), Service: string(m.Service), From: m.From, To: m.To})
+	}
+}
+
+func (s *State) logged(e *wire.Entry, r ledger.Result) {
+	d := duty.Decision{Index: e.Index, Note: r.Code.String()}
+	seat := int(r.Seat)
+	switch c := e.Change.GetBody().(type) {
+	case *wire.Change_SetDesired:
+		d.Decision, d.Note = "desired", d.Note+" "+c.SetDesired.ChangeId
+	case *wire.Change_Mark:
+		d.Decision, d.Note = "mark", fmt.Sprintf("in force %d, grown %d", s.Book.InForce, s.Book.Grown)
+	case *wire.Change_SeatTake:
+		d.Decision, d.Member, d.Seat = "seat taken", c.SeatTake.Member, &seat
+	case *wire.Change_SeatFree:
+		seat = int(c.SeatFree.Seat)
+		d.Decision, d.Member, d.Seat = "seat freed", c.SeatFree.Member, &seat
+	case *wire.Change_CellHold:
+		d.Decision, d.Member, d.Cell = "holder", c.CellHold.Holder, c.CellHold.Cell
+	case *wire.Change_Roster:
+		d.Decision, d.Note = "roster", fmt.Sprintf("%d voters of %d", len(agreement.Voters(c.Roster)), len(c.Roster.Voters))
+	default:
+		return
+	}
+	s.decide(d)
+}
+
 func near(a, b []uint32) bool {
 	for i := range a {
 		if d := max(a[i], b[i]) - min(a[i], b[i]); d > 3 && 4*d > a[i] {
@@ -777,6 +822,7 @@
 			continue
 		}
 		h.sound.Tick(now)
+		s.moved(h)
 		s.enroll(h, now)
 		s.copyCell(c, h, now)
 	}
--- a/data/http.go
+++ b/data/http.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -297,7 +296,7 @@
 
 func (n *Node) Operators() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /decisions", n.decisions)
+	mux.Handle("GET /decisions", n.Stream)
 	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, r *http.Request) { n.ask(w, n.fleet) })
 	mux.HandleFunc("GET /pools", func(w http.ResponseWriter, r *http.Request) { n.ask(w, n.pools) })
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
@@ -337,46 +336,6 @@
 	duty.Wrong(w, 503, "busy", nil)
 }
 
-func (n *Node) decisions(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	from, err := strconv.ParseUint(q.Get("from"), 10, 64)
-	if q.Get("from") != "" && err != nil {
-		duty.Wrong(w, 400, "from must be a position", nil)
-		return
-	}
-	want := func(d Decision) bool {
-		return (q.Get("lane") == "" || q.Get("lane") == d.Lane) && (q.Get("visit") == "" || q.Get("visit") == d.Visit)
-	}
-	w.Header().Set("Content-Type", "application/x-ndjson")
-	enc := json.NewEncoder(w)
-	put := func(list []Decision, lost uint64) error {
-		if lost > 0 {
-			enc.Encode(map[string]any{"lost": lost})
-		}
-		for _, d := range list {
-			if want(d) {
-				if err := enc.Encode(d); err != nil {
-					return err
-				}
-			}
-		}
-		return http.NewResponseController(w).Flush()
-	}
-	if q.Get("follow") == "" {
-		for {
-			list, next, lost, _ := n.Read(from, 1024)
-			if len(list) == 0 && lost == 0 {
-				return
-			}
-			if put(list, lost) != nil {
-				return
-			}
-			from = next
-		}
-	}
-	n.Follow(r.Context(), from, put)
-}
-
 func (n *Node) fleet(s *State, now ident.Moment) any {
 	type cellLine struct {
 		Cell     string   `json:"cell"`
--- a/data/node.go
+++ b/data/node.go
@@ -68,7 +68,7 @@
 
 type Node struct {
 	duty.Loop
-	*Stream
+	*duty.Stream
 	State *State
 	Hub   *wire.Hub
 	Log   log.Logger
@@ -88,7 +88,7 @@
 }
 
 func NewNode(b Boot, l log.Logger) *Node {
-	n := &Node{Log: l, Stream: NewStream(65536), idle: map[pass.Key][]*conn{}, calls: map[ident.Visit]*call{}, guards: map[ident.Addr]*sentry{}, silent: map[ident.Addr]bool{}, asks: map[uint64]chan Announced{}, ended: make(chan struct{})}
+	n := &Node{Log: l, Stream: duty.NewStream(65536, b.Incarnation), idle: map[pass.Key][]*conn{}, calls: map[ident.Visit]*call{}, guards: map[ident.Addr]*sentry{}, silent: map[ident.Addr]bool{}, asks: map[uint64]chan Announced{}, ended: make(chan struct{})}
 	n.State = New(b, ident.Now())
 	n.Hub = &wire.Hub{Name: string(b.Member), Addr: string(b.Addr), Build: b.Build, Incarnation: uint64(b.Incarnation), Log: l, Take: func(f *wire.Frame) { n.Offer(Got{f}) }}
 	n.Step = n.State.Step
@@ -136,7 +136,7 @@
 		case forward.Deliver:
 			n.deliver(e.Visit)
 		case forward.Trace:
-			n.Push(n.State.adopted, e, now)
+			n.Add(duty.Decision{Generation: uint64(n.State.adopted), Decision: "visit", Visit: string(e.Visit), Lane: string(e.Lane), From: e.From.String(), To: e.To.String(), Backend: string(e.Addr), Note: e.Note}, now)
 		case pass.Close:
 			go n.closeIdle(e.Key, e.Count)
 		case Shed:
@@ -152,6 +152,8 @@
 		case Adopt:
 			n.view.Store(&view{e.Generation, e.Desired})
 			level.Info(n.Log).Log("part", "desired", "msg", "Adopted a generation.", "generation", e.Generation)
+		case duty.Decision:
+			n.Add(e, now)
 		case Note:
 			level.Info(n.Log).Log("part", "node", "msg", e.Text)
 		case Exit:
--- a/data/state.go
+++ b/data/state.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
 	"sloeturn/cell"
 	"sloeturn/desired"
+	"sloeturn/duty"
 	"sloeturn/forward"
 	"sloeturn/ident"
 	"sloeturn/ledger"
@@ -170,6 +172,7 @@
 	wants     []*wire.Want
 	wantAt    ident.Moment
 	turn      uint64
+	floor     map[ledger.Lot]int
 	warm      bool
 	warmAt    ident.Moment
 	draining  bool
@@ -346,7 +349,9 @@
 		s.Gone(e.Visit, now)
 	case GuardMade:
 		if g := s.guards[e.Addr]; g != nil && g.life == e.Life && !g.ended {
-			g.made, g.up = now, e.Named
+			if g.made, g.up = now, e.Named; g.up {
+				s.decide(duty.Decision{Decision: "proven", Backend: string(e.Addr), Note: "its answer named the service"})
+			}
 			s.rev = 0
 			s.refresh(now)
 		}
@@ -530,6 +535,25 @@
 	return b.String()
 }
 
+func (s *State) decide(d duty.Decision) {
+	d.Generation = uint64(s.Relay.DocGen)
+	s.out = append(s.out, d)
+}
+
+func (s *State) fences(floors map[ledger.Lot]int) {
+	for k, n := range floors {
+		if s.floor[k] != n {
+			s.decide(duty.Decision{Decision: "fence", Lane: string(k.Lane), Service: string(k.Service), From: strconv.Itoa(s.floor[k]), To: strconv.Itoa(n)})
+		}
+	}
+	for k, n := range s.floor {
+		if _, ok := floors[k]; !ok {
+			s.decide(duty.Decision{Decision: "fence", Lane: string(k.Lane), Service: string(k.Service), From: strconv.Itoa(n), To: "0"})
+		}
+	}
+	s.floor = floors
+}
+
 func (s *State) prove(now ident.Moment) {
 	for a, g := range s.guards {
 		if g.up || g.ended || g.made == 0 {
@@ -550,6 +574,7 @@
 			if b.Pulse >= g.need {
 				g.up = true
 				s.rev = 0
+				s.decide(duty.Decision{Decision: "proven", Backend: string(a), Service: b.Service, Cell: string(c), Note: "a beat sent after the guard"})
 			}
 		}
 	}
@@ -568,7 +593,9 @@
 	s.rev, s.fresh = rev, fresh
 	s.takeSeatLine()
 	if d := s.Relay.Desired; d != nil {
-		s.Rules(d, s.floors(), s.Seat(), int(s.Relay.Core.SeatCount), now)
+		floors := s.floors()
+		s.fences(floors)
+		s.Rules(d, floors, s.Seat(), int(s.Relay.Core.SeatCount), now)
 		if s.adopted != s.Relay.DocGen {
 			s.adopted = s.Relay.DocGen
 			s.out = append(s.out, Adopt{s.adopted, d})
@@ -731,6 +758,7 @@
 	if !g.ended {
 		s.bar(e.Addr, false)
 		s.Pass.Bar(e.Addr)
+		s.decide(duty.Decision{Decision: "unsound", Backend: string(e.Addr), Note: e.Why})
 		s.out = append(s.out, Note{"Backend " + string(e.Addr) + " is unsound: " + e.Why + "."})
 	}
 	s.rev = 0
