Disk holders swapped until no founder is left: members and newcomers find the rest

Cause: members tried only their seeds to find those they had lost, and a blank disk holder asked only the founders; once these machines were gone a fleet whose control processes all restarted did not find itself, and no new disk holder could join. Now silent members' addresses and the voters in the log are tried as well, and a blank holder asks every control process it knows of.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -132,6 +133,7 @@
 	foundAt ident.Moment
 	found   map[string]*wire.Founding
 	Image   func() []byte
+	Doors   func() []string
 }
 
 func New(self Self, founders []ident.Addr, got *Recovered, seed int64, now ident.Moment) *State {
@@ -553,15 +555,31 @@
 	s.campaign(now, false, true)
 }
 
+func (s *State) ask() []string {
+	var out []string
+	add := func(a string) {
+		if a != string(s.Self.Addr) && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	for _, a := range s.Founders {
+		add(string(a))
+	}
+	if s.Doors != nil {
+		for _, a := range s.Doors() {
+			add(a)
+		}
+	}
+	return out
+}
+
 func (s *State) Tick(now ident.Moment) {
 	switch s.role {
 	case Blank:
 		if now.Sub(s.foundAt) >= FoundEvery {
 			s.foundAt = now
-			for _, a := range s.Founders {
-				if a != s.Self.Addr {
-					s.send(string(a), &wire.Frame{Body: &wire.Frame_Founding{Founding: s.mine(false)}})
-				}
+			for _, a := range s.ask() {
+				s.send(a, &wire.Frame{Body: &wire.Frame_Founding{Founding: s.mine(false)}})
 			}
 			if len(s.Founders) == 1 && s.Founders[0] == s.Self.Addr {
 				s.Founding(&wire.Founding{Answer: true}, now)
--- a/control/state.go
+++ b/control/state.go
@@ -161,6 +161,14 @@
 	s.Mail = relay.NewCourier(uint64(b.Incarnation))
 	if b.Voter != "" {
 		s.Agree = agreement.New(agreement.Self{Voter: b.Voter, Member: b.Member, Addr: b.Addr}, b.Founders, got, b.Seed, now)
+		s.Agree.Doors = s.heads
+		s.Members.More = func() []string {
+			var out []string
+			for _, v := range s.Agree.Roster().GetVoters() {
+				out = append(out, v.Addr)
+			}
+			return out
+		}
 		s.Agree.Image = func() []byte { return s.Book.Image() }
 		if got != nil && got.Snap != nil {
 			if err := s.load(got.Snap); err != nil {
--- a/member/state.go
+++ b/member/state.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -31,6 +32,7 @@
 type State struct {
 	Self  *wire.Card
 	Seeds []ident.Addr
+	More  func() []string
 
 	cards map[ident.Member]*wire.Card
 	heard map[ident.Member]ident.Moment
@@ -227,6 +229,29 @@
 	return &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{Card: s.Self, Digests: sums[:]}}}
 }
 
+func (s *State) doors() []string {
+	var out []string
+	add := func(a string) {
+		if a != s.Self.Addr && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	for _, a := range s.Seeds {
+		add(string(a))
+	}
+	if s.More != nil {
+		for _, a := range s.More() {
+			add(a)
+		}
+	}
+	for _, c := range s.Cards() {
+		if c.State == Silent {
+			add(c.Addr)
+		}
+	}
+	return out
+}
+
 func (s *State) Tick(now ident.Moment) {
 	if now.Sub(s.beat) < BeatEvery {
 		return
@@ -240,14 +265,13 @@
 	}
 	if len(s.Ring()) < 2 || now.Sub(s.seed) >= SeedEvery {
 		s.seed = now
-		for range s.Seeds {
-			a := s.Seeds[s.next%len(s.Seeds)]
+		list := s.doors()
+		for range list {
+			a := list[s.next%len(list)]
 			s.next++
-			if string(a) != s.Self.Addr {
-				s.send(string(a), s.heartbeat())
-				if len(s.Ring()) > 1 {
-					break
-				}
+			s.send(a, s.heartbeat())
+			if len(s.Ring()) > 1 {
+				break
 			}
 		}
 	}
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -102,7 +102,15 @@
 	w.at(9*time.Second, lost)
 }
 
-func (w *World) someControl() *Proc { return w.Procs[w.Rand.Intn(w.Controls)] }
+func (w *World) someControl() *Proc {
+	var list []*Proc
+	for _, p := range w.Procs {
+		if p.disk != nil && !p.gone {
+			list = append(list, p)
+		}
+	}
+	return list[w.Rand.Intn(len(list))]
+}
 
 func (w *World) Set(basis uint64, doc, id string, done func(code ledger.Code, gen uint64)) {
 	c := &wire.SetDesired{Basis: basis, ChangeId: id, Doc: []byte(doc), Author: id}
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -85,7 +85,7 @@
 	w.mended = true
 	w.Heal()
 	for _, p := range w.Procs {
-		if !p.up {
+		if !p.up && !p.gone {
 			w.Start(p)
 		}
 		if p.frozen {
--- a/simulate/scene.go
+++ b/simulate/scene.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"sloeturn/agreement"
 	"sloeturn/cell"
 	"sloeturn/ident"
 	"sloeturn/ledger"
@@ -123,6 +124,56 @@
 			w.Break("a planned hand-over left a gap", "a node had no fresh news of a cell for %v", r.Blind)
 		}
 	}},
+	{Name: "swap", Text: "disk holders are swapped one after another until no founder is left, then all are killed", config: func(c *Config) { c.Spares = 4 }, play: func(w *World, r *Result, gen *uint64) {
+		all := w.Procs[len(w.Procs)-w.Spares:]
+		for i := 0; i < w.Controls; i++ {
+			all[i].gone = false
+			w.Start(all[i])
+			old := w.Control(i)
+			w.Run(2 * time.Second)
+			w.Kill(old)
+			old.gone = true
+			for k := 0; k < 200 && !w.seated3(old); k++ {
+				w.Run(100 * ms)
+			}
+			if !w.seated3(old) {
+				w.Break("a swapped disk holder was not replaced", "%s", old.Name)
+			}
+			w.catchUp(gen)
+			w.Set(*gen, w.Doc0(w.Nodes, i%2, 2, Cap), fmt.Sprint("swap-", i), func(ledger.Code, uint64) { w.catchUp(gen) })
+			w.Run(3 * time.Second)
+		}
+		for _, p := range all {
+			w.Kill(p)
+		}
+		for _, p := range all {
+			w.Start(p)
+		}
+		w.Run(2 * time.Second)
+	}},
+	{Name: "slow-disks", Text: "each sync takes 20 to 100 ms, and now and then a disk stalls for seconds", config: func(c *Config) {}, play: func(w *World, r *Result, gen *uint64) {
+		for i := 0; i < w.Controls; i++ {
+			w.Control(i).disk.delay = 60 * ms
+		}
+		from := w.since()
+		for i := 0; i < 5; i++ {
+			p := w.Control(w.Rand.Intn(w.Controls))
+			p.disk.stuck = true
+			w.at(300*ms, func() { p.step(diskEvent(true)) })
+			w.at(time.Duration(1+w.Rand.Intn(3))*time.Second, func() {
+				p.disk.stuck = false
+				p.step(diskEvent(false))
+				p.writeDisk()
+			})
+			w.catchUp(gen)
+			w.Set(*gen, w.Doc0(w.Nodes, i%2, 2, Cap), fmt.Sprint("slow-", i), func(ledger.Code, uint64) { w.catchUp(gen) })
+			w.Run(5 * time.Second)
+		}
+		r.Share = min(w.served(serviceName(0)+"-once", from, w.since()-2*time.Second).of(), w.served(serviceName(1)+"-once", from, w.since()-2*time.Second).of())
+		if r.Share < 0.75 {
+			w.Break("claims are not served on slow disks", "share %.3f", r.Share)
+		}
+	}},
 	{Name: "peak", Text: "pools full at hanging backends while caps move between lanes, nodes freeze and seats change hands", config: func(c *Config) {
 		c.Slots, c.Rate, c.Backends, c.Nodes = 128, 400, 4, 8
 	}, play: func(w *World, r *Result, gen *uint64) {
@@ -220,6 +271,21 @@
 	return nil
 }
 
+func (w *World) seated3(old *Proc) bool {
+	l := w.Leader()
+	if l == nil {
+		return false
+	}
+	n := 0
+	for _, v := range agreement.Voters(l.control.Agree.Roster()) {
+		if v.Addr == old.Addr {
+			return false
+		}
+		n++
+	}
+	return n >= 3
+}
+
 func (w *World) blind(r *Result) (stop func()) {
 	from := map[string]ident.Moment{}
 	on := true
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -73,6 +73,7 @@
 	Nodes    int
 	Cells    int
 	Backends int
+	Spares   int
 	Services int
 	Slots    int
 	Rate     float64
@@ -104,6 +105,8 @@
 	life    uint64
 	up      bool
 	frozen  bool
+	gone    bool
+	seeds   []ident.Addr
 	skew    time.Duration
 	held    []func()
 	disk    *disk
@@ -189,7 +192,13 @@
 	for i := 0; i < c.Backends; i++ {
 		w.addBackend(i)
 	}
+	for i := 0; i < c.Spares; i++ {
+		w.add(&Proc{Name: fmt.Sprintf("spare-%d", i), Addr: fmt.Sprintf("10.0.3.%d:7000", i+1), Cell: w.cellName(i), disk: w.blank(), gone: true})
+	}
 	for _, p := range w.Procs {
+		if p.gone {
+			continue
+		}
 		w.at(time.Duration(w.Rand.Intn(300))*ms, func() { w.Start(p) })
 	}
 	return w
@@ -207,7 +216,7 @@
 	w.byAddr[p.Addr] = p
 }
 
-func (w *World) seeds() []ident.Addr {
+func (w *World) founders() []ident.Addr {
 	var out []ident.Addr
 	for i := 0; i < 3 && i < w.Controls; i++ {
 		out = append(out, ident.Addr(w.Procs[i].Addr))
@@ -215,18 +224,31 @@
 	return out
 }
 
+func (w *World) seeds() []ident.Addr {
+	var out []ident.Addr
+	for _, p := range w.Procs {
+		if p.disk != nil && !p.gone && len(out) < 3 {
+			out = append(out, ident.Addr(p.Addr))
+		}
+	}
+	return out
+}
+
 func (w *World) Start(p *Proc) {
 	if p.up {
 		return
 	}
 	p.up, p.frozen, p.held = true, false, nil
 	p.life++
+	if p.seeds == nil {
+		p.seeds = w.seeds()
+	}
 	inc := ident.Incarnation(w.Rand.Uint64())
 	p.skew = time.Duration(w.Rand.Int63n(int64(1000 * time.Hour)))
 	w.lives[uint64(inc)] = len(w.lives)
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
-		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: w.seeds(), Founders: w.seeds(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63()}
+		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63()}
 		s, err := control.New(b, p.disk.recover(), p.clock())
 		if err != nil {
 			w.Break("disk unreadable", "%s: %v", p.Name, err)
@@ -234,7 +256,7 @@
 		}
 		p.control = s
 	} else {
-		p.node = newNode(p, data.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: w.seeds(), Build: "sim"})
+		p.node = newNode(p, data.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Build: "sim"})
 	}
 	life := p.life
 	var tick func()
