--- a/boot/boot.go
+++ b/boot/boot.go
@@ -18,7 +18,7 @@
 	"sloeturn/ident"
 )
 
-const Build = "0.1.0"
+var Build = "0.2.0"
 
 var ErrBoot = merry.Sentinel("boot: settings are not sound")
 
--- a/cmd/fleetrun/fleet.go
+++ b/cmd/fleetrun/fleet.go
@@ -25,9 +25,11 @@
 	ops  string
 	logs string
 	disk string
-	cmd  *exec.Cmd
-	dead chan struct{}
-	lock sync.Mutex
+
+	address string
+	cmd     *exec.Cmd
+	dead    chan struct{}
+	lock    sync.Mutex
 }
 
 func (p *proc) start() error {
@@ -87,19 +89,27 @@
 	plat     *platform
 	req      *requesters
 	gen      uint64
+	dir      string
+	bin      string
+	next     string
+
+	newControl func(i int, seeds []string) *proc
 }
 
 func newFleet(p *plan, bin, dir string, skew float64, led *ledger) *fleet {
-	f := &fleet{plan: p, led: led}
+	f := &fleet{plan: p, led: led, dir: dir, bin: bin}
 	var seeds, founders []string
 	for i := 0; i < 3; i++ {
 		seeds = append(seeds, p.controlAddr(i, 7000))
 	}
 	founders = seeds
-	for i := 0; i < p.control; i++ {
+	f.newControl = func(i int, seeds []string) *proc {
 		name := fmt.Sprintf("%s-control-%d", p.name, i)
-		f.control = append(f.control, &proc{name: name, bin: filepath.Join(bin, "controlplane"), http: p.controlAddr(i, 8000), ops: p.controlAddr(i, 9000), logs: filepath.Join(dir, name+".log"), disk: filepath.Join(dir, name),
-			args: append([]string{"--name", name, "--cell", p.cell(i), "--address", p.controlAddr(i, 7000), "--http", p.controlAddr(i, 8000), "--operators", p.controlAddr(i, 9000), "--data", filepath.Join(dir, name), "--ring-file-mb", "2", "--seeds"}, append(append([]string{}, seeds...), append([]string{"--founders"}, founders...)...)...)})
+		return &proc{name: name, bin: filepath.Join(bin, "controlplane"), http: p.controlAddr(i, 8000), ops: p.controlAddr(i, 9000), logs: filepath.Join(dir, name+".log"), disk: filepath.Join(dir, name), address: p.controlAddr(i, 7000),
+			args: append([]string{"--name", name, "--cell", p.cell(i), "--address", p.controlAddr(i, 7000), "--http", p.controlAddr(i, 8000), "--operators", p.controlAddr(i, 9000), "--data", filepath.Join(dir, name), "--ring-file-mb", "2", "--seeds"}, append(append([]string{}, seeds...), append([]string{"--founders"}, founders...)...)...)}
+	}
+	for i := 0; i < p.control; i++ {
+		f.control = append(f.control, f.newControl(i, seeds))
 	}
 	for i := 0; i < p.data; i++ {
 		name := fmt.Sprintf("%s-data-%d", p.name, i)
--- a/cmd/fleetrun/main.go
+++ b/cmd/fleetrun/main.go
@@ -20,6 +20,7 @@
 	Bin        string  `arg:"--bin" default:"bin" help:"folder of the built programs"`
 	Dir        string  `arg:"--dir" help:"folder for logs and disks; a fresh one if left out"`
 	Scale      float64 `arg:"--scale" default:"1" help:"visits a second, as a multiple of the deployment's"`
+	Next       string  `arg:"--next" help:"folder of another build, for the faults upgrade and roll-back"`
 	Skew       float64 `arg:"--skew" default:"1.7" help:"how uneven the load of kept connections is; 1 is even"`
 	Faults     string  `arg:"--faults" help:"faults to cause one after another, by comma; 'list' names them"`
 	Gap        int     `arg:"--gap" default:"10" help:"seconds between faults"`
@@ -95,7 +96,7 @@
 func drive(p *plan, a args, dir string, faults []string) int {
 	led := &ledger{runs: map[string]int{}, visits: map[string]time.Time{}, broken: &broken{}}
 	f := newFleet(p, a.Bin, dir, a.Skew, led)
-	f.req.scale = a.Scale
+	f.req.scale, f.next = a.Scale, a.Next
 	start := time.Now()
 	if err := f.start(); err != nil {
 		fmt.Println(p.name, "cannot start:", err)
--- a/cmd/fleetrun/plan.go
+++ b/cmd/fleetrun/plan.go
@@ -31,7 +31,6 @@
 	services []servicePlan
 	lanes    []lanePlan
 	desired  string
-	slowDisk bool
 }
 
 const expiry = 3 * time.Second
--- a/wire/link.go
+++ b/wire/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -17,8 +18,6 @@
 )
 
 const (
-	VersionLeast = 1
-	VersionMost  = 1
 	frameLimit   = 64 << 20
 	ringSize     = 512
 	connectWait  = 300 * time.Millisecond
@@ -26,6 +25,8 @@
 	redialPause  = 100 * time.Millisecond
 )
 
+var Speaks = "2-2"
+
 var (
 	ErrFrame   = merry.Sentinel("wire: frame unreadable")
 	ErrVersion = merry.Sentinel("wire: versions do not overlap")
@@ -139,20 +140,28 @@
 	}
 }
 
+func spoken() (least, most uint32) {
+	if _, err := fmt.Sscanf(Speaks, "%d-%d", &least, &most); err != nil || least == 0 || least > most {
+		panic("wire: built with versions " + Speaks)
+	}
+	return least, most
+}
+
 func (h *Hub) greet() *Frame {
-	return &Frame{Body: &Frame_Hello{Hello: &Hello{Least: VersionLeast, Most: VersionMost, Build: h.Build}}}
+	least, most := spoken()
+	return &Frame{Body: &Frame_Hello{Hello: &Hello{Least: least, Most: most, Build: h.Build}}}
 }
 
 func agree(f *Frame) error {
 	g := f.GetHello()
-	if g.Least > VersionMost || g.Most < VersionLeast {
-		return merry.Wrap(ErrVersion, merry.AppendMessagef("theirs %d to %d (%s), ours %d to %d", g.Least, g.Most, g.Build, VersionLeast, VersionMost))
+	if least, most := spoken(); g.Least > most || g.Most < least {
+		return merry.Wrap(ErrVersion, merry.AppendMessagef("theirs %d to %d (%s), ours %d to %d", g.Least, g.Most, g.Build, least, most))
 	}
 	return nil
 }
 
 func (h *Hub) stamp(f *Frame) *Frame {
-	f.From, f.Addr, f.Incarnation, f.Version = h.Name, h.Addr, h.Incarnation, VersionMost
+	f.From, f.Addr, f.Incarnation = h.Name, h.Addr, h.Incarnation
 	return f
 }
 
