A desired state tried by some nodes first, withdrawn or made the fleet's

PUT /desired?only=node-1,node-2 logs a trial beside the generation in force: it is checked whole, decided under by the nodes named and by no other, named in Sloeturn-Trial on their answers, kept over a change of leader, ended by DELETE /desired/trial or by the next change. A trying node uses the lesser of both fences, so the peak stands on the generation in force alone; what a trial adds or grows shows only when it is everybody's. fleetshell: try, withdraw, promote. As a new user: apply beside the starting daemons failed without its cause; the shell now reads on for 8 s and prints causes; a trial beside no desired state is refused.

--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -26,6 +26,8 @@
 	ErrAsk   = merry.Sentinel("the query failed")
 )
 
+const leaderWait = 8 * time.Second
+
 const (
 	good    = 0
 	failed  = 1
@@ -70,6 +72,9 @@
 		"diff":      {"FILE", "what FILE would change", diff},
 		"apply":     {"FILE", "make FILE the desired state", change("PUT")},
 		"merge":     {"FILE", "merge FILE into the desired state", change("PATCH")},
+		"try":       {"FILE MEMBER...", "let some nodes try FILE; the rest stay as they are", try},
+		"withdraw":  {"", "end the trial", withdraw},
+		"promote":   {"", "make what is tried the desired state of all", promote},
 		"rollback":  {"GENERATION", "make an earlier generation the desired state again", rollback},
 		"free":      {"SEAT", "free a seat whose holder's sockets are gone", free},
 		"drain":     {"MEMBER", "ask a member to drain and end", drain},
@@ -85,7 +90,11 @@
 	}
 	code, err := q.do(s, w[1:])
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "fleetshell:", err.Error())
+		text := err.Error()
+		if c := merry.Cause(err); c != nil {
+			text += ": " + c.Error()
+		}
+		fmt.Fprintln(os.Stderr, "fleetshell:", text)
 		if code == good {
 			code = failed
 		}
@@ -361,7 +370,12 @@
 		path += "/" + gen
 	}
 	last := error(ErrDoors)
-	for _, d := range s.doors {
+	end := time.Now().Add(leaderWait)
+	for i := 0; time.Now().Before(end); i++ {
+		if i > 0 && i%len(s.doors) == 0 {
+			time.Sleep(200 * time.Millisecond)
+		}
+		d := s.doors[i%len(s.doors)]
 		resp, err := web.Get("http://" + d + path)
 		if err != nil {
 			last = merry.Wrap(ErrAsk, merry.WithCause(err))
@@ -373,6 +387,9 @@
 			return b, strings.Trim(resp.Header.Get("ETag"), `"`), nil
 		}
 		last = merry.Wrap(ErrAsk, merry.AppendMessagef("%s answered %d", d, resp.StatusCode))
+		if resp.StatusCode != 503 {
+			break
+		}
 	}
 	return nil, "", last
 }
@@ -538,12 +555,12 @@
 	return good, nil
 }
 
-func (s *shell) put(method string, b []byte, gen string) (int, error) {
+func (s *shell) put(method, path string, b []byte, gen string) (int, error) {
 	id := fmt.Sprintf("shell-%d-%d", os.Getpid(), time.Now().UnixNano())
 	last := error(ErrDoors)
 	for i := 0; i < 3*len(s.doors); i++ {
 		d := s.doors[i%len(s.doors)]
-		req, err := http.NewRequest(method, "http://"+d+"/desired", bytes.NewReader(b))
+		req, err := http.NewRequest(method, "http://"+d+path, bytes.NewReader(b))
 		if err != nil {
 			return wrong, err
 		}
@@ -559,6 +576,7 @@
 		}
 		var v struct {
 			Generation uint64
+			Trial      string
 			Error      string
 			Faults     []desired.Fault
 		}
@@ -566,6 +584,10 @@
 		resp.Body.Close()
 		switch resp.StatusCode {
 		case 200:
+			if v.Trial != "" {
+				s.note("trial %s; generation %d stays in force", v.Trial, v.Generation)
+				return good, nil
+			}
 			s.note("generation %d is in force, after %v", v.Generation, time.Since(start).Round(time.Millisecond))
 			return good, nil
 		case 412:
@@ -590,8 +612,51 @@
 		if err != nil {
 			return failed, err
 		}
-		return s.put(method, b, gen)
+		return s.put(method, "/desired", b, gen)
+	}
+}
+
+func try(s *shell, w []string) (int, error) {
+	if len(w) < 2 {
+		return wrong, merry.Errorf("name a file and the members that try it")
+	}
+	b, err := read(w[:1])
+	if err != nil {
+		return wrong, err
+	}
+	_, gen, err := s.state("")
+	if err != nil {
+		return failed, err
+	}
+	return s.put("PUT", "/desired?only="+strings.Join(w[1:], ","), b, gen)
+}
+
+func withdraw(s *shell, w []string) (int, error) {
+	_, gen, err := s.state("")
+	if err != nil {
+		return failed, err
+	}
+	return s.put("DELETE", "/desired/trial", nil, gen)
+}
+
+func promote(s *shell, w []string) (int, error) {
+	v, _, err := s.head()
+	if err != nil {
+		return failed, err
+	}
+	t, ok := v["trial"].(map[string]any)
+	if !ok {
+		return failed, merry.Errorf("no trial is on")
+	}
+	b, err := json.Marshal(t["desired"])
+	if err != nil {
+		return failed, merry.Wrap(ErrAsk, merry.WithCause(err))
+	}
+	_, gen, err := s.state("")
+	if err != nil {
+		return failed, err
 	}
+	return s.put("PUT", "/desired", b, gen)
 }
 
 func rollback(s *shell, w []string) (int, error) {
@@ -607,7 +672,7 @@
 	if err != nil {
 		return failed, err
 	}
-	return s.put("PUT", b, gen)
+	return s.put("PUT", "/desired", b, gen)
 }
 
 func (s *shell) post(addr, path string, v any) (int, error) {
--- a/control/http.go
+++ b/control/http.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -50,6 +51,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /desired", func(w http.ResponseWriter, r *http.Request) { n.set(w, r, false) })
 	mux.HandleFunc("PATCH /desired", func(w http.ResponseWriter, r *http.Request) { n.set(w, r, true) })
+	mux.HandleFunc("DELETE /desired/trial", func(w http.ResponseWriter, r *http.Request) { n.set(w, r, false) })
 	mux.HandleFunc("GET /desired", n.get)
 	mux.HandleFunc("GET /desired/history", func(w http.ResponseWriter, r *http.Request) { n.ask(w, history) })
 	mux.HandleFunc("GET /desired/{generation}", n.get)
@@ -100,11 +102,24 @@
 	}
 	done, stop := context.WithTimeout(r.Context(), DesiredWait)
 	defer stop()
-	c := &wire.SetDesired{Basis: basis, ChangeId: id, Doc: body, Merge: merge, Author: r.Header.Get("Sloeturn-Author")}
+	c := &wire.SetDesired{Basis: basis, ChangeId: id, Doc: body, Merge: merge, Author: r.Header.Get("Sloeturn-Author"), Withdraw: r.Method == "DELETE"}
+	if only := r.URL.Query().Get("only"); only != "" {
+		c.Only = strings.Split(only, ",")
+	}
+	for i, m := range c.Only {
+		if !desired.NameOK(m) || slices.Contains(c.Only[:i], m) {
+			duty.Wrong(w, 400, "only must name members, each once, by comma", nil)
+			return
+		}
+	}
 	got := n.Change(done, &wire.Change{Body: &wire.Change_SetDesired{SetDesired: c}}, DesiredWait)
 	switch ledger.Code(got.Code) {
 	case ledger.Done:
 		w.Header().Set("ETag", fmt.Sprintf(`"%d"`, got.Generation))
+		if len(c.Only) > 0 || c.Withdraw {
+			duty.JSON(w, 200, map[string]any{"generation": got.Generation, "trial": map[bool]string{true: "withdrawn", false: id}[c.Withdraw]})
+			return
+		}
 		duty.JSON(w, 200, map[string]any{"generation": got.Generation, "inForce": true})
 	case ledger.Stale:
 		w.Header().Set("ETag", fmt.Sprintf(`"%d"`, got.Generation))
@@ -300,6 +315,9 @@
 		"generation": s.Relay.Core.GetGeneration(), "inForce": s.Relay.Core.GetInForce(), "grown": s.Relay.Core.GetGrown(),
 		"coreAgeMs": now.Sub(s.Relay.CoreAsOf).Milliseconds(), "leader": s.Relay.Core.GetLeader(), "term": s.Relay.Core.GetTerm(), "claims": len(s.Book.Claims),
 	}
+	if t := s.Relay.Core.GetTrial(); t != nil {
+		out["trial"] = map[string]any{"changeId": t.ChangeId, "only": t.Only, "desired": json.RawMessage(t.Doc)}
+	}
 	var roster []map[string]any
 	for _, v := range s.Relay.Core.GetRoster().GetVoters() {
 		roster = append(roster, map[string]any{"voter": v.Id, "address": v.Addr, "member": v.Member, "learner": v.Learner})
--- a/control/state.go
+++ b/control/state.go
@@ -342,12 +342,23 @@
 			s.inForce(force{ident.Generation(l.Generation), q.asker})
 			continue
 		}
+		if t := s.Book.Trial; t != nil && t.ChangeId == q.set.ChangeId {
+			s.inForce(force{s.Book.Generation, q.asker})
+			continue
+		}
 		if q.set.Basis != uint64(s.Book.Generation) {
 			s.decide(duty.Decision{Decision: "refused change", Note: "another change came first: " + q.set.ChangeId})
 			s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation)})
 			continue
 		}
-		tree, faults := desired.ReadTree(q.set.Doc)
+		var tree any = map[string]any{}
+		var faults []desired.Fault
+		if !q.set.Withdraw {
+			tree, faults = desired.ReadTree(q.set.Doc)
+		}
+		if len(q.set.Only) > 0 && s.Book.Generation == 0 {
+			faults = append(faults, desired.Fault{Path: "", Text: "no desired state is set that a trial could stand beside"})
+		}
 		if len(faults) == 0 && q.set.Merge {
 			var base any = map[string]any{}
 			if l := s.Book.Line(s.Book.Generation); l != nil {
@@ -355,7 +366,7 @@
 			}
 			tree = desired.Merge(base, tree)
 		}
-		if len(faults) == 0 {
+		if len(faults) == 0 && !q.set.Withdraw {
 			_, faults = desired.Check(tree)
 		}
 		if len(faults) > 0 {
@@ -367,7 +378,7 @@
 			s.reply(q.asker, r)
 			continue
 		}
-		i, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: q.set.Basis, ChangeId: q.set.ChangeId, Doc: desired.Write(tree), Author: q.set.Author}}}, now)
+		i, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: q.set.Basis, ChangeId: q.set.ChangeId, Doc: desired.Write(tree), Author: q.set.Author, Only: q.set.Only, Withdraw: q.set.Withdraw}}}, now)
 		if ok {
 			s.waits[i] = q.asker
 			s.setIndex = i
@@ -475,7 +486,7 @@
 	}
 	c := s.Book.Core()
 	if k := s.Relay.Core; k == nil || k.Version != c.Version || k.Term != uint64(s.Agree.Term()) {
-		n := &wire.Core{Version: c.Version, Generation: c.Generation, InForce: c.InForce, Grown: c.Grown, Seats: c.Seats, Holds: c.Holds, Floors: c.Floors, SeatCount: c.SeatCount, Leader: string(s.Member), LeaderAddr: string(s.Addr), Term: uint64(s.Agree.Term()), Roster: s.Agree.Roster()}
+		n := &wire.Core{Version: c.Version, Generation: c.Generation, InForce: c.InForce, Grown: c.Grown, Seats: c.Seats, Holds: c.Holds, Floors: c.Floors, SeatCount: c.SeatCount, Trial: c.Trial, Leader: string(s.Member), LeaderAddr: string(s.Addr), Term: uint64(s.Agree.Term()), Roster: s.Agree.Roster()}
 		c = n
 	} else {
 		c = k
@@ -778,7 +789,10 @@
 	seat := int(r.Seat)
 	switch c := e.Change.GetBody().(type) {
 	case *wire.Change_SetDesired:
-		d.Decision, d.Note = "desired", d.Note+" "+c.SetDesired.ChangeId
+		if d.Decision = "desired"; len(c.SetDesired.Only) > 0 || c.SetDesired.Withdraw {
+			d.Decision = "trial"
+		}
+		d.Note, d.Member = d.Note+" "+c.SetDesired.ChangeId, strings.Join(c.SetDesired.Only, " ")
 	case *wire.Change_Mark:
 		d.Decision, d.Note = "mark", fmt.Sprintf("in force %d, grown %d", s.Book.InForce, s.Book.Grown)
 	case *wire.Change_SeatTake:
--- a/data/http.go
+++ b/data/http.go
@@ -52,6 +52,9 @@
 }
 
 func (n *Node) part(h http.Header) {
+	if t := n.view.Load().trial; t != "" {
+		h.Set("Sloeturn-Trial", t)
+	}
 	if *n.ready.Load() != "" {
 		h.Set("Connection", "close")
 	}
@@ -349,7 +352,7 @@
 	}
 	return map[string]any{
 		"member": s.Member, "cell": s.Cell, "incarnation": strconv.FormatUint(uint64(s.Incarnation), 10), "build": s.Build,
-		"ready": s.Ready(), "why": s.Why(now), "draining": s.draining, "seat": s.Seat(), "generation": s.Relay.DocGen,
+		"ready": s.Ready(), "why": s.Why(now), "draining": s.draining, "seat": s.Seat(), "generation": s.Relay.DocGen, "trial": s.Trial(),
 		"coreAgeMs": now.Sub(s.Relay.CoreAsOf).Milliseconds(), "coreVersion": s.Relay.Core.GetVersion(), "leader": s.Relay.Core.GetLeader(),
 		"parent": s.Relay.Parent(), "openVisits": s.Open(), "held": s.Pass.Held(), "cells": cells,
 	}
--- a/data/node.go
+++ b/data/node.go
@@ -64,6 +64,7 @@
 type view struct {
 	gen     ident.Generation
 	desired *desired.State
+	trial   string
 }
 
 type Node struct {
@@ -150,7 +151,7 @@
 		case Announced:
 			n.announced(e)
 		case Adopt:
-			n.view.Store(&view{e.Generation, e.Desired})
+			n.view.Store(&view{e.Generation, e.Desired, e.Trial})
 			level.Info(n.Log).Log("part", "desired", "msg", "Adopted a generation.", "generation", e.Generation)
 		case duty.Decision:
 			n.Add(e, now)
--- a/data/state.go
+++ b/data/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -110,6 +111,7 @@
 	Adopt struct {
 		Generation ident.Generation
 		Desired    *desired.State
+		Trial      string
 	}
 	Exit struct{}
 	Note struct{ Text string }
@@ -173,15 +175,19 @@
 	wantAt    ident.Moment
 	turn      uint64
 	floor     map[ledger.Lot]int
-	warm      bool
-	warmAt    ident.Moment
-	draining  bool
-	drainAt   ident.Moment
-	signedOff bool
-	freeing   bool
-	gone      bool
-	out       []any
-	now       ident.Moment
+	trial     *desired.State
+	trialID   string
+
+	adoptedTrial string
+	warm         bool
+	warmAt       ident.Moment
+	draining     bool
+	drainAt      ident.Moment
+	signedOff    bool
+	freeing      bool
+	gone         bool
+	out          []any
+	now          ident.Moment
 }
 
 func New(b Boot, now ident.Moment) *State {
@@ -259,7 +265,7 @@
 	known, up := map[string]bool{}, map[string]bool{}
 	for c, k := range s.Relay.Cells {
 		for a, b := range k.Table {
-			if g := s.guards[a]; b.State == cell.Ready && s.Relay.CellFresh(c, now) && s.Relay.Desired.Services[ident.Service(b.Service)] != nil {
+			if g := s.guards[a]; b.State == cell.Ready && s.Relay.CellFresh(c, now) && s.Desired().Services[ident.Service(b.Service)] != nil {
 				known[b.Service] = true
 				up[b.Service] = up[b.Service] || g != nil && g.up
 			}
@@ -287,7 +293,7 @@
 	if !s.Relay.CoreFresh(now) || s.seat == nil {
 		return 0, "no tenure"
 	}
-	l := s.Relay.Desired.Lanes[v.Lane]
+	l := s.Desired().Lanes[v.Lane]
 	if l == nil || l.Service != v.Rule.Service || l.Tenant != v.Rule.Tenant {
 		return 0, "lane changed"
 	}
@@ -523,6 +529,12 @@
 	for _, f := range s.Relay.Core.Floors {
 		out[ledger.Lot{Lane: ident.Lane(f.Lane), Service: ident.Service(f.Service)}] = int(f.Slots)
 	}
+	if s.trial != nil {
+		slots := ledger.Slots(s.trial)
+		for k, n := range out {
+			out[k] = min(n, slots[k])
+		}
+	}
 	return out
 }
 
@@ -559,6 +571,32 @@
 	s.floor = floors
 }
 
+func (s *State) tried() {
+	t := s.Relay.Core.GetTrial()
+	if t == nil || !slices.Contains(t.Only, string(s.Member)) {
+		s.trial, s.trialID = nil, ""
+		return
+	}
+	if s.trialID != t.ChangeId {
+		s.trialID = t.ChangeId
+		s.trial, _ = desired.Read(t.Doc)
+	}
+}
+
+func (s *State) Desired() *desired.State {
+	if s.trial != nil {
+		return s.trial
+	}
+	return s.Relay.Desired
+}
+
+func (s *State) Trial() string {
+	if s.trial == nil {
+		return ""
+	}
+	return s.trialID
+}
+
 func (s *State) prove(now ident.Moment) {
 	for a, g := range s.guards {
 		if g.up || g.ended || g.made == 0 {
@@ -597,13 +635,14 @@
 	}
 	s.rev, s.fresh = rev, fresh
 	s.takeSeatLine()
-	if d := s.Relay.Desired; d != nil {
+	s.tried()
+	if d := s.Desired(); d != nil {
 		floors := s.floors()
 		s.fences(floors)
 		s.Rules(d, floors, s.Seat(), int(s.Relay.Core.SeatCount), now)
-		if s.adopted != s.Relay.DocGen {
-			s.adopted = s.Relay.DocGen
-			s.out = append(s.out, Adopt{s.adopted, d})
+		if s.adopted != s.Relay.DocGen || s.adoptedTrial != s.Trial() {
+			s.adopted, s.adoptedTrial = s.Relay.DocGen, s.Trial()
+			s.out = append(s.out, Adopt{s.adopted, d, s.Trial()})
 		}
 	}
 	s.rebuild(now)
@@ -638,7 +677,7 @@
 	}
 	s.wantAt = now
 	s.wants = nil
-	for _, v := range ident.Keys(s.Relay.Desired.Services) {
+	for _, v := range ident.Keys(s.Desired().Services) {
 		w := 0.7*s.wanted[v] + 0.3*s.Pass.Wanted(v)
 		s.wanted[v] = w
 		if k := uint32(4 * w); k > 0 {
@@ -680,7 +719,7 @@
 		if b, ok := s.bars[a]; ok && (b.cell != e.cell.Cell || b.life != e.Incarnation || b.service != e.Service || e.cell.Epoch > b.epoch && e.Beat > 0 || e.cell.Epoch == b.epoch && e.Beat > b.beat) {
 			delete(s.bars, a)
 		}
-		if s.Relay.Desired == nil || s.Relay.Desired.Services[ident.Service(e.Service)] == nil || e.State != cell.Ready {
+		if s.Desired() == nil || s.Desired().Services[ident.Service(e.Service)] == nil || e.State != cell.Ready {
 			continue
 		}
 		g := s.guards[a]
@@ -749,7 +788,7 @@
 			continue
 		}
 		s.guards[b.Addr] = &guard{life: b.Life}
-		s.out = append(s.out, Guard{b.Addr, b.Service, b.Life, s.Relay.Desired.Services[b.Service].Probe})
+		s.out = append(s.out, Guard{b.Addr, b.Service, b.Life, s.Desired().Services[b.Service].Probe})
 	}
 }
 
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -66,6 +66,7 @@
 	Seats      map[ident.Seat]*wire.Seat
 	Holds      map[ident.Cell]*wire.Hold
 	Claims     map[string]*wire.ClaimLine
+	Trial      *wire.Trial
 
 	order  deque.Deque[*wire.ClaimLine]
 	states map[ident.Generation]*desired.State
@@ -156,6 +157,16 @@
 	if c.Basis != uint64(b.Generation) {
 		return Result{Code: Stale, Generation: b.Generation}
 	}
+	b.Trial = nil
+	if c.Withdraw {
+		b.turn()
+		return Result{Generation: b.Generation}
+	}
+	if len(c.Only) > 0 {
+		b.Trial = &wire.Trial{ChangeId: c.ChangeId, Basis: c.Basis, Doc: c.Doc, Only: c.Only}
+		b.turn()
+		return Result{Generation: b.Generation}
+	}
 	b.Generation++
 	b.History = append(b.History, &wire.DesiredLine{Generation: uint64(b.Generation), ChangeId: c.ChangeId, Doc: c.Doc, Author: c.Author, Stamp: b.Stamp})
 	for len(b.History) > HistoryKept && b.History[0].Generation < uint64(b.Grown) {
@@ -353,7 +364,7 @@
 	if b.core != nil {
 		return b.core
 	}
-	c := &wire.Core{Version: b.Version, Generation: uint64(b.Generation), InForce: uint64(b.InForce), Grown: uint64(b.Grown), SeatCount: uint32(max(0, b.SeatCount()))}
+	c := &wire.Core{Version: b.Version, Generation: uint64(b.Generation), InForce: uint64(b.InForce), Grown: uint64(b.Grown), SeatCount: uint32(max(0, b.SeatCount())), Trial: b.Trial}
 	for _, s := range b.Seats {
 		c.Seats = append(c.Seats, s)
 	}
@@ -373,7 +384,7 @@
 }
 
 func (b *Book) Image() []byte {
-	m := &wire.Image{Stamp: b.Stamp, Index: uint64(b.Index), Version: b.Version, Generation: uint64(b.Generation), InForce: uint64(b.InForce), Grown: uint64(b.Grown), Epoch: uint64(b.Epoch), History: b.History}
+	m := &wire.Image{Stamp: b.Stamp, Index: uint64(b.Index), Version: b.Version, Generation: uint64(b.Generation), InForce: uint64(b.InForce), Grown: uint64(b.Grown), Epoch: uint64(b.Epoch), History: b.History, Trial: b.Trial}
 	c := b.Core()
 	m.Seats, m.Holds = c.Seats, c.Holds
 	for i := 0; i < b.order.Len(); i++ {
@@ -396,7 +407,7 @@
 	b := NewBook()
 	b.Stamp, b.Index, b.Version = m.Stamp, ident.Index(m.Index), m.Version
 	b.Generation, b.InForce, b.Grown = ident.Generation(m.Generation), ident.Generation(m.InForce), ident.Generation(m.Grown)
-	b.Epoch, b.History = ident.Epoch(m.Epoch), m.History
+	b.Epoch, b.History, b.Trial = ident.Epoch(m.Epoch), m.History, m.Trial
 	for _, s := range m.Seats {
 		b.Seats[ident.Seat(s.Seat)] = s
 	}
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -112,7 +112,10 @@
 }
 
 func (w *World) Set(basis uint64, doc, id string, done func(code ledger.Code, gen uint64)) {
-	c := &wire.SetDesired{Basis: basis, ChangeId: id, Doc: []byte(doc), Author: id}
+	w.put(&wire.SetDesired{Basis: basis, ChangeId: id, Doc: []byte(doc), Author: id}, id, done)
+}
+
+func (w *World) put(c *wire.SetDesired, id string, done func(code ledger.Code, gen uint64)) {
 	var try func(n int)
 	try = func(n int) {
 		w.change(w.someControl(), c, func(r *wire.ProposeReply) {
@@ -127,7 +130,7 @@
 					w.Break("two generations for one change", "%s", id)
 				}
 				w.told[id] = r.Generation
-				if r.Generation > w.acked {
+				if r.Generation > w.acked && len(c.Only) == 0 && !c.Withdraw {
 					w.acked, w.ackedDoc, w.ackAt = r.Generation, id, w.Now
 				}
 			}
--- a/simulate/scene.go
+++ b/simulate/scene.go
@@ -9,6 +9,7 @@
 	"sloeturn/cell"
 	"sloeturn/ident"
 	"sloeturn/ledger"
+	"sloeturn/wire"
 )
 
 type Scene struct {
@@ -114,6 +115,39 @@
 	repeated("hands", "addresses go to other services, old beats under way, nodes frozen", 10, 27, 33),
 	repeated("drains", "backends drain while nodes are frozen or cut off", 9, 23, 28),
 	repeated("restarts", "a node restarts over and over on slow links", 31),
+	{Name: "trial", Text: "half of the nodes try a desired state without one lane, then it is withdrawn, then tried again and made the whole fleet's", config: func(c *Config) {}, play: func(w *World, r *Result, gen *uint64) {
+		lane := ident.Lane(serviceName(0) + "-look")
+		less := strings.Replace(w.Doc0(w.Nodes, 1, 2, Cap), fmt.Sprintf(`,"%s":{"tenant":"goat","service":"%s","slots":2}`, lane, serviceName(0)), "", 1)
+		has := func(p *Proc) bool { return p.node.state.Desired().Lanes[lane] != nil }
+		var only []string
+		for i := 0; i < w.Nodes; i += 2 {
+			only = append(only, w.Node(i).Name)
+		}
+		try := func(step string, c *wire.SetDesired, want func(i int) bool) {
+			w.catchUp(gen)
+			c.Basis, c.ChangeId = *gen, step
+			w.put(c, step, func(code ledger.Code, g uint64) {
+				if code != ledger.Done {
+					w.Break("a trial was not taken", "%s: %s", step, code)
+				}
+			})
+			w.Run(3 * time.Second)
+			for i := 0; i < w.Nodes; i++ {
+				if has(w.Node(i)) != want(i) {
+					w.Break("a trial reached the wrong nodes", "%s: %s", step, w.Node(i).Name)
+				}
+			}
+		}
+		try("try", &wire.SetDesired{Doc: []byte(less), Only: only}, func(i int) bool { return i%2 == 1 })
+		try("back", &wire.SetDesired{Withdraw: true}, func(int) bool { return true })
+		try("again", &wire.SetDesired{Doc: []byte(less), Only: only}, func(i int) bool { return i%2 == 1 })
+		l := w.Leader()
+		w.Kill(l)
+		w.Start(l)
+		w.Run(3 * time.Second)
+		try("whole", &wire.SetDesired{Doc: []byte(less)}, func(int) bool { return false })
+		try("after", &wire.SetDesired{Doc: []byte(w.Doc0(w.Nodes, 1, 2, Cap))}, func(int) bool { return true })
+	}},
 	{Name: "handover", Text: "every control process stops as planned and comes back, while backends drain", config: func(c *Config) { c.Cells, c.Nodes = 4, 8 }, play: func(w *World, r *Result, gen *uint64) {
 		stop := w.blind(r)
 		for i := 0; i < w.Controls; i++ {
