--- a/control/state.go
+++ b/control/state.go
@@ -156,7 +156,7 @@
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
 	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]pending{}}
 	s.Book = ledger.NewBook()
-	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build, Voter: string(b.Voter)}, b.Seeds, now)
+	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
 	s.Mail = relay.NewCourier(uint64(b.Incarnation))
 	if b.Voter != "" {
@@ -799,7 +799,7 @@
 		d.Decision, d.Member, d.Seat = "seat taken", c.SeatTake.Member, &seat
 	case *wire.Change_SeatFree:
 		seat = int(c.SeatFree.Seat)
-		d.Decision, d.Member, d.Seat = "seat freed", c.SeatFree.Member, &seat
+		d.Decision, d.Member, d.Seat, d.Note = "seat freed", c.SeatFree.Member, &seat, d.Note+" "+c.SeatFree.Reason
 	case *wire.Change_CellHold:
 		d.Decision, d.Member, d.Cell = "holder", c.CellHold.Holder, c.CellHold.Cell
 	case *wire.Change_Roster:
--- a/data/state.go
+++ b/data/state.go
@@ -660,9 +660,6 @@
 
 func (s *State) confirm() {
 	c := &wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: uint64(s.Relay.DocGen)}
-	if s.seat != nil {
-		c.Seat = s.seat.Seat
-	}
 	if s.Relay.Core.Generation == uint64(s.Relay.DocGen) && s.Pass.Within() {
 		c.Shrunk = uint64(s.Relay.DocGen)
 	}
@@ -853,7 +850,7 @@
 		switch e := e.(type) {
 		case forward.Claim:
 			v := e.Visit
-			v.Post = s.Mail.Post(&wire.Change{Body: &wire.Change_Claim{Claim: &wire.Claim{Key: v.Arrival.Key, Visit: string(v.Visit), Lane: string(v.Lane), Body: v.Body}}}, v.GiveUpAt, claimTag{v.Visit}, heads, now)
+			v.Post = s.Mail.Post(&wire.Change{Body: &wire.Change_Claim{Claim: &wire.Claim{Key: v.Arrival.Key, Visit: string(v.Visit), Body: v.Body}}}, v.GiveUpAt, claimTag{v.Visit}, heads, now)
 		case forward.Release:
 			s.Mail.Drop(e.Visit.Post)
 			s.Mail.Post(&wire.Change{Body: &wire.Change_Release{Release: &wire.Release{Key: e.Visit.Arrival.Key, Visit: string(e.Visit.Visit)}}}, now.Add(OutcomeWait), otherTag{}, heads, now)
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -262,7 +262,7 @@
 			if s.Incarnation != c.Basis {
 				return Result{Code: Stale}
 			}
-			b.Seats[ident.Seat(s.Seat)] = &wire.Seat{Seat: s.Seat, Member: c.Member, Addr: c.Addr, Incarnation: c.Incarnation, Since: uint64(b.Index)}
+			b.Seats[ident.Seat(s.Seat)] = &wire.Seat{Seat: s.Seat, Member: c.Member, Addr: c.Addr, Incarnation: c.Incarnation}
 			b.turn()
 		}
 		return Result{Seat: ident.Seat(s.Seat)}
@@ -274,7 +274,7 @@
 	for i := 0; i < n; i++ {
 		k := ident.Seat(i)
 		if b.Seats[k] == nil {
-			b.Seats[k] = &wire.Seat{Seat: uint32(i), Member: c.Member, Addr: c.Addr, Incarnation: c.Incarnation, Since: uint64(b.Index)}
+			b.Seats[k] = &wire.Seat{Seat: uint32(i), Member: c.Member, Addr: c.Addr, Incarnation: c.Incarnation}
 			b.turn()
 			return Result{Seat: k}
 		}
@@ -333,7 +333,7 @@
 	if b.order.Len() >= ClaimsKept {
 		return Result{Code: Full}
 	}
-	l := &wire.ClaimLine{Key: c.Key, Visit: c.Visit, Lane: c.Lane, Body: c.Body, Stamp: b.Stamp}
+	l := &wire.ClaimLine{Key: c.Key, Visit: c.Visit, Body: c.Body, Stamp: b.Stamp}
 	b.Claims[string(c.Key)] = l
 	b.order.PushBack(l)
 	return Result{Visit: ident.Visit(c.Visit)}
--- a/relay/state.go
+++ b/relay/state.go
@@ -116,7 +116,7 @@
 		if old.Turn > c.Turn {
 			last = old
 		}
-		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Seat: c.Seat, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk), Turn: last.Turn, Wants: last.Wants}
+		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk), Turn: last.Turn, Wants: last.Wants}
 	}
 	s.confirms[c.Member] = c
 }
@@ -145,7 +145,7 @@
 func (s *State) AskTo(to string, now ident.Moment) {
 	s.token++
 	s.asks[s.token] = ask{now, to}
-	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Control: s.Control, Confirms: s.list()}
+	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: s.list()}
 	if s.CoreKnown {
 		a.Core = s.Core.Version
 	}
