--- a/cmd/fleetrun/fault.go
+++ b/cmd/fleetrun/fault.go
@@ -232,6 +232,8 @@
 			code int
 			gen  float64
 		}
+		f.lock.Lock()
+		defer f.lock.Unlock()
 		got := make(chan said, 2)
 		for i := 0; i < 2; i++ {
 			go func() {
--- a/cmd/fleetrun/fleet.go
+++ b/cmd/fleetrun/fleet.go
@@ -35,6 +35,13 @@
 func (p *proc) start() error {
 	p.lock.Lock()
 	defer p.lock.Unlock()
+	if p.dead != nil {
+		select {
+		case <-p.dead:
+		default:
+			return nil
+		}
+	}
 	f, err := os.OpenFile(p.logs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -88,6 +95,7 @@
 	led      *ledger
 	plat     *platform
 	req      *requesters
+	lock     sync.Mutex
 	gen      uint64
 	dir      string
 	bin      string
@@ -203,6 +211,8 @@
 }
 
 func (f *fleet) set(done context.Context, method, doc, id string) error {
+	f.lock.Lock()
+	defer f.lock.Unlock()
 	var last error
 	for i := 0; done.Err() == nil; i++ {
 		code, out, err := f.change(done, method, doc, f.gen, id, i)
--- a/cmd/fleetrun/main.go
+++ b/cmd/fleetrun/main.go
@@ -23,6 +23,7 @@
 	Next       string  `arg:"--next" help:"folder of another build, for the faults upgrade and roll-back"`
 	Skew       float64 `arg:"--skew" default:"1.7" help:"how uneven the load of kept connections is; 1 is even"`
 	Faults     string  `arg:"--faults" help:"faults to cause one after another, by comma; 'list' names them"`
+	Over       bool    `arg:"--over" help:"do not wait for one fault to end before the next begins"`
 	Gap        int     `arg:"--gap" default:"10" help:"seconds between faults"`
 }
 
@@ -127,23 +128,40 @@
 		f.req.run(drive)
 	}()
 	var lines []string
-	for _, n := range faults {
-		if !pause(drive, time.Duration(a.Gap)*time.Second) {
-			break
+	var lock sync.Mutex
+	var last sync.WaitGroup
+	cause := func(n string) {
+		defer last.Done()
+		rough := faultOf(n).rough || a.Over
+		if rough {
+			f.req.trouble.Add(1)
 		}
-		f.req.trouble.Store(faultOf(n).rough)
 		at := time.Now()
 		note, err := faultOf(n).cause(drive, f)
-		if err != nil {
+		if err != nil && drive.Err() == nil {
 			led.broken.say("fault "+n, "%v", err)
 		}
+		lock.Lock()
 		lines = append(lines, fmt.Sprintf("fault %s: took %v; %s", n, time.Since(at).Round(time.Millisecond), note))
-		if faultOf(n).rough {
+		lock.Unlock()
+		if rough {
 			pause(drive, 4*time.Second)
+			f.req.trouble.Add(-1)
+		}
+	}
+	for _, n := range faults {
+		if !pause(drive, time.Duration(a.Gap)*time.Second) {
+			break
+		}
+		last.Add(1)
+		if a.Over {
+			go cause(n)
+		} else {
+			cause(n)
 		}
-		f.req.trouble.Store(false)
 	}
 	<-over
+	last.Wait()
 	f.report(lines)
 	return len(led.broken.count)
 }
--- a/cmd/fleetrun/requester.go
+++ b/cmd/fleetrun/requester.go
@@ -174,7 +174,7 @@
 	scale   float64
 	acked   atomic.Uint64
 	serial  atomic.Uint64
-	trouble atomic.Bool
+	trouble atomic.Int32
 	refuseB time.Duration
 }
 
@@ -335,7 +335,7 @@
 		if resp.Header.Get("Retry-After") != "" {
 			q.led.broken.say("unknown with Retry-After", "%s", v.Reason)
 		}
-		if !q.trouble.Load() {
+		if q.trouble.Load() == 0 {
 			q.led.broken.say("answer lost with no fault about", "visit %s: %s", v.Visit, v.Reason)
 		}
 		q.tally.add(l.name, "unknown", v.Reason, took, false)
