--- a/cell/state.go
+++ b/cell/state.go
@@ -187,7 +187,7 @@
 
 func (s *Soundness) Digests() []uint64 { return append([]uint64(nil), s.sums[:]...) }
 
-func (s *Soundness) Hear(a *wire.Announce, now ident.Moment) {
+func (s *Soundness) Hear(a *wire.Announce, now ident.Moment) bool {
 	addr := ident.Addr(a.Addr)
 	b := s.table[addr]
 	if a.State == Gone {
@@ -195,7 +195,7 @@
 			s.drop(addr)
 			s.ended[addr] = ending{s.pulse, a.Incarnation, now}
 		}
-		return
+		return true
 	}
 	cold := time.Duration(a.ColdNs)
 	pulse := uint64(0)
@@ -203,7 +203,7 @@
 		pulse = a.Pulse
 	}
 	if s.stale(b, a, pulse) {
-		return
+		return false
 	}
 	if b == nil || s.another(b, a, pulse, now.Add(cold)) {
 		life := a.Incarnation
@@ -234,6 +234,7 @@
 	b.Beat++
 	b.Work = Work(b, now)
 	s.touch(b)
+	return true
 }
 
 func (s *Soundness) stale(b *Backend, a *wire.Announce, pulse uint64) bool {
@@ -242,7 +243,7 @@
 		return other && pulse < b.Pulse
 	}
 	e, ended := s.ended[ident.Addr(a.Addr)]
-	return !a.Stands || ended && e.life == a.Incarnation && pulse <= e.pulse
+	return a.State == Ready && (!a.Stands || ended && e.life == a.Incarnation && pulse <= e.pulse)
 }
 
 func (s *Soundness) another(b *Backend, a *wire.Announce, pulse uint64, coldTo ident.Moment) bool {
@@ -252,8 +253,10 @@
 	if a.Incarnation != "" {
 		return a.Incarnation != b.Life
 	}
-	back := b.State == Leaving && a.State == Ready && pulse > b.LeftAt && pulse-b.LeftAt > BackPulses
-	return back || a.ColdNs > 0 && coldTo.After(b.ColdTo.Add(time.Second))
+	if b.State == Leaving {
+		return a.State == Ready && pulse > b.LeftAt && pulse-b.LeftAt > BackPulses
+	}
+	return a.ColdNs > 0 && coldTo.After(b.ColdTo.Add(time.Second))
 }
 
 func Work(b *Backend, now ident.Moment) int {
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -135,8 +135,8 @@
 func TestALateBeatUndoesNoDrainAndNoEnd(t *testing.T) {
 	now := ident.Moment(1e9)
 	s := New("a", 1)
-	say := func(life string, state int, pulse uint64) {
-		s.Hear(&wire.Announce{Addr: "b", Service: "x", Incarnation: life, Slots: 4, State: uint32(state), Epoch: 1, Pulse: pulse, Stands: pulse > 0}, now)
+	say := func(life string, state int, pulse uint64) bool {
+		return s.Hear(&wire.Announce{Addr: "b", Service: "x", Incarnation: life, Slots: 4, State: uint32(state), Epoch: 1, Pulse: pulse, Stands: pulse > 0}, now)
 	}
 	run := func(d time.Duration) {
 		for end := now.Add(d); now < end; now = now.Add(50 * time.Millisecond) {
@@ -149,7 +149,8 @@
 		run(time.Second)
 		say(life, Ready, s.pulse)
 		say(life, Leaving, s.pulse)
-		say("old", Ready, 0)
+		require.False(t, say("old", Ready, 0))
+		require.False(t, say("next", Leaving, 0), "a drain not taken is not heard")
 		say(life, Ready, 0)
 		say(life, Ready, s.pulse)
 		run(time.Second)
@@ -174,3 +175,27 @@
 	say("", Ready, s.pulse)
 	require.Equal(t, 1, ready())
 }
+
+func TestALateBeatFromAColdStartUndoesNoDrain(t *testing.T) {
+	now := ident.Moment(1e9)
+	s := New("a", 1)
+	say := func(cold time.Duration, state int) {
+		s.Hear(&wire.Announce{Addr: "b", Service: "x", Slots: 4, State: uint32(state), ColdNs: int64(cold), Epoch: 1, Pulse: s.pulse, Stands: true}, now)
+	}
+	run := func(d time.Duration) {
+		for end := now.Add(d); now < end; now = now.Add(50 * time.Millisecond) {
+			s.Tick(now)
+		}
+	}
+	say(10*time.Second, Ready)
+	run(2 * time.Second)
+	say(8*time.Second, Leaving)
+	run(2 * time.Second)
+	say(10*time.Second, Ready)
+	require.Zero(t, s.Counts()["x"])
+	run(2 * time.Second)
+	say(4*time.Second, Leaving)
+	run(9 * time.Second)
+	say(10*time.Second, Ready)
+	require.Equal(t, 1, s.Counts()["x"])
+}
--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"sort"
 	"strconv"
@@ -17,6 +18,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"sloeturn/desired"
+	"sloeturn/ident"
 	"sloeturn/nginximport"
 	"sloeturn/replay"
 )
@@ -61,6 +63,9 @@
 		"seats":     {"", "seats, who holds them, what they confirmed", seats},
 		"fences":    {"", "each node's pools beside their caps", pools},
 		"pools":     {"[NODE]", "the same, for one node", pools},
+		"tree":      {"", "the tree that news goes down, and how old it is at each node", tree},
+		"ledger":    {"", "for each backend: connections held, what the fences allow at most, what it accepts", book},
+		"visit":     {"VISIT", "a visit's decisions, from whichever node it went through", visit},
 		"cells":     {"", "cells, holders, epochs, age of their news", cells},
 		"backends":  {"", "backends and their soundness", backends},
 		"disks":     {"", "disk holders: role, commit, ailing, ring", disks},
@@ -277,6 +282,127 @@
 	return s.ended(mute)
 }
 
+func tree(s *shell, w []string) (int, error) {
+	v, _, err := s.head()
+	if err != nil {
+		return failed, err
+	}
+	rows, mute, err := s.each("data", "/fleet")
+	if err != nil {
+		return failed, err
+	}
+	name := map[string]string{}
+	for _, c := range list(v["cards"]) {
+		name[str(c["address"])] = str(c["id"])
+	}
+	over := map[string]string{}
+	for _, r := range rows {
+		r["parent"] = name[str(r["parent"])]
+		over[str(r["member"])] = str(r["parent"])
+	}
+	for _, r := range rows {
+		hops := 1
+		for up := str(r["parent"]); over[up] != "" && hops <= len(rows); up = over[up] {
+			hops++
+		}
+		r["hops"] = float64(hops)
+	}
+	sort.SliceStable(rows, func(i, j int) bool { return num(rows[i]["hops"]) < num(rows[j]["hops"]) })
+	s.table(rows, "member", "parent", "hops", "coreAgeMs", "generation", "trial")
+	return s.ended(mute)
+}
+
+func book(s *shell, w []string) (int, error) {
+	v, from, err := s.head()
+	if err != nil {
+		return failed, err
+	}
+	b, gen, err := s.state("")
+	if err != nil {
+		return failed, err
+	}
+	d, faults := desired.Read(b)
+	if len(faults) > 0 {
+		return failed, merry.Errorf("generation %s does not read here", gen)
+	}
+	rows, mute, err := s.each("data", "/pools")
+	if err != nil {
+		return failed, err
+	}
+	held := map[string]float64{}
+	for _, r := range rows {
+		for _, p := range list(r["pools"]) {
+			held[str(p["Addr"])] += num(p["Busy"]) + num(p["Idle"])
+		}
+	}
+	backs, err := fetch(from, "/backends")
+	if err != nil {
+		return failed, err
+	}
+	var out []map[string]any
+	for _, k := range list(backs["backends"]) {
+		sv := d.Services[ident.Service(str(k["service"]))]
+		if sv == nil {
+			continue
+		}
+		slots := sv.Probe.Slots
+		for _, l := range d.Lanes {
+			if l.Service == sv.Name {
+				slots += l.Slots
+			}
+		}
+		most := num(v["seatCount"]) * float64(slots)
+		out = append(out, map[string]any{"backend": k["address"], "service": k["service"], "held": held[str(k["address"])], "most": most, "reserve": float64(sv.Reserve), "accepts": float64(sv.MaxConnections), "spare": float64(sv.MaxConnections-sv.Reserve) - most})
+	}
+	sort.Slice(out, func(i, j int) bool { return str(out[i]["backend"]) < str(out[j]["backend"]) })
+	s.table(out, "backend", "service", "held", "most", "reserve", "accepts", "spare")
+	s.note("generation %s, grown %s, %s seats", gen, str(v["grown"]), str(v["seatCount"]))
+	return s.ended(mute)
+}
+
+func visit(s *shell, w []string) (int, error) {
+	id, err := one(w, "visit")
+	if err != nil {
+		return wrong, err
+	}
+	v, _, err := s.head()
+	if err != nil {
+		return failed, err
+	}
+	found := false
+	var mute []string
+	for _, c := range list(v["cards"]) {
+		if c["role"] != "data" || c["state"] == "left" {
+			continue
+		}
+		lines, err := s.stream(places(c), "?visit="+url.QueryEscape(id))
+		if err != nil {
+			mute = append(mute, str(c["id"]))
+		}
+		for _, l := range lines {
+			found = true
+			fmt.Fprintln(s.out, l)
+		}
+	}
+	if !found && len(mute) == 0 {
+		return failed, merry.Errorf("no node remembers visit %s", id)
+	}
+	return s.ended(mute)
+}
+
+func (s *shell) stream(addr, query string) ([]string, error) {
+	resp, err := web.Get("http://" + addr + "/decisions" + query)
+	if err != nil {
+		return nil, merry.Wrap(ErrAsk, merry.WithCause(err))
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, merry.Wrap(ErrAsk, merry.WithCause(err))
+	}
+	return strings.FieldsFunc(string(b), func(r rune) bool { return r == '\n' }), nil
+}
+
 func seats(s *shell, w []string) (int, error) {
 	v, from, err := s.head()
 	if err != nil {
@@ -744,20 +870,14 @@
 	if err != nil {
 		return failed, err
 	}
-	path := "/decisions"
+	query := ""
 	if len(w) > 1 {
-		path += "?lane=" + w[1]
-	}
-	resp, err := web.Get("http://" + addr + path)
-	if err != nil {
-		return failed, merry.Wrap(ErrAsk, merry.WithCause(err))
+		query = "?lane=" + url.QueryEscape(w[1])
 	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
+	lines, err := s.stream(addr, query)
 	if err != nil {
-		return partial, merry.Wrap(ErrAsk, merry.WithCause(err))
+		return failed, err
 	}
-	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
 	for _, l := range lines[max(0, len(lines)-50):] {
 		if strings.Contains(l, s.filter) {
 			fmt.Fprintln(s.out, l)
--- a/control/state.go
+++ b/control/state.go
@@ -557,7 +557,10 @@
 func (s *State) route(p pending, a *wire.Announce, now ident.Moment) {
 	c := ident.Cell(a.Cell)
 	if h := s.active(c, now); h != nil {
-		h.sound.Hear(a, now)
+		if !h.sound.Hear(a, now) {
+			s.announced(p, 503, "older than what is known of this address; say it again")
+			return
+		}
 		s.moved(h)
 		s.copyCell(c, h, now)
 		s.announced(p, 200, "")
@@ -568,8 +571,7 @@
 		return
 	}
 	if h := s.holds[c]; h != nil && now.Sub(s.Relay.CoreAsOf) < relay.CellTenure {
-		h.sound.Hear(a, now)
-		if a.State == cell.Ready {
+		if h.sound.Hear(a, now) && a.State == cell.Ready {
 			s.announced(p, 200, "")
 		} else {
 			s.announced(p, 503, "the holder of cell "+a.Cell+" starts in a moment")
--- a/simulate/backend.go
+++ b/simulate/backend.go
@@ -27,6 +27,8 @@
 	mode    string
 	names   bool
 	closes  bool
+	cold    time.Duration
+	coldTo  ident.Moment
 	tires   bool
 	Most    int
 }
@@ -34,7 +36,7 @@
 const Cap = 60
 
 func (w *World) addBackend(i int) {
-	b := &Backend{w: w, name: fmt.Sprintf("backend-%d", i), place: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200+1), service: serviceName(i % w.Services), cell: w.cellName(i), slots: w.Slots, links: map[uint64]*link{}, names: i%4 == 3, tires: i%4 == 1, closes: i%8 == 6}
+	b := &Backend{w: w, name: fmt.Sprintf("backend-%d", i), place: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200+1), service: serviceName(i % w.Services), cell: w.cellName(i), slots: w.Slots, links: map[uint64]*link{}, names: i%4 == 3, tires: i%4 == 1, closes: i%8 == 6, cold: time.Duration(i%3) * 3 * time.Second}
 	w.Backends = append(w.Backends, b)
 	w.byPlace[b.place] = b
 	w.at(time.Duration(w.Rand.Intn(1000))*ms, b.start)
@@ -50,6 +52,7 @@
 	b.lives++
 	b.life = fmt.Sprintf("%s.%d", b.name, b.lives)
 	b.state, b.leftAt, b.mode = cell.Ready, 0, ""
+	b.coldTo = b.w.Now.Add(b.cold)
 	b.w.Say("%s starts as %s of %s", b.name, b.life, b.service)
 	life := b.lives
 	var beat func()
@@ -78,7 +81,7 @@
 func (b *Backend) send(state int, late time.Duration, heard func(bool)) {
 	w := b.w
 	p := w.Procs[w.Rand.Intn(len(w.Procs))]
-	a := &wire.Announce{Cell: b.cell, Addr: b.place, Service: b.service, Slots: uint32(b.slots), State: uint32(state)}
+	a := &wire.Announce{Cell: b.cell, Addr: b.place, Service: b.service, Slots: uint32(b.slots), State: uint32(state), ColdNs: int64(max(0, b.coldTo.Sub(w.Now)))}
 	if b.names {
 		a.Incarnation = b.life
 	}
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -106,9 +106,10 @@
 		b.mode = ""
 		if !b.up {
 			b.start()
-		} else if b.leftAt != 0 {
+		} else if b.state == cell.Leaving {
+			b.announce(cell.Gone, nil)
 			b.crash()
-			b.start()
+			b.w.at(time.Second, b.start)
 		}
 	}
 }
