--- a/simulate/scene.go
+++ b/simulate/scene.go
@@ -303,7 +303,29 @@
 			}
 		})
 	}},
-	{Name: "class-hangs", Text: "the probes and one service hang, at one half of the run only", config: func(c *Config) { c.Backends, c.Slots = 8, 12 }, play: func(w *World, r *Result, gen *uint64) {
+	{Name: "probes-fail", Text: "one service breaks every probe off again and again, at one half of the run only", config: func(c *Config) { c.Backends, c.Slots = 8, 12 }, play: func(w *World, r *Result, gen *uint64) {
+		fail := false
+		var spoil func()
+		spoil = func() {
+			for _, b := range w.Backends {
+				for _, id := range ident.Keys(b.links) {
+					if l := b.links[id]; b.service == serviceName(0) && l.guard {
+						w.close(l)
+						w.at(ms, func() { l.from.broke(l) })
+					}
+				}
+			}
+			if fail {
+				w.at(300*ms, spoil)
+			}
+		}
+		w.isolates(r, serviceName(0), func(on bool) {
+			if fail = on; on {
+				spoil()
+			}
+		})
+	}},
+	{Name: "class-hangs", Text: "the work of one service hangs, at one half of the run only", config: func(c *Config) { c.Backends, c.Slots = 8, 12 }, play: func(w *World, r *Result, gen *uint64) {
 		w.isolates(r, serviceName(0), func(on bool) {
 			for _, b := range w.Backends {
 				if b.mode = ""; on && b.service == serviceName(0) {
