A disk holder that leaves waits, at most 8 s, while its going would leave no majority

Now a leaving voter does not campaign while others may (2 s), and goes only once enough others have answered it in this reign, or are led by somebody else, or after 8 s; meanwhile the lost voter is replaced. Counting lines as fresh from the start of a reign was tried first and changed nothing: they count as heard then.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -36,6 +36,7 @@
 	BatchEntries = 512
 	Caught       = 256
 	WantVoters   = 3
+	LastResort   = 2 * time.Second
 )
 
 type Self struct {
@@ -132,6 +133,7 @@
 
 	foundAt ident.Moment
 	found   map[string]*wire.Founding
+	Leaving bool
 	Image   func() []byte
 	Doors   func() []string
 }
@@ -548,6 +550,23 @@
 	return true
 }
 
+func (s *State) Needed(now ident.Moment) bool {
+	all := Voters(s.Roster())
+	if !s.voting() || len(all) == 1 {
+		return false
+	}
+	if s.role != Leader {
+		return now.Sub(s.heardLead) > time.Second
+	}
+	n := 0
+	for _, v := range all {
+		if l := s.lines[v.Id]; l != nil && l.round > 0 && !l.ailing && now.Sub(l.heard) < time.Second {
+			n++
+		}
+	}
+	return n < len(all)/2+1
+}
+
 func (s *State) Handoff(h *wire.Handoff, now ident.Moment) {
 	if h.Term != s.term || h.Target != string(s.Self.Voter) || s.role != Follower || !s.voting() || s.ailing {
 		return
@@ -622,7 +641,7 @@
 		}
 		if now.After(s.electAt) {
 			s.setElect(now)
-			if s.voting() && !s.ailing {
+			if s.voting() && !s.ailing && (!s.Leaving || now.Sub(s.heardLead) > LastResort) {
 				s.campaign(now, true, false)
 			}
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -27,6 +27,7 @@
 	DealEvery    = time.Second
 	CedeEvery    = 300 * time.Millisecond
 	CedeGrace    = 1500 * time.Millisecond
+	QuorumWait   = 8 * time.Second
 	HeirWait     = 600 * time.Millisecond
 	DeafWait     = 4 * time.Second
 	AnnounceWait = time.Second
@@ -235,6 +236,9 @@
 	case Drain:
 		if !s.draining {
 			s.draining, s.drainAt = true, now
+			if s.Agree != nil {
+				s.Agree.Leaving = true
+			}
 			s.out = append(s.out, Note{"Draining."})
 		}
 	case Query:
@@ -721,6 +725,9 @@
 }
 
 func (s *State) finish(now ident.Moment) {
+	if s.Agree != nil && now.Sub(s.drainAt) < QuorumWait && s.Agree.Needed(now) {
+		return
+	}
 	if s.Agree != nil && s.Agree.Role() == agreement.Leader && now.Sub(s.drainAt) < 2*time.Second {
 		s.Agree.Resign(now)
 		return
