One Serve for each daemon; tenures, losses and joining are boot settings; whole chains in logs

Cause: the daemons' main functions were alike and could not be opened with other doors; tenures, the number of voters and founding were constants, so no deployment could set them from its own bounds; an error wrapped by layers was logged without its cause ('duty: cannot serve'); kratos looked at the machine's interfaces when no endpoint was given, which a confined machine refuses, and the process ended. Ruled out: doors made in main, which would copy the life of a process a third time. A loop now sleeps until its pause is over instead of ticking on a fixed beat; the pause is still 5 ms.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -34,7 +34,6 @@
 	KeepEntries  = 4096
 	BatchEntries = 512
 	Caught       = 256
-	WantVoters   = 3
 	LastResort   = 2 * time.Second
 )
 
@@ -133,12 +132,13 @@
 	foundAt ident.Moment
 	found   map[string]*wire.Founding
 	Leaving bool
+	Want    int
 	Image   func() []byte
 	Doors   func() []ident.Addr
 }
 
 func New(self Self, founders []ident.Addr, got *Recovered, seed int64, now ident.Moment) *State {
-	s := &State{Self: self, Founders: founders, rand: rand.New(rand.NewSource(seed)), found: map[string]*wire.Founding{}, out: &Out{}, Doors: func() []ident.Addr { return nil }}
+	s := &State{Self: self, Founders: founders, Want: 3, rand: rand.New(rand.NewSource(seed)), found: map[string]*wire.Founding{}, out: &Out{}, Doors: func() []ident.Addr { return nil }}
 	s.asOf, s.heardLead = now, now
 	if got != nil && got.Snap != nil {
 		s.role = Follower
@@ -423,7 +423,7 @@
 	if ready == "" {
 		return
 	}
-	if len(voters) < WantVoters {
+	if len(voters) < s.Want {
 		s.change(r, func(v *wire.Voter) *wire.Voter {
 			if v.Id == ready {
 				return &wire.Voter{Id: v.Id, Addr: v.Addr, Member: v.Member}
--- a/boot/boot.go
+++ b/boot/boot.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -32,6 +33,8 @@
 	Seeds     []string `arg:"--seeds" help:"addresses of other members"`
 	LogLevel  string   `arg:"--log-level" help:"debug, info, warn or error"`
 	DrainMs   int      `arg:"--drain-ms" help:"longest time a planned stop may take"`
+	TenureMs  int      `arg:"--tenure-ms" help:"longest time a node may take a new desired state's place for an old one; a change is acknowledged after it at the latest"`
+	StaleMs   int      `arg:"--stale-ms" help:"how long a node that is out of touch serves on the last news it has; 0: as long as the tenure"`
 }
 
 type DiskFlags struct {
@@ -39,6 +42,8 @@
 	Founders []string `arg:"--founders" help:"addresses of the disk holders that form the fleet"`
 	Files    int      `arg:"--ring-files" help:"files in the ring"`
 	FileMB   int      `arg:"--ring-file-mb" help:"size of each file in the ring"`
+	Losses   int      `arg:"--losses" help:"disk holders that may be lost at once; twice as many and one vote"`
+	Joins    bool     `arg:"--joins" help:"join a fleet that stands; never form one"`
 }
 
 type Settings struct {
@@ -50,13 +55,19 @@
 	Seeds     []string `json:"seeds"`
 	LogLevel  string   `json:"logLevel"`
 	DrainMs   int      `json:"drainMs"`
+	TenureMs  int      `json:"tenureMs"`
+	StaleMs   int      `json:"staleMs"`
 	Data      string   `json:"data,omitempty"`
 	Founders  []string `json:"founders,omitempty"`
 	Files     int      `json:"ringFiles,omitempty"`
 	FileMB    int      `json:"ringFileMB,omitempty"`
+	Losses    int      `json:"losses,omitempty"`
+	Joins     bool     `json:"joins,omitempty"`
 }
 
-func (s *Settings) Drain() time.Duration { return time.Duration(s.DrainMs) * time.Millisecond }
+func (s *Settings) Drain() time.Duration  { return time.Duration(s.DrainMs) * time.Millisecond }
+func (s *Settings) Tenure() time.Duration { return time.Duration(s.TenureMs) * time.Millisecond }
+func (s *Settings) Stale() time.Duration  { return time.Duration(s.StaleMs) * time.Millisecond }
 
 func Addrs(list []string) []ident.Addr {
 	var out []ident.Addr
@@ -73,13 +84,13 @@
 }
 
 func Read(f Flags, d *DiskFlags) (*Settings, []desired.Fault) {
-	s := &Settings{LogLevel: "info", DrainMs: 30000}
+	s := &Settings{LogLevel: "info", DrainMs: 30000, TenureMs: 5000}
 	var faults []desired.Fault
 	say := func(path, form string, args ...any) {
 		faults = append(faults, desired.Fault{Path: path, Text: fmt.Sprintf(form, args...)})
 	}
 	if d != nil {
-		s.Files, s.FileMB = 8, 4
+		s.Files, s.FileMB, s.Losses = 8, 4, 1
 	}
 	if f.Boot != "" {
 		b, err := os.ReadFile(f.Boot)
@@ -107,6 +118,12 @@
 	if f.DrainMs != 0 {
 		s.DrainMs = f.DrainMs
 	}
+	if f.TenureMs != 0 {
+		s.TenureMs = f.TenureMs
+	}
+	if f.StaleMs != 0 {
+		s.StaleMs = f.StaleMs
+	}
 	if d != nil {
 		over(&s.Data, d.Data)
 		if len(d.Founders) > 0 {
@@ -118,6 +135,19 @@
 		if d.FileMB != 0 {
 			s.FileMB = d.FileMB
 		}
+		if d.Losses != 0 {
+			s.Losses = d.Losses
+		}
+		s.Joins = s.Joins || d.Joins
+	}
+	faults = append(faults, s.check(d)...)
+	return s, faults
+}
+
+func (s *Settings) check(d *DiskFlags) []desired.Fault {
+	var faults []desired.Fault
+	say := func(path, form string, args ...any) {
+		faults = append(faults, desired.Fault{Path: path, Text: fmt.Sprintf(form, args...)})
 	}
 	if !desired.NameOK(s.Name) {
 		say("name", "must be 1 to 64 of a-z, 0-9, '-', starting with a letter; is %q", s.Name)
@@ -145,8 +175,8 @@
 	for i, a := range s.Founders {
 		place(fmt.Sprintf("founders/%d", i), a)
 	}
-	if n := len(s.Founders); d != nil && s.Data != "" && n != 1 && n != 3 {
-		say("founders", "must be one or three addresses; holds %d", n)
+	if n := len(s.Founders); d != nil && s.Data != "" && !s.Joins && n != 1 && n != 3 {
+		say("founders", "must be one or three addresses, or none with joins; holds %d", n)
 	}
 	sort.Strings(s.Founders)
 	for i := 1; i < len(s.Founders); i++ {
@@ -160,17 +190,40 @@
 	if s.DrainMs < 0 || s.DrainMs > 3600000 {
 		say("drainMs", "must be from 0 to 3600000; is %d", s.DrainMs)
 	}
+	if s.TenureMs < 500 || s.TenureMs > 60000 {
+		say("tenureMs", "must be from 500 to 60000; is %d", s.TenureMs)
+	}
+	if s.StaleMs != 0 && (s.StaleMs < s.TenureMs || s.StaleMs > 3600000) {
+		say("staleMs", "must be 0, or from tenureMs, %d, to 3600000; is %d", s.TenureMs, s.StaleMs)
+	}
+	if d != nil && (s.Losses < 1 || s.Losses > 4) {
+		say("losses", "must be from 1 to 4; is %d", s.Losses)
+	}
+	if s.Joins && len(s.Founders) > 0 {
+		say("joins", "names no founders; holds %d", len(s.Founders))
+	}
 	if d != nil && (s.Files < 3 || s.Files > 256) {
 		say("ringFiles", "must be from 3 to 256; is %d", s.Files)
 	}
 	if d != nil && (s.FileMB < 1 || s.FileMB > 1024) {
 		say("ringFileMB", "must be from 1 to 1024; is %d", s.FileMB)
 	}
-	return s, faults
+	return faults
+}
+
+func (s *Settings) Check(disk bool) []desired.Fault {
+	if disk {
+		return s.check(&DiskFlags{})
+	}
+	return s.check(nil)
 }
 
 func (s *Settings) Reload(f Flags, d *DiskFlags) (changed, fixed []string, faults []desired.Fault) {
 	n, faults := Read(f, d)
+	return s.Take(n, faults)
+}
+
+func (s *Settings) Take(n *Settings, faults []desired.Fault) (changed, fixed []string, bad []desired.Fault) {
 	if len(faults) > 0 {
 		return nil, nil, faults
 	}
@@ -186,6 +239,8 @@
 		{"name", s.Name, n.Name}, {"cell", s.Cell, n.Cell}, {"address", s.Address, n.Address}, {"http", s.HTTP, n.HTTP},
 		{"operators", s.Operators, n.Operators}, {"data", s.Data, n.Data}, {"seeds", strings.Join(s.Seeds, ","), strings.Join(n.Seeds, ",")},
 		{"founders", strings.Join(s.Founders, ","), strings.Join(n.Founders, ",")},
+		{"tenureMs", fmt.Sprint(s.TenureMs), fmt.Sprint(n.TenureMs)}, {"staleMs", fmt.Sprint(s.StaleMs), fmt.Sprint(n.StaleMs)},
+		{"losses", fmt.Sprint(s.Losses), fmt.Sprint(n.Losses)}, {"joins", fmt.Sprint(s.Joins), fmt.Sprint(n.Joins)},
 		{"ringFiles", fmt.Sprint(s.Files), fmt.Sprint(n.Files)}, {"ringFileMB", fmt.Sprint(s.FileMB), fmt.Sprint(n.FileMB)},
 	} {
 		if p.old != p.new {
@@ -195,8 +250,8 @@
 	return changed, fixed, nil
 }
 
-func (s *Settings) Reloaded(f Flags, d *DiskFlags, l *Logger) {
-	changed, fixed, faults := s.Reload(f, d)
+func (s *Settings) Reloaded(n *Settings, bad []desired.Fault, l *Logger) {
+	changed, fixed, faults := s.Take(n, bad)
 	for _, f := range faults {
 		level.Error(l).Log("part", "boot", "msg", "Setting is not sound; nothing changed.", "path", f.Path, "why", f.Text)
 	}
@@ -233,6 +288,26 @@
 
 func (l *Logger) Log(kv ...any) error { return l.swap.Log(kv...) }
 
+func Why(err error) string {
+	var b strings.Builder
+	last := ""
+	for e := err; e != nil; {
+		if m := e.Error(); m != last && !strings.HasSuffix(last, m) {
+			if b.Len() > 0 {
+				b.WriteString(": ")
+			}
+			b.WriteString(m)
+			last = m
+		}
+		if c := merry.Cause(e); c != nil && c != e {
+			e = c
+			continue
+		}
+		e = errors.Unwrap(e)
+	}
+	return b.String()
+}
+
 func Fail(faults []desired.Fault) {
 	for _, f := range faults {
 		fmt.Fprintf(os.Stderr, "boot: %s %s\n", f.Path, f.Text)
--- /dev/null
+++ b/control/serve.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"sloeturn/boot"
+	"sloeturn/duty"
+	"sloeturn/ident"
+)
+
+type Door struct {
+	Addr string
+	Open func(n *Node) http.Handler
+}
+
+func Serve(set *boot.Settings, log *boot.Logger, reload func(), doors ...Door) error {
+	n, err := NewNode(Boot{
+		Member: ident.Member(set.Name), Addr: ident.Addr(set.Address), HTTP: set.HTTP + "," + set.Operators, Cell: ident.Cell(set.Cell),
+		Incarnation: ident.NewIncarnation(), Seeds: boot.Addrs(set.Seeds), Founders: boot.Addrs(set.Founders), Build: boot.Build, Seed: int64(ident.NewIncarnation()),
+		Tenure: set.Tenure(), Stale: set.Stale(), Drain: set.Drain(), Losses: set.Losses,
+	}, Disks{Path: set.Data, Files: set.Files, Size: int64(set.FileMB) << 20}, log)
+	if err != nil {
+		return err
+	}
+	if err := n.Open(); err != nil {
+		return err
+	}
+	defer n.Close()
+	level.Info(log).Log("part", "main", "msg", "Started.", "build", boot.Build, "address", set.Address, "http", set.HTTP, "operators", set.Operators)
+	app := &duty.App{
+		Log: log, Name: set.Name, Build: boot.Build, Ended: n.Ended(),
+		HTTP: map[string]http.Handler{set.HTTP: n.Registry(), set.Operators: n.Operators()},
+		Drain: func() {
+			n.Put(Drain{})
+			time.AfterFunc(set.Drain(), func() {
+				level.Warn(log).Log("part", "main", "msg", "The drain took too long; stopped.")
+				os.Exit(1)
+			})
+		},
+		Reload: reload,
+	}
+	for _, d := range doors {
+		app.HTTP[d.Addr] = d.Open(n)
+	}
+	if err := app.Run(); err != nil {
+		return err
+	}
+	level.Info(log).Log("part", "main", "msg", "Ended.")
+	return nil
+}
--- a/control/state.go
+++ b/control/state.go
@@ -28,6 +28,7 @@
 	CedeEvery    = 300 * time.Millisecond
 	CedeGrace    = 1500 * time.Millisecond
 	QuorumWait   = 8 * time.Second
+	HeldMost     = 600 * time.Millisecond
 	HeirWait     = 600 * time.Millisecond
 	DeafWait     = 4 * time.Second
 	AnnounceWait = time.Second
@@ -83,6 +84,17 @@
 	Voter       ident.Voter
 	Build       string
 	Seed        int64
+	Tenure      time.Duration
+	Stale       time.Duration
+	Drain       time.Duration
+	Losses      int
+}
+
+func (b Boot) quorumWait() time.Duration {
+	if b.Drain == 0 {
+		return QuorumWait
+	}
+	return min(QuorumWait, b.Drain/2)
 }
 
 type hold struct {
@@ -160,9 +172,13 @@
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
+	s.Relay.Terms(b.Tenure, b.Stale)
 	s.Mail = relay.NewCourier(uint64(b.Incarnation))
 	if b.Voter != "" {
 		s.Agree = agreement.New(agreement.Self{Voter: b.Voter, Member: b.Member, Addr: b.Addr}, b.Founders, got, b.Seed, now)
+		if b.Losses > 0 {
+			s.Agree.Want = 2*b.Losses + 1
+		}
 		s.Agree.Doors = func() []ident.Addr {
 			var out []ident.Addr
 			for _, a := range s.heads() {
@@ -731,7 +747,7 @@
 }
 
 func (s *State) finish(now ident.Moment) {
-	if s.Agree != nil && now.Sub(s.drainAt) < QuorumWait && s.Agree.Needed(now) {
+	if s.Agree != nil && now.Sub(s.drainAt) < s.quorumWait() && s.Agree.Needed(now) {
 		return
 	}
 	if s.Agree != nil && s.Agree.Role() == agreement.Leader && now.Sub(s.drainAt) < 2*time.Second {
@@ -956,7 +972,7 @@
 	}
 	m := &wire.Mark{InForce: uint64(s.Book.InForce), Grown: uint64(s.Book.Grown)}
 	if s.Book.InForce < s.Book.Generation {
-		if s.confirmed((*wire.Confirm).GetStaged) || now.Sub(max(s.genAt, s.Agree.LedSince())) > relay.CoreTenure+100*time.Millisecond {
+		if s.confirmed((*wire.Confirm).GetStaged) || now.Sub(max(s.genAt, s.Agree.LedSince())) > s.Relay.Tenure+100*time.Millisecond {
 			m.InForce = uint64(s.Book.Generation)
 		}
 	}
--- a/data/state.go
+++ b/data/state.go
@@ -125,6 +125,8 @@
 	Incarnation ident.Incarnation
 	Seeds       []ident.Addr
 	Build       string
+	Tenure      time.Duration
+	Stale       time.Duration
 }
 
 type guard struct {
@@ -197,6 +199,7 @@
 	s.State = forward.New(s.Pass, s.gate)
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Data, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, false)
+	s.Relay.Terms(b.Tenure, b.Stale)
 	s.Mail = relay.NewCourier(uint64(b.Incarnation))
 	return s
 }
@@ -297,7 +300,7 @@
 	if l == nil || l.Service != v.Rule.Service || l.Tenant != v.Rule.Tenant {
 		return 0, "lane changed"
 	}
-	at := s.Relay.CoreAsOf.Add(relay.CoreTenure)
+	at := s.Relay.CoreAsOf.Add(s.Relay.Stale)
 	if v.Phase < forward.Admitted {
 		return at, ""
 	}
@@ -316,7 +319,7 @@
 	if _, barred := s.bars[v.Backend.Addr]; barred || g == nil || !g.up || g.life != v.Backend.Life {
 		return 0, "backend unsound"
 	}
-	return min(at, k.AsOf.Add(relay.CellFresh)), ""
+	return min(at, k.AsOf.Add(s.Relay.CellStale())), ""
 }
 
 func (s *State) doubled(a ident.Addr, not ident.Cell, now ident.Moment) bool {
--- a/duty/loop.go
+++ b/duty/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"os/signal"
 	"sync"
@@ -35,6 +36,7 @@
 	Settle func(now ident.Moment)
 	Obey   func(now ident.Moment)
 	Beat   any
+	Pause  func() time.Duration
 
 	ring    chan any
 	done    chan struct{}
@@ -70,8 +72,9 @@
 }
 
 func (l *Loop) Run() {
-	t := time.NewTicker(TickEvery)
+	t := time.NewTimer(TickEvery)
 	defer t.Stop()
+	last := ident.Now()
 	for {
 		var e any
 		select {
@@ -83,6 +86,9 @@
 		}
 		now := ident.Now()
 		l.Step(now, e)
+		if e == l.Beat {
+			last = now
+		}
 		for n := 0; n < BatchMost; n++ {
 			select {
 			case e = <-l.ring:
@@ -94,6 +100,11 @@
 		}
 		l.Settle(now)
 		l.Obey(now)
+		pause := TickEvery
+		if l.Pause != nil {
+			pause = l.Pause()
+		}
+		t.Reset(max(0, last.Add(pause).Sub(now)))
 		if d := int64(ident.Now().Sub(now)); d > l.Slowest.Load() {
 			l.Slowest.Store(d)
 		}
@@ -141,7 +152,7 @@
 			return err
 		}
 		only := func(http.Handler) http.Handler { return h }
-		srv := khttp.NewServer(khttp.Listener(ear), khttp.Timeout(0), khttp.Filter(only))
+		srv := khttp.NewServer(khttp.Listener(ear), khttp.Endpoint(&url.URL{Scheme: "http", Host: addr}), khttp.Timeout(0), khttp.Filter(only))
 		srv.ConnContext = WithConn
 		srv.ReadHeaderTimeout = 5 * time.Second
 		srv.IdleTimeout = 2 * time.Minute
--- a/relay/state.go
+++ b/relay/state.go
@@ -28,6 +28,8 @@
 type State struct {
 	Self    ident.Member
 	Control bool
+	Tenure  time.Duration
+	Stale   time.Duration
 
 	Core      *wire.Core
 	CoreAsOf  ident.Moment
@@ -59,7 +61,7 @@
 }
 
 func New(self ident.Member, control bool) *State {
-	return &State{Self: self, Control: control, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, asks: map[uint64]ask{}}
+	return &State{Self: self, Control: control, Tenure: CoreTenure, Stale: CoreTenure, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, asks: map[uint64]ask{}}
 }
 
 func (s *State) Revision() uint64 {
@@ -73,12 +75,26 @@
 func (s *State) Parent() string { return s.parent }
 
 func (s *State) CoreFresh(now ident.Moment) bool {
-	return s.CoreKnown && now.Sub(s.CoreAsOf) < CoreTenure
+	return s.CoreKnown && now.Sub(s.CoreAsOf) < s.Stale
+}
+
+func (s *State) Terms(tenure, stale time.Duration) {
+	if tenure > 0 {
+		s.Tenure = tenure
+	}
+	s.Stale = max(stale, s.Tenure)
+}
+
+func (s *State) CellStale() time.Duration {
+	if s.Stale > s.Tenure {
+		return s.Stale
+	}
+	return CellFresh
 }
 
 func (s *State) CellFresh(c ident.Cell, now ident.Moment) bool {
 	k := s.Cells[c]
-	return k != nil && k.Known && now.Sub(k.AsOf) < CellFresh
+	return k != nil && k.Known && now.Sub(k.AsOf) < s.CellStale()
 }
 
 func (s *State) home(addr, own string, now ident.Moment) string {
