A drain is acknowledged once others have it; a new holder starts from its copy of named lives

Cause: a holder that died hard right after its 2xx to a drain took the drain along unless a copy had it by chance, and the next holder started blank, so a cell's backends stood unused for some 4 s (docs/design.md, limits known). Ruled out: an heir that confirms each beat, a round trip for every beat; copies trusted for backends that tell no incarnation, since their address may serve another by now and nothing would show it. Also: the newest state, a change and a beat can be had from a control node by call (Newest, Set, Hear), as doors of other words need them.

--- a/cell/state.go
+++ b/cell/state.go
@@ -139,6 +139,8 @@
 	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}, ended: map[ident.Addr]ending{}, pulse: 1}
 }
 
+func (s *Soundness) Upto() uint64 { return s.ver }
+
 func Part(addr string) int { return int(ident.Hash(addr) % Parts) }
 
 func Sum(addr string, ver uint64) uint64 { return ident.Hash(addr, strconv.FormatUint(ver, 10)) }
@@ -170,6 +172,12 @@
 	for _, a := range ident.Keys(old.Table) {
 		l := old.Table[a]
 		b := s.table[a]
+		if l.State == Ready {
+			if e, ended := s.ended[a]; b == nil && !(ended && e.life == l.Incarnation) && !strings.HasPrefix(l.Incarnation, Bare) {
+				s.remember(l, now)
+			}
+			continue
+		}
 		if l.State != Leaving || b != nil && (b.Life != l.Incarnation || b.State == Leaving) {
 			continue
 		}
@@ -185,6 +193,14 @@
 	}
 }
 
+func (s *Soundness) remember(l *wire.Backend, now ident.Moment) {
+	cold := time.Duration(l.ColdNs)
+	b := &Backend{Addr: ident.Addr(l.Addr), Service: ident.Service(l.Service), Life: l.Incarnation, Slots: int(min(l.Slots, SlotLimit)), State: Ready, ColdTo: now.Add(cold), ColdAll: cold, Heard: now}
+	b.Work = Work(b, now)
+	s.table[b.Addr] = b
+	s.touch(b)
+}
+
 func (s *Soundness) touch(b *Backend) {
 	p := Part(string(b.Addr))
 	if b.Version != 0 {
@@ -208,9 +224,12 @@
 
 func (s *Soundness) Hear(a *wire.Announce, now ident.Moment) bool {
 	addr := ident.Addr(a.Addr)
+	if addr == "" {
+		addr = s.placeOf(a.Incarnation)
+	}
 	b := s.table[addr]
 	if a.State == Gone {
-		if b != nil && b.Service == ident.Service(a.Service) && (a.Incarnation == "" || a.Incarnation == b.Life) {
+		if b != nil && (b.Service == ident.Service(a.Service) || a.Addr == "") && (a.Incarnation == "" || a.Incarnation == b.Life) {
 			s.drop(addr)
 			s.ended[addr] = ending{s.pulse, a.Incarnation, now}
 		}
@@ -256,6 +275,15 @@
 	return true
 }
 
+func (s *Soundness) placeOf(life string) ident.Addr {
+	for a, b := range s.table {
+		if b.Life == life {
+			return a
+		}
+	}
+	return ""
+}
+
 func (s *Soundness) stale(b *Backend, a *wire.Announce, pulse uint64) bool {
 	if b != nil {
 		other := b.Service != ident.Service(a.Service) || a.Incarnation != "" && a.Incarnation != b.Life
--- a/control/events.go
+++ b/control/events.go
@@ -69,7 +69,7 @@
 			t.Error, t.Faults = "not sound", faults
 			return t
 		}
-		code, text := n.hear(r.Context(), a, func() bool { return duty.Stands(r) })
+		code, text := n.Hear(r.Context(), a, func() bool { return duty.Stands(r) })
 		t.OK, t.Error = code == 200, text
 	case t.Event == "desired":
 		n.desired(r, b, m, &t)
@@ -136,7 +136,7 @@
 	return v.(uint64)
 }
 
-func (n *Node) hear(done context.Context, a *wire.Announce, stands func() bool) (uint32, string) {
+func (n *Node) Hear(done context.Context, a *wire.Announce, stands func() bool) (uint32, string) {
 	n.Query(func(s *State, now moment) any { s.Relay.Address(a, s.Cell, now); return nil })
 	duty.Vouch(a, stands())
 	got := n.Tell(done, a)
--- a/control/http.go
+++ b/control/http.go
@@ -24,7 +24,7 @@
 
 func (n *Node) Registry() http.Handler {
 	mux := http.NewServeMux()
-	duty.Registry(mux, n.hear)
+	duty.Registry(mux, n.Hear)
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { duty.JSON(w, 200, map[string]any{"live": true}) })
 	mux.HandleFunc("GET /ready", n.ready)
 	return mux
@@ -135,23 +135,15 @@
 	}
 }
 
-func (n *Node) get(w http.ResponseWriter, r *http.Request) {
-	want := uint64(0)
-	if v := r.PathValue("generation"); v != "" {
-		g, err := strconv.ParseUint(v, 10, 64)
-		if err != nil || g == 0 {
-			duty.Wrong(w, 400, "not a generation", nil)
-			return
-		}
-		want = g
-	}
-	type found struct {
-		doc  []byte
-		gen  uint64
-		lead string
-		ok   bool
-		wait bool
-	}
+type found struct {
+	doc  []byte
+	gen  uint64
+	lead string
+	ok   bool
+	wait bool
+}
+
+func (n *Node) find(want uint64) (found, error) {
 	asked := ident.Now()
 	read := func(s *State, now ident.Moment) any {
 		if at, ok := s.leads(); ok && want == 0 && at.Before(asked) {
@@ -182,11 +174,59 @@
 		time.Sleep(5 * time.Millisecond)
 		v, err = n.Query(read)
 	}
+	if err != nil {
+		return found{}, err
+	}
+	return v.(found), nil
+}
+
+func (n *Node) Newest(done context.Context) (doc []byte, ok bool) {
+	f, err := n.find(0)
+	if err != nil {
+		return nil, false
+	}
+	if f.lead == "" {
+		return f.doc, f.ok
+	}
+	resp, err := n.onward(done, f.lead, "/desired")
+	if err != nil {
+		return nil, false
+	}
+	defer resp.Body.Close()
+	doc, err = io.ReadAll(io.LimitReader(resp.Body, desired.SizeLimit+1))
+	return doc, err == nil && resp.StatusCode == 200
+}
+
+func (n *Node) onward(done context.Context, places, path string) (*http.Response, error) {
+	_, ops, _ := strings.Cut(places, ",")
+	req, err := http.NewRequestWithContext(done, "GET", "http://"+ops+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Sloeturn-Hop", "1")
+	c := http.Client{Timeout: 2 * time.Second}
+	return c.Do(req)
+}
+
+func (n *Node) Set(done context.Context, c *wire.SetDesired) *wire.ProposeReply {
+	return n.Change(done, &wire.Change{Body: &wire.Change_SetDesired{SetDesired: c}}, DesiredWait)
+}
+
+func (n *Node) get(w http.ResponseWriter, r *http.Request) {
+	want := uint64(0)
+	if v := r.PathValue("generation"); v != "" {
+		g, err := strconv.ParseUint(v, 10, 64)
+		if err != nil || g == 0 {
+			duty.Wrong(w, 400, "not a generation", nil)
+			return
+		}
+		want = g
+	}
+	f, err := n.find(want)
 	if err != nil {
 		duty.Wrong(w, 503, err.Error(), nil)
 		return
 	}
-	f := v.(found)
 	if f.lead != "" && r.Header.Get("Sloeturn-Hop") == "" {
 		n.pass(w, r, f.lead)
 		return
@@ -206,15 +246,7 @@
 }
 
 func (n *Node) pass(w http.ResponseWriter, r *http.Request, places string) {
-	_, ops, _ := strings.Cut(places, ",")
-	req, err := http.NewRequestWithContext(r.Context(), "GET", "http://"+ops+r.URL.Path, nil)
-	if err != nil {
-		duty.Wrong(w, 503, "no leader to read from just now", nil)
-		return
-	}
-	req.Header.Set("Sloeturn-Hop", "1")
-	c := http.Client{Timeout: 2 * time.Second}
-	resp, err := c.Do(req)
+	resp, err := n.onward(r.Context(), places, r.URL.Path)
 	if err != nil {
 		w.Header().Set("Retry-After", "1")
 		duty.Wrong(w, 503, "the leader does not answer just now", nil)
--- a/control/state.go
+++ b/control/state.go
@@ -108,6 +108,7 @@
 	begun bool
 	turns int
 	dealt ident.Moment
+	vows  []*vow
 }
 
 type seen struct {
@@ -136,6 +137,12 @@
 	id uint64
 }
 
+type vow struct {
+	pending
+	upto uint64
+	has  map[string]bool
+}
+
 type State struct {
 	Boot
 	Members *member.State
@@ -283,6 +290,7 @@
 		s.Members.Table(b.Table, f.Addr, now)
 	case *wire.Frame_Ask:
 		s.Relay.Heard(b.Ask)
+		s.witness(f.Addr, b.Ask, now)
 		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_News{News: s.answer(b.Ask, now)}})
 	case *wire.Frame_News:
 		s.Relay.News(b.News, f.Addr, now)
@@ -590,7 +598,11 @@
 		}
 		s.moved(h)
 		s.copyCell(c, h, now)
-		s.announced(p, 200, "")
+		if a.State == cell.Ready || s.witnesses() == 0 {
+			s.announced(p, 200, "")
+			return
+		}
+		h.vows = append(h.vows, &vow{p, h.sound.Upto(), map[string]bool{}})
 		return
 	}
 	if h := s.holds[c]; h != nil && h.heir != nil {
@@ -619,6 +631,54 @@
 	s.announced(p, 503, "cell "+a.Cell+" has no holder just now")
 }
 
+func (s *State) witnesses() int {
+	n := 0
+	for _, c := range s.Members.Ring() {
+		if c.Role == member.Control && c.Id != string(s.Member) && !c.Leaving {
+			n++
+		}
+	}
+	return min(n, max(1, s.Losses))
+}
+
+func (s *State) witness(from string, a *wire.Ask, now ident.Moment) {
+	head := false
+	for _, c := range s.Members.Ring() {
+		head = head || c.Addr == from && c.Role == member.Control
+	}
+	if !head {
+		return
+	}
+	for _, c := range a.Cells {
+		h := s.holds[ident.Cell(c.Cell)]
+		if h == nil || uint64(h.epoch) != c.Epoch {
+			continue
+		}
+		for _, v := range h.vows {
+			if c.Upto >= v.upto {
+				v.has[from] = true
+			}
+		}
+		s.keepVows(h, now)
+	}
+}
+
+func (s *State) keepVows(h *hold, now ident.Moment) {
+	need := s.witnesses()
+	keep := h.vows[:0]
+	for _, v := range h.vows {
+		switch {
+		case len(v.has) >= need:
+			s.announced(v.pending, 200, "")
+		case now.Sub(v.at) > HeldMost:
+			s.announced(v.pending, 503, "heard, but not yet by those that must not forget it; say it again")
+		default:
+			keep = append(keep, v)
+		}
+	}
+	h.vows = keep
+}
+
 func (s *State) onward(p pending, a *wire.Announce, to string) {
 	s.passID++
 	s.passes[s.passID] = p
@@ -885,6 +945,7 @@
 		}
 		h.begun = true
 		h.sound.Tick(now)
+		s.keepVows(h, now)
 		s.moved(h)
 		s.enroll(h, now)
 		s.copyCell(c, h, now)
--- a/relay/state.go
+++ b/relay/state.go
@@ -107,6 +107,15 @@
 }
 
 func (s *State) Address(a *wire.Announce, own ident.Cell, now ident.Moment) {
+	if a.Addr == "" && a.Incarnation != "" {
+		for _, c := range s.cellNames() {
+			for p, b := range s.Cells[c].Table {
+				if b.Incarnation == a.Incarnation {
+					a.Addr, a.Service, a.Cell = string(p), b.Service, string(c)
+				}
+			}
+		}
+	}
 	if a.Cell == "" {
 		a.Cell = s.home(a.Addr, string(own), now)
 	}
