--- a/cell/state.go
+++ b/cell/state.go
@@ -84,7 +84,7 @@
 	n := ident.Hash(r.Nodes...)
 	for _, w := range r.Wants {
 		for i, k := range w.ByNode {
-			n += ident.Hash(w.Service, strconv.Itoa(i), strconv.FormatUint(uint64(k), 10))
+			n += ident.Hash(w.Service, strconv.FormatBool(w.Only), strconv.Itoa(i), strconv.FormatUint(uint64(k), 10))
 		}
 	}
 	return n
@@ -98,13 +98,13 @@
 	return strings.TrimSpace(b.String())
 }
 
-func (r Roll) For(service string) []uint32 {
+func (r Roll) For(service string) (wants []uint32, only bool) {
 	for _, w := range r.Wants {
 		if w.Service == service && len(w.ByNode) == len(r.Nodes) {
-			return w.ByNode
+			return w.ByNode, w.Only
 		}
 	}
-	return nil
+	return nil, false
 }
 
 const TombsKept = 256
@@ -580,7 +580,7 @@
 	Work int
 }
 
-func Deal(list []Share, nodes []string, wants []uint32, node string, turn uint64) map[ident.Addr]int {
+func Deal(list []Share, nodes []string, wants []uint32, only bool, node string, turn uint64) map[ident.Addr]int {
 	at := sort.SearchStrings(nodes, node)
 	if at == len(nodes) || nodes[at] != node {
 		return nil
@@ -591,6 +591,11 @@
 	}
 	upto := make([]uint64, len(nodes))
 	for i := range nodes {
+		if only && all > 0 {
+			sum += uint64(wants[i])
+			upto[i] = sum
+			continue
+		}
 		sum++
 		if all > 0 {
 			sum += 2*uint64(wants[i]) + all/uint64(len(nodes))
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -90,7 +90,7 @@
 	sum, least, most := 0, 99, 0
 	for _, n := range nodes {
 		mine := 0
-		for _, k := range Deal(list, nodes, nil, n, 3) {
+		for _, k := range Deal(list, nodes, nil, false, n, 3) {
 			mine += k
 		}
 		sum, least, most = sum+mine, min(least, mine), max(most, mine)
@@ -100,7 +100,7 @@
 	wants := []uint32{0, 0, 16, 0, 4, 0, 0}
 	got := map[string]int{}
 	for _, n := range nodes {
-		for _, k := range Deal(list, nodes, wants, n, 5) {
+		for _, k := range Deal(list, nodes, wants, false, n, 5) {
 			got[n] += k
 		}
 		sum -= got[n]
@@ -109,7 +109,7 @@
 	require.Greater(t, got["n2"], 3*got["n4"]/2)
 	require.Greater(t, got["n4"], got["n0"])
 	require.Greater(t, got["n0"], 0)
-	require.Empty(t, Deal(list, nodes, nil, "stranger", 3))
+	require.Empty(t, Deal(list, nodes, nil, false, "stranger", 3))
 }
 
 func TestADrainSticksAndAnAddressChangesHands(t *testing.T) {
--- a/control/node.go
+++ b/control/node.go
@@ -19,7 +19,10 @@
 	"sloeturn/wire"
 )
 
-const stallAfter = 300 * time.Millisecond
+const (
+	stallAfter = 300 * time.Millisecond
+	calmPause  = 20 * time.Millisecond
+)
 
 var ErrStart = merry.Sentinel("control: cannot start")
 
@@ -77,6 +80,7 @@
 	n.State = s
 	n.Hub = &wire.Hub{Name: string(b.Member), Addr: string(b.Addr), Build: b.Build, Incarnation: uint64(b.Incarnation), Log: l, Take: func(f *wire.Frame) { n.Offer(Got{f}) }}
 	n.Step, n.Settle, n.Obey, n.Beat = s.Step, s.Settle, n.obey, Tick{}
+	n.Pause = func() time.Duration { return calmPause }
 	return n, nil
 }
 
@@ -135,7 +139,7 @@
 }
 
 func (n *Node) watch() {
-	t := time.NewTicker(50 * time.Millisecond)
+	t := time.NewTicker(100 * time.Millisecond)
 	defer t.Stop()
 	bad := false
 	for {
--- a/control/state.go
+++ b/control/state.go
@@ -844,7 +844,9 @@
 	}
 	h.dealt = now
 	by := map[string][]uint32{}
+	homes := make([]bool, len(nodes))
 	for i, n := range nodes {
+		homes[i] = ident.Cell(s.Members.Card(ident.Member(n)).GetCell()) == h.sound.Cell
 		for _, w := range s.Relay.ConfirmOf(n).GetWants() {
 			if by[w.Service] == nil {
 				by[w.Service] = make([]uint32, len(nodes))
@@ -852,12 +854,23 @@
 			by[w.Service][i] = w.Slots
 		}
 	}
+	if d := s.Relay.Desired; d != nil {
+		for _, v := range d.ServiceNames() {
+			if by[string(v)] == nil && s.lined(string(v)) {
+				by[string(v)] = make([]uint32, len(nodes))
+			}
+		}
+	}
 	r := cell.Roll{Nodes: nodes}
 	for _, v := range ident.Keys(by) {
-		if old := h.sound.For(v); slices.Equal(nodes, h.sound.Nodes) && old != nil && near(old, by[v]) {
+		only := s.lined(v)
+		if only {
+			by[v] = homeFirst(homes, by[v])
+		}
+		if old, was := h.sound.For(v); slices.Equal(nodes, h.sound.Nodes) && old != nil && was == only && near(old, by[v]) {
 			by[v] = old
 		}
-		r.Wants = append(r.Wants, &wire.Wants{Service: v, ByNode: by[v]})
+		r.Wants = append(r.Wants, &wire.Wants{Service: v, ByNode: by[v], Only: only})
 	}
 	if r.Sum() != h.sound.Roll.Sum() {
 		s.decide(duty.Decision{Decision: "dealt", Cell: string(h.sound.Cell), Note: strings.Join(nodes, " ") + " " + r.Text()})
@@ -865,6 +878,31 @@
 	h.sound.Roll = r
 }
 
+func (s *State) lined(v string) bool {
+	d := s.Relay.Desired
+	return d != nil && d.Services[ident.Service(v)] != nil && d.Services[ident.Service(v)].Line > 0
+}
+
+func homeFirst(homes []bool, wants []uint32) []uint32 {
+	out := make([]uint32, len(wants))
+	all, n := uint32(0), uint32(0)
+	for i, w := range wants {
+		if homes[i] {
+			all += w
+			n++
+		}
+	}
+	for i, w := range wants {
+		switch {
+		case n == 0:
+			out[i] = 1 + w
+		case homes[i]:
+			out[i] = 1 + 2*w + all/n
+		}
+	}
+	return out
+}
+
 func (s *State) decide(d duty.Decision) {
 	d.Generation = uint64(max(s.Book.Generation, s.Relay.DocGen))
 	s.out = append(s.out, d)
--- /dev/null
+++ b/data/front.go
@@ -0,0 +1,151 @@
+package data
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"sloeturn/duty"
+	"sloeturn/forward"
+	"sloeturn/ident"
+)
+
+// Dialect names the headers of routed visits. Visit: the requester's name for the visit, which the
+// backend's answer carries back. Left: milliseconds the requester still waits. Life: the incarnation
+// a visit is meant for. Seal: what every good answer bears. Turned: what a backend says that did not
+// run the visit.
+type Dialect struct {
+	Visit  string
+	Left   string
+	Life   string
+	Seal   string
+	Turned string
+}
+
+func (n *Node) Unready() string { return *n.ready.Load() }
+
+func (n *Node) Front(d Dialect) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.routed(w, r, &d) })
+}
+
+func (n *Node) decline(w http.ResponseWriter, a forward.Answer) {
+	h := w.Header()
+	n.part(h)
+	if a.RetryAfter > 0 && a.Ran == forward.RanNo {
+		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	duty.JSON(w, a.Status, verdict{Ran: string(a.Ran), Reason: a.Reason, RetryAfterMs: a.RetryAfter.Milliseconds(), Known: a.Known})
+}
+
+func hostOf(r *http.Request) string {
+	h, _, _ := strings.Cut(r.Host, ":")
+	return strings.ToLower(h)
+}
+
+func (d *Dialect) left(r *http.Request, most time.Duration) (time.Duration, bool) {
+	s := r.Header.Get(d.Left)
+	if s == "" {
+		return most, true
+	}
+	ms, err := strconv.ParseInt(strings.TrimSpace(s), 10, 64)
+	if err != nil || ms < 0 {
+		return 0, false
+	}
+	return time.Duration(min(ms, expiryMost)) * time.Millisecond, true
+}
+
+func (n *Node) routed(w http.ResponseWriter, r *http.Request, d *Dialect) {
+	start := ident.Now()
+	view := n.view.Load()
+	no := func(status int, why string, back time.Duration) {
+		n.decline(w, forward.Answer{Status: status, Ran: forward.RanNo, Reason: why, RetryAfter: back})
+	}
+	if view.desired == nil {
+		no(503, "no desired state read yet", 500*time.Millisecond)
+		return
+	}
+	path := r.URL.EscapedPath()
+	route := view.desired.Find(hostOf(r), path)
+	if route == nil {
+		no(404, "no route to this place", 0)
+		return
+	}
+	lane := route.Pick(n.dice())
+	left, ok := d.left(r, lane.Whole)
+	if !ok {
+		no(400, "header "+d.Left+" must be milliseconds", 0)
+		return
+	}
+	if left <= 0 {
+		no(504, "expiry passed", 0)
+		return
+	}
+	if r.ContentLength > lane.Body {
+		no(413, "body too large", 0)
+		return
+	}
+	var body []byte
+	if r.ContentLength != 0 {
+		ctl := http.NewResponseController(w)
+		ctl.SetReadDeadline(time.Now().Add(min(left, bodyPatience)))
+		var err error
+		if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, lane.Body)); err != nil {
+			var big *http.MaxBytesError
+			if errors.As(err, &big) {
+				no(413, "body too large", 0)
+				return
+			}
+			no(408, "body broke off", 0)
+			return
+		}
+		ctl.SetReadDeadline(time.Time{})
+	}
+	id := ident.Visit(fmt.Sprintf("%s-%x-%d", n.State.Member, uint64(n.State.Incarnation)&0xffffffff, n.count.Add(1)))
+	k := &call{Dialect: d, visit: id, lane: lane, req: r, body: body, path: path, ans: make(chan answer, 2)}
+	n.take(w, k, forward.Arrival{Visit: id, Lane: lane.Name, Rule: lane, Arrived: ident.Now(), Expiry: start.Add(left)}, view.gen)
+}
+
+func (n *Node) dice() uint64 {
+	return ident.Hash(string(n.State.Member), strconv.FormatUint(n.count.Add(1), 10))
+}
+
+func (k *call) route(addr ident.Addr) *http.Request {
+	u := &url.URL{Scheme: "http", Host: string(addr), RawQuery: k.req.URL.RawQuery, ForceQuery: k.req.URL.ForceQuery, Path: k.req.URL.Path, RawPath: k.req.URL.RawPath}
+	req := &http.Request{Method: k.req.Method, URL: u, Host: k.req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}
+	duty.CopyHead(req.Header, k.req.Header)
+	req.Header.Set(k.Left, strconv.FormatInt(max(1, k.expiry.Sub(ident.Now()).Milliseconds()), 10))
+	if k.life != "" {
+		req.Header.Set(k.Life, k.life)
+	}
+	k.fill(req)
+	return req
+}
+
+func (k *call) another(resp *http.Response) bool {
+	got := resp.Header.Get(k.Visit)
+	return got != "" && got != k.req.Header.Get(k.Visit)
+}
+
+func (k *call) turned(resp *http.Response) forward.Ending {
+	switch {
+	case k.Dialect == nil:
+	case resp.StatusCode == http.StatusMisdirectedRequest:
+		return forward.Moved
+	case resp.Header.Get(k.Turned) != "":
+		return forward.Turned
+	}
+	return forward.Whole
+}
+
+func (k *call) proven(resp *http.Response) bool {
+	if k.another(resp) || resp.Header.Get("Content-Encoding") != "" {
+		return false
+	}
+	good := resp.StatusCode >= 200 && resp.StatusCode < 300
+	return !good || resp.Header.Get(k.Seal) != "" && resp.Header.Get(k.Visit) == k.req.Header.Get(k.Visit)
+}
--- a/data/http.go
+++ b/data/http.go
@@ -214,11 +214,18 @@
 		mark.Write(body)
 		a.Body = mark.Sum(nil)[:8]
 	}
-	k.end = 0
+	n.take(w, k, a, view.gen)
+}
+
+func (n *Node) take(w http.ResponseWriter, k *call, a forward.Arrival, gen ident.Generation) {
+	id := k.visit
+	no := func(why string, back time.Duration) {
+		n.deny(w, k, gen, forward.Answer{Status: 503, Ran: forward.RanNo, Reason: why, RetryAfter: back})
+	}
+	k.expiry = a.Expiry
 	n.lock.Lock()
 	n.calls[id] = k
 	n.lock.Unlock()
-	k.expiry = a.Expiry
 	defer func() {
 		n.lock.Lock()
 		k.end = ident.Now()
@@ -226,7 +233,7 @@
 		n.forget(id)
 	}()
 	if !n.Offer(Arrive{a}) {
-		no(503, "node busy", time.Second)
+		no("node busy", time.Second)
 		return
 	}
 	late := time.NewTimer(Patience)
@@ -234,14 +241,14 @@
 	for {
 		select {
 		case got := <-k.ans:
-			n.reply(w, view.gen, id, got)
+			n.reply(w, gen, k, got)
 			return
-		case <-r.Context().Done():
+		case <-k.req.Context().Done():
 			n.Put(Gone{id})
 			return
 		case <-late.C:
 			if k.fate.CompareAndSwap(open, refused) {
-				no(503, "node too slow", 2*time.Second)
+				no("node too slow", 2*time.Second)
 				n.Put(Gone{id})
 				return
 			}
@@ -249,17 +256,30 @@
 	}
 }
 
-func (n *Node) reply(w http.ResponseWriter, gen ident.Generation, id ident.Visit, a answer) {
+func (n *Node) deny(w http.ResponseWriter, k *call, gen ident.Generation, a forward.Answer) {
+	if k.Dialect != nil {
+		n.decline(w, a)
+		return
+	}
+	n.refuse(w, gen, k.visit, a)
+}
+
+func (n *Node) reply(w http.ResponseWriter, gen ident.Generation, k *call, a answer) {
 	if a.resp == nil {
-		n.refuse(w, gen, id, a.Answer)
+		n.deny(w, k, gen, a.Answer)
 		return
 	}
 	h := w.Header()
-	duty.CopyHead(h, a.resp.Header, "Retry-After")
-	h.Set("Sloeturn-Ran", string(forward.RanYes))
-	n.part(h)
-	h.Set("Sloeturn-Generation", strconv.FormatUint(uint64(gen), 10))
-	h.Set("Sloeturn-Visit", string(id))
+	if k.Dialect != nil {
+		duty.CopyHead(h, a.resp.Header)
+		n.part(h)
+	} else {
+		duty.CopyHead(h, a.resp.Header, "Retry-After")
+		h.Set("Sloeturn-Ran", string(forward.RanYes))
+		n.part(h)
+		h.Set("Sloeturn-Generation", strconv.FormatUint(uint64(gen), 10))
+		h.Set("Sloeturn-Visit", string(k.visit))
+	}
 	if a.resp.Request.Method == "HEAD" {
 		if v := a.resp.Header.Get("Content-Length"); v != "" {
 			h.Set("Content-Length", v)
@@ -272,6 +292,9 @@
 }
 
 func (k *call) build(addr ident.Addr) *http.Request {
+	if k.Dialect != nil {
+		return k.route(addr)
+	}
 	u := &url.URL{Scheme: "http", Host: string(addr), Opaque: "", RawQuery: k.req.URL.RawQuery}
 	u.Path, _ = url.PathUnescape(k.path)
 	u.RawPath = k.path
@@ -281,6 +304,11 @@
 	req.Header.Set("Sloeturn-Service", string(k.lane.Service))
 	req.Header.Set("Sloeturn-Lane", string(k.lane.Name))
 	req.Header.Set("Sloeturn-Expiry-Ms", strconv.FormatInt(max(1, k.expiry.Sub(ident.Now()).Milliseconds()), 10))
+	k.fill(req)
+	return req
+}
+
+func (k *call) fill(req *http.Request) {
 	req.Header.Del("Accept-Encoding")
 	if req.Header.Get("User-Agent") == "" {
 		req.Header["User-Agent"] = []string{""}
@@ -292,7 +320,6 @@
 			req.Body = http.NoBody
 		}
 	}
-	return req
 }
 
 func (n *Node) Operators() http.Handler {
--- a/data/node.go
+++ b/data/node.go
@@ -41,7 +41,9 @@
 }
 
 type call struct {
+	*Dialect
 	visit  ident.Visit
+	life   string
 	lane   *desired.Lane
 	req    *http.Request
 	body   []byte
@@ -61,6 +63,11 @@
 	refused
 )
 
+const (
+	surplusMost = 4
+	calmPause   = 25 * time.Millisecond
+)
+
 type view struct {
 	gen     ident.Generation
 	desired *desired.State
@@ -96,12 +103,20 @@
 	n.Settle = func(now ident.Moment) {}
 	n.Obey = n.obey
 	n.Beat = Tick{}
+	n.Pause = n.pause
 	n.view.Store(&view{})
 	why := "starting"
 	n.ready.Store(&why)
 	return n
 }
 
+func (n *Node) pause() time.Duration {
+	if n.State.Pressing() {
+		return duty.TickEvery
+	}
+	return calmPause
+}
+
 func (n *Node) Open() error {
 	n.Loop.Open()
 	if err := n.Hub.Open(); err != nil {
@@ -400,6 +415,7 @@
 	}
 	c := k.conn
 	var b bytes.Buffer
+	k.life = c.life
 	req := k.build(c.key.Addr)
 	if err := req.Write(&b); err != nil {
 		n.Put(NotWritten{e.Visit, "visit could not be put in words"})
@@ -412,7 +428,7 @@
 		n.drop(e.Visit)
 		return
 	}
-	if !k.fate.CompareAndSwap(open, written) {
+	if !k.fate.CompareAndSwap(open, written) && k.fate.Load() != written {
 		n.Put(NotWritten{e.Visit, "given up before writing"})
 		n.drop(e.Visit)
 		return
@@ -427,13 +443,15 @@
 		n.finish(k, c, false, true, Ended{e.Visit, forward.Broken, 0})
 		return
 	}
-	resp, body, keep, ending := n.read(c, req, k.lane.Answer)
-	k.resp, k.out = resp, body
+	resp, body, keep, ending := k.read(c, req)
+	if resp != nil && (ending == forward.Whole || ending == forward.Turned) {
+		k.resp, k.out = resp, body
+	}
 	status := 0
 	if resp != nil {
 		status = resp.StatusCode
 	}
-	n.finish(k, c, keep && ending == forward.Whole, ending == forward.Broken, Ended{e.Visit, ending, status})
+	n.finish(k, c, keep && (ending == forward.Whole || ending == forward.Turned), ending == forward.Broken, Ended{e.Visit, ending, status})
 }
 
 func (n *Node) finish(k *call, c *conn, keep, bar bool, events ...any) {
@@ -452,8 +470,9 @@
 	n.forget(k.visit)
 }
 
-func (n *Node) read(c *conn, req *http.Request, most int64) (*http.Response, []byte, bool, forward.Ending) {
-	for {
+func (k *call) read(c *conn, req *http.Request) (*http.Response, []byte, bool, forward.Ending) {
+	most := k.lane.Answer
+	for surplus := 0; ; {
 		resp, err := http.ReadResponse(c.read, req)
 		if err != nil {
 			return nil, nil, false, endingOf(err)
@@ -466,16 +485,32 @@
 			return resp, nil, false, endingOf(err)
 		}
 		resp.Body.Close()
+		if k.Dialect != nil && k.another(resp) && surplus < surplusMost {
+			surplus++
+			continue
+		}
 		bare := req.Method == "HEAD" || resp.StatusCode == 204 || resp.StatusCode == 304
 		open := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bare
-		if resp.StatusCode == 101 || int64(len(body)) > most || open || c.read.Buffered() > 0 || resp.ProtoMajor != 1 || !sound(resp, body) {
+		if resp.StatusCode == 101 || int64(len(body)) > most || open || resp.ProtoMajor != 1 || !k.sound(resp, body) {
 			return resp, nil, false, forward.Garbled
 		}
+		if c.read.Buffered() > 0 {
+			if k.Dialect == nil {
+				return resp, nil, false, forward.Garbled
+			}
+			resp.Close = true
+		}
+		if e := k.turned(resp); e != forward.Whole {
+			return resp, body, !resp.Close && resp.ProtoMinor == 1, e
+		}
 		return resp, body, !resp.Close && resp.ProtoMinor == 1, forward.Whole
 	}
 }
 
-func sound(resp *http.Response, body []byte) bool {
+func (k *call) sound(resp *http.Response, body []byte) bool {
+	if k.Dialect != nil {
+		return k.proven(resp)
+	}
 	if len(body) == 0 {
 		return true
 	}
--- a/data/state.go
+++ b/data/state.go
@@ -270,7 +270,7 @@
 		for a, b := range k.Table {
 			if g := s.guards[a]; b.State == cell.Ready && s.Relay.CellFresh(c, now) && s.Desired().Services[ident.Service(b.Service)] != nil {
 				known[b.Service] = true
-				up[b.Service] = up[b.Service] || g != nil && g.up
+				up[b.Service] = up[b.Service] || g != nil && g.up || s.named(ident.Service(b.Service))
 			}
 		}
 	}
@@ -316,12 +316,17 @@
 		return 0, "backend named by two cells"
 	}
 	g := s.guards[v.Backend.Addr]
-	if _, barred := s.bars[v.Backend.Addr]; barred || g == nil || !g.up || g.life != v.Backend.Life {
+	if _, barred := s.bars[v.Backend.Addr]; barred || !s.named(v.Rule.Service) && (g == nil || !g.up || g.life != v.Backend.Life) {
 		return 0, "backend unsound"
 	}
 	return min(at, k.AsOf.Add(s.Relay.CellStale())), ""
 }
 
+func (s *State) named(n ident.Service) bool {
+	v := s.Desired().Services[n]
+	return v != nil && v.Named
+}
+
 func (s *State) doubled(a ident.Addr, not ident.Cell, now ident.Moment) bool {
 	for c, k := range s.Relay.Cells {
 		if c != not && k.Table[a] != nil && s.Relay.CellFresh(c, now) {
@@ -708,7 +713,7 @@
 	}
 	sort.Slice(addrs, func(i, j int) bool { return addrs[i] < addrs[j] })
 	lives := map[ident.Addr]string{}
-	groups := map[string][]cell.Share{}
+	groups, lines := map[string][]cell.Share{}, map[string][]cell.Share{}
 	var list []pass.Backend
 	for _, a := range addrs {
 		if len(seen[a]) != 1 {
@@ -724,22 +729,32 @@
 		}
 		g := s.guards[a]
 		_, barred := s.bars[a]
-		list = append(list, pass.Backend{Addr: a, Service: ident.Service(e.Service), Life: e.Incarnation, Cell: e.cell.Cell, Near: e.cell.Cell == s.Cell, Barred: barred || g == nil || !g.up || g.life != e.Incarnation})
+		list = append(list, pass.Backend{Addr: a, Service: ident.Service(e.Service), Life: e.Incarnation, Cell: e.cell.Cell, Near: e.cell.Cell == s.Cell, Barred: barred || !s.named(ident.Service(e.Service)) && (g == nil || !g.up || g.life != e.Incarnation)})
 		key := string(e.cell.Cell) + " " + e.Service
-		groups[key] = append(groups[key], cell.Share{Addr: a, Work: int(min(e.Work, cell.SlotLimit))})
+		work := int(min(e.Work, cell.SlotLimit))
+		groups[key] = append(groups[key], cell.Share{Addr: a, Work: work})
+		if n := s.Desired().Services[ident.Service(e.Service)].Line; n > 0 && e.Slots > 0 {
+			lines[key] = append(lines[key], cell.Share{Addr: a, Work: n * work / int(e.Slots)})
+		}
 	}
-	shares := map[ident.Addr]int{}
+	shares, places := map[ident.Addr]int{}, map[ident.Addr]int{}
 	totals := map[ident.Service]int{}
 	for key, g := range groups {
 		c, v, _ := strings.Cut(key, " ")
-		for a, n := range cell.Deal(g, s.Relay.Cells[ident.Cell(c)].Nodes, s.Relay.Cells[ident.Cell(c)].For(v), string(s.Member), ident.Hash(key)) {
+		k := s.Relay.Cells[ident.Cell(c)]
+		wants, only := k.For(v)
+		for a, n := range cell.Deal(g, k.Nodes, wants, only, string(s.Member), ident.Hash(key)) {
 			shares[a] = n
 			totals[ident.Service(v)] += n
 		}
+		for a, n := range cell.Deal(lines[key], k.Nodes, nil, false, string(s.Member), ident.Hash(key, "line")) {
+			places[a] = n
+			totals[ident.Service(v)] += n
+		}
 	}
 	spare := map[ident.Service]uint64{}
 	for i := range list {
-		list[i].Share = shares[list[i].Addr]
+		list[i].Share, list[i].Line = shares[list[i].Addr], places[list[i].Addr]
 	}
 	for i := range list {
 		b := &list[i]
@@ -767,7 +782,9 @@
 	want := map[ident.Addr]pass.Backend{}
 	if !s.signedOff && s.seat != nil && s.Relay.CoreFresh(now) {
 		for _, b := range list {
-			want[b.Addr] = b
+			if !s.named(b.Service) {
+				want[b.Addr] = b
+			}
 		}
 	}
 	for _, a := range ident.Keys(s.guards) {
@@ -809,6 +826,11 @@
 	s.refresh(now)
 }
 
+func (s *State) namedAt(a ident.Addr) bool {
+	b := s.Pass.Backend(a)
+	return b != nil && s.named(b.Service)
+}
+
 func (s *State) bar(a ident.Addr, ask bool) {
 	if old, ok := s.bars[a]; ok && !old.ask {
 		ask = false
@@ -860,6 +882,10 @@
 		case forward.Outcome:
 			s.Mail.Post(&wire.Change{Body: &wire.Change_Outcome{Outcome: &wire.Outcome{Key: e.Visit.Arrival.Key, Visit: string(e.Visit.Visit), Status: uint32(e.Status)}}}, now.Add(OutcomeWait), otherTag{}, heads, now)
 		case forward.Bar:
+			if e.Ask && s.namedAt(e.Addr) {
+				s.Pass.Unbar(e.Addr)
+				continue
+			}
 			s.bar(e.Addr, e.Ask)
 			s.rev = 0
 		default:
--- a/forward/state.go
+++ b/forward/state.go
@@ -52,9 +52,13 @@
 	Garbled
 	Broken
 	Late
+	Turned
+	Moved
 )
 
-func (e Ending) String() string { return [...]string{"whole", "garbled", "broken", "late"}[e] }
+func (e Ending) String() string {
+	return [...]string{"whole", "garbled", "broken", "late", "turned away", "moved"}[e]
+}
 
 type Visit struct {
 	Arrival
@@ -68,6 +72,9 @@
 	Post     uint64
 	Told     bool
 	Left     bool
+	Unsure   bool
+	Kept     bool
+	asked    ident.Moment
 	skip     map[ident.Addr]bool
 }
 
@@ -124,6 +131,7 @@
 type bucket struct {
 	tokens float64
 	most   float64
+	share  float64
 }
 
 type State struct {
@@ -141,15 +149,24 @@
 
 func (s *State) Open() int { return len(s.visits) }
 
+func (s *State) Pressing() bool {
+	for _, v := range s.visits {
+		if v.Phase < Sent {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) Find(v ident.Visit) *Visit { return s.visits[v] }
 
-func (s *State) Budget(n ident.Service, most int) {
+func (s *State) Budget(n ident.Service, most int, share float64) {
 	b := s.budgets[n]
 	if b == nil {
 		b = &bucket{}
 		s.budgets[n] = b
 	}
-	b.most = float64(most)
+	b.most, b.share = float64(most), share
 	b.tokens = min(b.tokens, b.most)
 }
 
@@ -168,7 +185,7 @@
 
 func (s *State) Arrive(a Arrival, now ident.Moment) {
 	v := &Visit{Arrival: a, skip: map[ident.Addr]bool{}}
-	v.GiveUpAt = a.Arrived.Add(GiveUp)
+	v.GiveUpAt, v.asked = a.Arrived.Add(GiveUp), a.Arrived
 	s.visits[v.Visit] = v
 	if !a.Expiry.After(now) {
 		s.end(v, Answer{Status: 504, Ran: RanNo, Reason: "expiry passed"})
@@ -182,7 +199,9 @@
 }
 
 func (s *State) first(n ident.Service) {
-	s.Credit(n, 0.2)
+	if b := s.budgets[n]; b != nil {
+		s.Credit(n, b.share)
+	}
 }
 
 func (s *State) further(n ident.Service) bool {
@@ -202,7 +221,7 @@
 	if v.Rule.Wait == 0 {
 		until = now
 	} else {
-		until = min(until, v.Arrived.Add(v.Rule.Wait))
+		until = min(until, v.asked.Add(v.Rule.Wait))
 	}
 	s.State.Ask(v.Visit, v.Lane, until, v.skip, now)
 	s.passed(now)
@@ -240,11 +259,22 @@
 }
 
 func (s *State) giveUp(v *Visit, why string) {
+	switch {
+	case v.Kept:
+		s.deliver(v)
+		return
+	case v.Unsure:
+		s.end(v, Answer{Status: 502, Ran: RanUnknown, Reason: "an earlier shot may have run; no further one: " + why})
+		return
+	}
 	s.Counts["refused"]++
-	s.end(v, Answer{Status: 503, Ran: RanNo, Reason: why, RetryAfter: s.comeBack(why)})
+	s.end(v, Answer{Status: 503, Ran: RanNo, Reason: why, RetryAfter: s.comeBack(v, why)})
 }
 
-func (s *State) comeBack(why string) time.Duration {
+func (s *State) comeBack(v *Visit, why string) time.Duration {
+	if v.Rule.Aim > 0 {
+		return v.Rule.Aim / 8
+	}
 	switch pass.Reason(why) {
 	case pass.LaneFull, pass.WaitedOut, pass.QueueFull:
 		return time.Second
@@ -357,6 +387,9 @@
 		return
 	}
 	v.AnswerBy = min(v.Expiry, now.Add(v.Rule.Work))
+	if v.Rule.Route != "" {
+		v.AnswerBy = min(v.Expiry, v.Arrived.Add(v.Rule.Work))
+	}
 	v.Reclaim = now.Add(2 * v.Rule.Whole)
 	s.move(v, Sent, "")
 	s.emit(Write{v.Visit, v.Shot, min(at, v.Expiry), v.Reclaim})
@@ -375,9 +408,33 @@
 		delete(s.visits, id)
 		return
 	}
+	if !v.Left && s.again(v, now) {
+		s.passed(now)
+		return
+	}
 	s.giveUp(v, why)
 }
 
+func (s *State) again(v *Visit, now ident.Moment) bool {
+	if v.Told || v.Left || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || !s.further(v.Rule.Service) {
+		return false
+	}
+	v.skip[v.Backend.Addr] = true
+	v.asked = now
+	v.GiveUpAt = now.Add(GiveUp)
+	s.move(v, Waiting, "further shot")
+	s.ask(v, now)
+	return true
+}
+
+func (s *State) deliver(v *Visit) {
+	if !v.Told && !v.Left {
+		v.Told = true
+		s.emit(Deliver{v.Visit})
+	}
+	s.end(v, Answer{Reason: "whole"})
+}
+
 func (s *State) Ended(id ident.Visit, e Ending, status int, now ident.Moment) {
 	v := s.visits[id]
 	if v == nil || v.Phase != Sent {
@@ -389,20 +446,43 @@
 		if len(v.Arrival.Key) > 0 {
 			s.emit(Outcome{v, status})
 		}
-		if status >= 502 && status <= 504 {
+		if v.Rule.Again && status >= 500 && status < 504 {
+			v.Kept, v.Unsure = true, true
+			if s.again(v, now) {
+				return
+			}
+		}
+		if status >= 502 && status <= 504 && v.Rule.Route == "" || v.Rule.Route != "" && (status == 408 || status == 429 || status == 503) {
 			s.end(v, Answer{Status: 502, Ran: RanUnknown, Reason: "backend answered as a gateway would", Known: uint32(status)})
 			return
 		}
-		if !v.Told && !v.Left {
-			v.Told = true
-			s.emit(Deliver{v.Visit})
+		s.deliver(v)
+	case Turned, Moved:
+		if e == Moved {
+			s.State.Bar(v.Backend.Addr)
+			s.emit(Bar{v.Backend.Addr, false})
 		}
-		s.end(v, Answer{Reason: "whole"})
+		if len(v.Arrival.Key) > 0 {
+			s.emit(Release{v})
+		}
+		kept := v.Kept
+		v.Kept = v.Kept || !v.Unsure
+		if s.again(v, now) {
+			v.Kept = kept
+			return
+		}
+		s.giveUp(v, "turned away by the backend")
 	case Late:
 		s.end(v, Answer{Status: 504, Ran: RanUnknown, Reason: "no answer in time"})
 	case Garbled:
+		if v.Unsure = true; v.Rule.Again && s.again(v, now) {
+			return
+		}
 		s.end(v, Answer{Status: 502, Ran: RanUnknown, Reason: "the backend's answer was garbled"})
 	default:
+		if v.Unsure = true; v.Rule.Again && s.again(v, now) {
+			return
+		}
 		s.end(v, Answer{Status: 502, Ran: RanUnknown, Reason: "connection broke after sending"})
 	}
 }
@@ -484,7 +564,7 @@
 		if seat < v.FurtherShots%max(1, seats) {
 			k++
 		}
-		s.Budget(n, k)
+		s.Budget(n, k, float64(v.FurtherShare)/1000)
 	}
 	s.State.Rules(rules, floors)
 	s.passed(now)
--- a/pass/state.go
+++ b/pass/state.go
@@ -30,6 +30,7 @@
 	Life    string
 	Cell    ident.Cell
 	Share   int
+	Line    int
 	Near    bool
 	Barred  bool
 }
@@ -199,6 +200,14 @@
 	}
 }
 
+func (s *State) Unbar(a ident.Addr) {
+	if b := s.backends[a]; b != nil {
+		b.Barred = false
+	}
+}
+
+func (s *State) Backend(a ident.Addr) *Backend { return s.backends[a] }
+
 func (s *State) split() {
 	by := map[ident.Service][]*lane{}
 	for _, n := range s.names() {
@@ -211,7 +220,7 @@
 	for v, list := range by {
 		all, sum := 0, 0
 		for _, b := range s.byName[v] {
-			all += b.Share
+			all += b.Share + b.Line
 		}
 		for _, l := range list {
 			sum += l.Weight
@@ -249,7 +258,7 @@
 func (s *State) spare(l *lane) bool {
 	free := 0
 	for _, b := range s.byName[l.Service] {
-		free += max(0, b.Share-s.load[b.Addr])
+		free += max(0, b.Share+b.Line-s.load[b.Addr])
 	}
 	free--
 	for _, o := range s.lanes {
@@ -275,9 +284,16 @@
 	why := NoBackend
 	list := s.byName[l.Service]
 	s.turn++
-	for i := range list {
+	for i := range 2 * len(list) {
+		if i == len(list) && best != nil {
+			break
+		}
 		b := list[(i+s.turn)%len(list)]
-		if b.Share == 0 || skip[b.Addr] {
+		room := b.Share
+		if i >= len(list) {
+			room += b.Line
+		}
+		if room == 0 || skip[b.Addr] {
 			continue
 		}
 		p := s.pools[Key{l.Lane, b.Addr}]
@@ -292,10 +308,10 @@
 			continue
 		}
 		why = LaneFull
-		if s.load[b.Addr] >= b.Share || idle == 0 && busy >= s.cap(l.Lane, l.Service) {
+		if s.load[b.Addr] >= room || idle == 0 && busy >= s.cap(l.Lane, l.Service) {
 			continue
 		}
-		n := float64(b.Share-s.load[b.Addr]) / float64(b.Share)
+		n := float64(room-s.load[b.Addr]) / float64(room)
 		if idle > 0 {
 			n += 0.1
 		}
