Desired state: editions, limits, routes, open fleets, named services; turns of beats

An operator's own number for a state (edition) is compared at the leader, in the same place as the generation, so that two writers by edition cannot both win; what the log carries still names the generation. Editions rise: a fault at /edition otherwise.

An open fleet declares no count: its seats are what the least cap allows, and the ledger law bounds them as before. A named service holds no probe's connection, so its floors have no probe lot.

A PATCH replaces a route's lanes whole, for a merge by name would keep old targets.

The leader now checks the very text it will log: a merge of two texts below the size limit could be logged above it, and then no book could read the newest state.

An announce with a turn below the last one heard from the same life changes nothing.

--- a/cell/beat.go
+++ b/cell/beat.go
@@ -69,6 +69,7 @@
 	a.Addr = text("address", true)
 	a.Cell = text("cell", false)
 	a.Incarnation = text("incarnation", false)
+	a.Turn = uint64(whole("turn", 1<<53-1, false))
 	if a.Addr != "" {
 		if _, err := netip.ParseAddrPort(a.Addr); err != nil {
 			say("/address", "must be ip:port by number")
--- a/cell/state.go
+++ b/cell/state.go
@@ -39,6 +39,7 @@
 	Work    int
 	Pulse   uint64
 	LeftAt  uint64
+	Turn    uint64
 }
 
 type Soundness struct {
@@ -58,6 +59,7 @@
 type ending struct {
 	pulse uint64
 	life  string
+	turn  uint64
 	at    ident.Moment
 }
 
@@ -209,10 +211,13 @@
 func (s *Soundness) Hear(a *wire.Announce, now ident.Moment) bool {
 	addr := ident.Addr(a.Addr)
 	b := s.table[addr]
+	if s.late(b, a) {
+		return true
+	}
 	if a.State == Gone {
 		if b != nil && b.Service == ident.Service(a.Service) && (a.Incarnation == "" || a.Incarnation == b.Life) {
 			s.drop(addr)
-			s.ended[addr] = ending{s.pulse, a.Incarnation, now}
+			s.ended[addr] = ending{s.pulse, a.Incarnation, max(b.Turn, a.Turn), now}
 		}
 		return true
 	}
@@ -248,6 +253,7 @@
 		}
 	}
 	b.Pulse = max(b.Pulse, pulse)
+	b.Turn = max(b.Turn, a.Turn)
 	b.ColdTo = now.Add(cold)
 	b.Heard = now
 	b.Beat++
@@ -256,6 +262,17 @@
 	return true
 }
 
+func (s *Soundness) late(b *Backend, a *wire.Announce) bool {
+	if a.Incarnation == "" || a.Turn == 0 {
+		return false
+	}
+	if b != nil {
+		return b.Service == ident.Service(a.Service) && b.Life == a.Incarnation && a.Turn < b.Turn
+	}
+	e := s.ended[ident.Addr(a.Addr)]
+	return e.life == a.Incarnation && a.Turn < e.turn
+}
+
 func (s *Soundness) stale(b *Backend, a *wire.Announce, pulse uint64) bool {
 	if b != nil {
 		other := b.Service != ident.Service(a.Service) || a.Incarnation != "" && a.Incarnation != b.Life
--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -81,6 +82,8 @@
 		"withdraw":  {"", "end the trial", withdraw},
 		"promote":   {"", "make what is tried the desired state of all", promote},
 		"rollback":  {"GENERATION", "make an earlier generation the desired state again", rollback},
+		"routes":    {"", "routes, their lanes by weight, shots and times", routes},
+		"route":     {"HOST PATH", "which route and lanes a visit would take", route},
 		"free":      {"SEAT", "free a seat whose holder's sockets are gone", free},
 		"drain":     {"MEMBER", "ask a member to drain and end", drain},
 		"decisions": {"MEMBER [LANE]", "a member's latest decisions", decisions},
@@ -340,18 +343,13 @@
 		return failed, err
 	}
 	var out []map[string]any
+	slots := d.Slots()
 	for _, k := range list(backs["backends"]) {
 		sv := d.Services[ident.Service(str(k["service"]))]
 		if sv == nil {
 			continue
 		}
-		slots := sv.Probe.Slots
-		for _, l := range d.Lanes {
-			if l.Service == sv.Name {
-				slots += l.Slots
-			}
-		}
-		most := num(v["seatCount"]) * float64(slots)
+		most := num(v["seatCount"]) * float64(slots[sv.Name])
 		out = append(out, map[string]any{"backend": k["address"], "service": k["service"], "held": held[str(k["address"])], "most": most, "reserve": float64(sv.Reserve), "accepts": float64(sv.MaxConnections), "spare": float64(sv.MaxConnections-sv.Reserve) - most})
 	}
 	sort.Slice(out, func(i, j int) bool { return str(out[i]["backend"]) < str(out[j]["backend"]) })
@@ -611,15 +609,13 @@
 		s.faults(faults)
 		return unsound, nil
 	}
+	seats, sums := d.Seats(), d.Slots()
+	if d.Fleet.Open {
+		fmt.Fprintf(s.out, "open fleet: %d seats, as many as the caps allow\n", seats)
+	}
 	for _, n := range d.ServiceNames() {
-		sum := d.Services[n].Probe.Slots
-		for _, l := range d.Lanes {
-			if l.Service == n {
-				sum += l.Slots
-			}
-		}
-		v := d.Services[n]
-		fmt.Fprintf(s.out, "service %s: %d seats x %d slots + reserve %d = %d of %d connections\n", n, d.Fleet.Seats(), sum, v.Reserve, d.Fleet.Seats()*sum+v.Reserve, v.MaxConnections)
+		sum, v := sums[n], d.Services[n]
+		fmt.Fprintf(s.out, "service %s: %d seats x %d slots + reserve %d = %d of %d connections\n", n, seats, sum, v.Reserve, seats*sum+v.Reserve, v.MaxConnections)
 	}
 	return good, nil
 }
@@ -794,13 +790,95 @@
 	if err != nil {
 		return failed, err
 	}
-	_, gen, err := s.state("")
+	now, gen, err := s.state("")
 	if err != nil {
 		return failed, err
 	}
+	if e := desired.EditionOf(now); e > 0 {
+		tree, _ := desired.ReadTree(b)
+		next := strconv.FormatUint(e+1, 10)
+		b = desired.Write(desired.Merge(tree, map[string]any{"edition": json.Number(next)}))
+		s.note("as edition %s, for editions rise", next)
+	}
 	return s.put("PUT", "/desired", b, gen)
 }
 
+func (s *shell) desired() (*desired.State, string, error) {
+	b, gen, err := s.state("")
+	if err != nil {
+		return nil, "", err
+	}
+	if gen == "0" {
+		return nil, "", merry.Errorf("no desired state is set")
+	}
+	d, faults := desired.Read(b)
+	if len(faults) > 0 {
+		return nil, "", merry.Errorf("generation %s does not read here", gen)
+	}
+	return d, gen, nil
+}
+
+func told(d *desired.State, gen string) string {
+	if d.Edition > 0 {
+		return fmt.Sprintf("generation %s, edition %d", gen, d.Edition)
+	}
+	return "generation " + gen
+}
+
+func routes(s *shell, w []string) (int, error) {
+	if len(w) > 0 {
+		return wrong, merry.Errorf("routes takes no words; --filter TEXT picks rows")
+	}
+	d, gen, err := s.desired()
+	if err != nil {
+		return failed, err
+	}
+	var out []map[string]any
+	for _, n := range d.RouteNames() {
+		r := d.Routes[n]
+		var lanes []string
+		for _, t := range r.Targets {
+			lanes = append(lanes, fmt.Sprintf("%s:%d", t.Rule.Name, t.Weight))
+		}
+		var aim any
+		if r.Aim > 0 {
+			aim = float64(r.Aim.Milliseconds())
+		}
+		out = append(out, map[string]any{"route": n, "host": r.Host, "prefix": r.Prefix, "lanes": strings.Join(lanes, " "), "repeatable": r.Repeatable, "shots": float64(r.Shots), "wholeMs": float64(r.Whole.Milliseconds()), "aimMs": aim, "rank": float64(r.Rank)})
+	}
+	s.table(out, "route", "host", "prefix", "lanes", "repeatable", "shots", "wholeMs", "aimMs", "rank")
+	s.note("%d routes; %s", len(out), told(d, gen))
+	return good, nil
+}
+
+func route(s *shell, w []string) (int, error) {
+	if len(w) != 2 || !strings.HasPrefix(w[1], "/") {
+		return wrong, merry.Errorf("name a host and a path that starts with '/'")
+	}
+	host := strings.ToLower(w[0])
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	path, _, _ := strings.Cut(w[1], "?")
+	d, gen, err := s.desired()
+	if err != nil {
+		return failed, err
+	}
+	r := d.Find(host, path)
+	if r == nil {
+		s.note("no route takes %s %s; %s", host, path, told(d, gen))
+		return failed, nil
+	}
+	var out []map[string]any
+	for _, t := range r.Targets {
+		l := t.Rule
+		out = append(out, map[string]any{"route": r.Name, "prefix": r.Prefix, "lane": string(l.Name), "service": string(l.Service), "tenant": l.Tenant, "share": fmt.Sprintf("%.4g%%", 100*float64(t.Weight)/float64(r.Sum)), "waitMs": float64(l.Wait.Milliseconds()), "connectMs": float64(l.Connect.Milliseconds()), "wholeMs": float64(l.Whole.Milliseconds()), "shots": float64(l.Shots), "repeatable": l.Again})
+	}
+	s.table(out, "route", "prefix", "lane", "service", "tenant", "share", "waitMs", "connectMs", "wholeMs", "shots", "repeatable")
+	s.note("%s", told(d, gen))
+	return good, nil
+}
+
 func (s *shell) post(addr, path string, v any) (int, error) {
 	b, _ := json.Marshal(v)
 	resp, err := web.Post("http://"+addr+path, "application/json", bytes.NewReader(b))
--- a/control/http.go
+++ b/control/http.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	readWait = time.Second
+	readWait     = time.Second
+	editionBasis = "Sloeturn-Edition-Basis"
 )
 
 func (n *Node) Registry() http.Handler {
@@ -86,11 +87,23 @@
 		return
 	}
 	tag := strings.Trim(r.Header.Get("If-Match"), `"`)
-	if tag == "" {
-		duty.Wrong(w, 428, "header If-Match must name the generation this change stands on", nil)
+	editions, byEdition := r.Header[http.CanonicalHeaderKey(editionBasis)]
+	if tag == "" && !byEdition {
+		duty.Wrong(w, 428, "header If-Match must name the generation this change stands on, or "+editionBasis+" its edition", nil)
 		return
 	}
+	if tag != "" && byEdition || len(editions) > 1 {
+		duty.Wrong(w, 400, "one of If-Match and "+editionBasis+" must be given, once", nil)
+		return
+	}
+	if byEdition {
+		tag = editions[0]
+	}
 	basis, err := strconv.ParseUint(tag, 10, 64)
+	if byEdition && (err != nil || basis > desired.EditionMost) {
+		duty.Wrong(w, 400, "header "+editionBasis+" must be an edition, or 0 for none", nil)
+		return
+	}
 	if err != nil {
 		duty.Wrong(w, 400, "header If-Match must be a generation", nil)
 		return
@@ -102,7 +115,7 @@
 	}
 	done, stop := context.WithTimeout(r.Context(), DesiredWait)
 	defer stop()
-	c := &wire.SetDesired{Basis: basis, ChangeId: id, Doc: body, Merge: merge, Author: r.Header.Get("Sloeturn-Author"), Withdraw: r.Method == "DELETE"}
+	c := &wire.SetDesired{Basis: basis, ByEdition: byEdition, ChangeId: id, Doc: body, Merge: merge, Author: r.Header.Get("Sloeturn-Author"), Withdraw: r.Method == "DELETE"}
 	if only := r.URL.Query().Get("only"); only != "" {
 		c.Only = strings.Split(only, ",")
 	}
@@ -117,13 +130,13 @@
 	case ledger.Done:
 		w.Header().Set("ETag", fmt.Sprintf(`"%d"`, got.Generation))
 		if len(c.Only) > 0 || c.Withdraw {
-			duty.JSON(w, 200, map[string]any{"generation": got.Generation, "trial": map[bool]string{true: "withdrawn", false: id}[c.Withdraw]})
+			duty.JSON(w, 200, map[string]any{"generation": got.Generation, "edition": got.Edition, "trial": map[bool]string{true: "withdrawn", false: id}[c.Withdraw]})
 			return
 		}
-		duty.JSON(w, 200, map[string]any{"generation": got.Generation, "inForce": true})
+		duty.JSON(w, 200, map[string]any{"generation": got.Generation, "edition": got.Edition, "inForce": true})
 	case ledger.Stale:
 		w.Header().Set("ETag", fmt.Sprintf(`"%d"`, got.Generation))
-		duty.JSON(w, 412, map[string]any{"error": "another change came first", "generation": got.Generation})
+		duty.JSON(w, 412, map[string]any{"error": "another change came first", "generation": got.Generation, "edition": got.Edition})
 	case ledger.Invalid:
 		var faults []desired.Fault
 		for _, f := range got.Faults {
--- a/control/state.go
+++ b/control/state.go
@@ -357,9 +357,10 @@
 			s.inForce(force{s.Book.Generation, q.asker})
 			continue
 		}
-		if q.set.Basis != uint64(s.Book.Generation) {
+		edition := s.Book.Edition(s.Book.Generation)
+		if !q.set.ByEdition && q.set.Basis != uint64(s.Book.Generation) || q.set.ByEdition && q.set.Basis != edition {
 			s.decide(duty.Decision{Decision: "refused change", Note: "another change came first: " + q.set.ChangeId})
-			s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation)})
+			s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation), Edition: edition})
 			continue
 		}
 		var tree any = map[string]any{}
@@ -377,19 +378,23 @@
 			}
 			tree = desired.Merge(base, tree)
 		}
+		doc := desired.Write(tree)
 		if len(faults) == 0 && !q.set.Withdraw {
-			_, faults = desired.Check(tree)
+			var d *desired.State
+			if d, faults = desired.Read(doc); len(faults) == 0 {
+				faults = d.Follows(edition)
+			}
 		}
 		if len(faults) > 0 {
 			s.decide(duty.Decision{Decision: "refused change", Note: fmt.Sprintf("%s: %d faults, first %s %s", q.set.ChangeId, len(faults), faults[0].Path, faults[0].Text)})
-			r := &wire.ProposeReply{Code: uint32(ledger.Invalid), Generation: uint64(s.Book.Generation)}
+			r := &wire.ProposeReply{Code: uint32(ledger.Invalid), Generation: uint64(s.Book.Generation), Edition: edition}
 			for _, f := range faults {
 				r.Faults = append(r.Faults, &wire.Fault{Path: f.Path, Text: f.Text})
 			}
 			s.reply(q.asker, r)
 			continue
 		}
-		i, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: q.set.Basis, ChangeId: q.set.ChangeId, Doc: desired.Write(tree), Author: q.set.Author, Only: q.set.Only, Withdraw: q.set.Withdraw}}}, now)
+		i, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(s.Book.Generation), ChangeId: q.set.ChangeId, Doc: doc, Author: q.set.Author, Only: q.set.Only, Withdraw: q.set.Withdraw}}}, now)
 		if ok {
 			s.waits[i] = q.asker
 			s.setIndex = i
@@ -399,7 +404,7 @@
 
 func (s *State) inForce(f force) {
 	if s.Book.InForce >= f.gen {
-		s.reply(f.asker, &wire.ProposeReply{Code: uint32(ledger.Done), Generation: uint64(f.gen)})
+		s.reply(f.asker, &wire.ProposeReply{Code: uint32(ledger.Done), Generation: uint64(f.gen), Edition: s.Book.Edition(f.gen)})
 		return
 	}
 	s.forces = append(s.forces, f)
@@ -415,7 +420,7 @@
 		if e.Change.GetSetDesired() != nil && r.Code == ledger.Done {
 			s.inForce(force{r.Generation, a})
 		} else {
-			p := &wire.ProposeReply{Code: uint32(r.Code), Generation: uint64(r.Generation), Seat: uint32(r.Seat), Visit: string(r.Visit), Status: r.Status}
+			p := &wire.ProposeReply{Code: uint32(r.Code), Generation: uint64(r.Generation), Edition: s.Book.Edition(r.Generation), Seat: uint32(r.Seat), Visit: string(r.Visit), Status: r.Status}
 			s.reply(a, p)
 		}
 	}
--- a/desired/read.go
+++ b/desired/read.go
@@ -93,7 +93,9 @@
 	return list, err
 }
 
-func Merge(base, patch any) any {
+func Merge(base, patch any) any { return merge(base, patch) }
+
+func merge(base, patch any, path ...string) any {
 	p, ok := patch.(map[string]any)
 	if !ok {
 		return patch
@@ -109,7 +111,12 @@
 			delete(out, k)
 			continue
 		}
-		out[k] = Merge(out[k], v)
+		at := append(path[:len(path):len(path)], k)
+		if len(at) == 3 && at[0] == "routes" && k == "lanes" {
+			out[k] = merge(nil, v)
+			continue
+		}
+		out[k] = merge(out[k], v, at...)
 	}
 	return out
 }
--- a/desired/state.go
+++ b/desired/state.go
@@ -12,7 +12,13 @@
 	"sloeturn/ident"
 )
 
+const (
+	EditionMost = 1<<53 - 1
+	SeatsMost   = 1 << 20
+)
+
 type Fleet struct {
+	Open     bool
 	Nodes    int
 	Surge    int
 	Retiring int
@@ -33,6 +39,9 @@
 	Reserve        int
 	Probe          Probe
 	FurtherShots   int
+	FurtherShare   int
+	Named          bool
+	Line           int
 }
 
 type Lane struct {
@@ -50,6 +59,17 @@
 	Shots   int
 	Body    int64
 	Answer  int64
+	Again   bool
+	Route   string
+	Aim     time.Duration
+	Rank    int
+}
+
+type Limits struct {
+	Head     int64
+	Body     int64
+	HeadWait time.Duration
+	IdleWait time.Duration
 }
 
 type Tenant struct {
@@ -58,10 +78,15 @@
 }
 
 type State struct {
+	Edition  uint64
 	Fleet    Fleet
+	Limits   *Limits
 	Services map[ident.Service]*Service
 	Lanes    map[ident.Lane]*Lane
 	Tenants  map[string]*Tenant
+	Routes   map[string]*Route
+
+	hosts map[string][]*Route
 }
 
 type check struct {
@@ -161,9 +186,9 @@
 	}
 }
 
-func (o *object) each(key string, most int, f func(name, path string, v any)) {
-	v, ok := o.take(key)
-	if !ok {
+func (o *object) each(key string, most int, ok func(string) bool, rule string, f func(name, path string, v any)) {
+	v, given := o.take(key)
+	if !given {
 		return
 	}
 	at := o.path + "/" + key
@@ -173,13 +198,15 @@
 		return
 	}
 	for _, k := range names(in.m) {
-		if !NameOK(k) {
-			o.say(at+"/"+k, "name must be 1 to 64 of a-z, 0-9, '-', starting with a letter")
+		if !ok(k) {
+			o.say(at+"/"+k, "%s", rule)
 		}
 		f(k, at+"/"+k, in.m[k])
 	}
 }
 
+const nameRule = "name must be 1 to 64 of a-z, 0-9, '-', starting with a letter"
+
 func NameOK(s string) bool {
 	if len(s) == 0 || len(s) > 64 || s[0] < 'a' || s[0] > 'z' {
 		return false
@@ -198,20 +225,22 @@
 
 func Check(tree any) (*State, []Fault) {
 	c := &check{}
-	s := &State{Services: map[ident.Service]*Service{}, Lanes: map[ident.Lane]*Lane{}, Tenants: map[string]*Tenant{}}
+	s := &State{Services: map[ident.Service]*Service{}, Lanes: map[ident.Lane]*Lane{}, Tenants: map[string]*Tenant{}, Routes: map[string]*Route{}, hosts: map[string][]*Route{}}
 	o := c.object("", tree)
+	s.Edition = uint64(o.whole("edition", 1, EditionMost, 0, false))
 	if v, ok := o.take("fleet"); ok {
-		f := c.object("/fleet", v)
-		s.Fleet.Nodes = f.whole("nodes", 1, 4096, 1, true)
-		s.Fleet.Surge = f.whole("surge", 0, 4096, 0, false)
-		s.Fleet.Retiring = f.whole("retiring", 0, 4096, 0, false)
-		f.end()
+		s.Fleet = c.fleet(v)
 	} else {
 		c.say("/fleet", "is missing")
 	}
-	o.each("services", 1024, func(name, path string, v any) { s.Services[ident.Service(name)] = c.service(name, path, v) })
-	o.each("tenants", 1024, func(name, path string, v any) { s.Tenants[name] = c.tenant(name, path, v) })
-	o.each("lanes", 4096, func(name, path string, v any) { s.Lanes[ident.Lane(name)] = c.lane(name, path, v, s) })
+	if v, ok := o.take("limits"); ok {
+		s.Limits = c.limits(v)
+	}
+	o.each("services", 1024, NameOK, nameRule, func(name, path string, v any) { s.Services[ident.Service(name)] = c.service(name, path, v) })
+	o.each("tenants", 1024, NameOK, nameRule, func(name, path string, v any) { s.Tenants[name] = c.tenant(name, path, v) })
+	o.each("lanes", 4096, NameOK, nameRule, func(name, path string, v any) { s.Lanes[ident.Lane(name)] = c.lane(name, path, v, s) })
+	o.each("routes", 4096, RouteOK, routeRule, func(name, path string, v any) { s.Routes[name] = c.route(name, path, v, s) })
+	c.pave(s)
 	o.end()
 	if len(c.faults) == 0 {
 		c.sums(s)
@@ -219,12 +248,45 @@
 	return s, c.faults
 }
 
+func (c *check) fleet(v any) Fleet {
+	o := c.object("/fleet", v)
+	f := Fleet{Open: o.flag("open")}
+	if f.Open {
+		for _, k := range []string{"nodes", "surge", "retiring"} {
+			if _, ok := o.take(k); ok {
+				c.say("/fleet/"+k, "cannot stand beside open: an open fleet declares no count")
+			}
+		}
+	} else {
+		f.Nodes = o.whole("nodes", 1, 4096, 1, true)
+		f.Surge = o.whole("surge", 0, 4096, 0, false)
+		f.Retiring = o.whole("retiring", 0, 4096, 0, false)
+	}
+	o.end()
+	return f
+}
+
+func (c *check) limits(v any) *Limits {
+	o := c.object("/limits", v)
+	out := &Limits{
+		Head:     int64(o.whole("headBytes", 1, 16<<20, 0, false)),
+		Body:     int64(o.whole("bodyBytes", 1, 1<<30, 0, false)),
+		HeadWait: o.span("headMs", 1, 3600000, 0),
+		IdleWait: o.span("idleMs", 1, 3600000, 0),
+	}
+	o.end()
+	return out
+}
+
 func (c *check) service(name, path string, v any) *Service {
 	o := c.object(path, v)
 	out := &Service{Name: ident.Service(name)}
 	out.MaxConnections = o.whole("maxConnections", 1, 1<<20, 1, true)
 	out.Reserve = o.whole("reserve", 0, 1<<20, 0, false)
 	out.FurtherShots = o.whole("furtherShots", 0, 10000, 10, false)
+	out.FurtherShare = o.whole("furtherShare", 0, 1000, 200, false)
+	out.Line = o.whole("line", 0, 4096, 0, false)
+	out.Named = o.flag("named")
 	out.Probe = Probe{Slots: 1, Path: "/soundness", Every: time.Second, Wait: 500 * time.Millisecond}
 	if v, ok := o.take("probe"); ok {
 		p := c.object(path+"/probe", v)
@@ -238,8 +300,14 @@
 		if out.Probe.Wait > out.Probe.Every {
 			c.say(path+"/probe/waitMs", "is %v; must not pass everyMs, %v", out.Probe.Wait, out.Probe.Every)
 		}
+		if _, ok := p.m["slots"]; ok && out.Named {
+			c.say(path+"/probe/slots", "cannot stand beside named: no probe's connection is held")
+		}
 		p.end()
 	}
+	if out.Named {
+		out.Probe.Slots = 0
+	}
 	o.end()
 	return out
 }
@@ -279,6 +347,9 @@
 	out.Work = o.span("workMs", 1, 3600000, 1000)
 	out.Whole = o.span("wholeMs", 1, 3600000, int(math.Max(2000, float64(out.Work.Milliseconds()+200))))
 	out.Once = o.flag("once")
+	if out.Again = o.flag("repeatable"); out.Again && out.Once {
+		c.say(path+"/repeatable", "cannot stand beside once")
+	}
 	out.Shots = o.whole("shots", 1, 4, 2, false)
 	out.Body = int64(o.whole("bodyBytes", 0, 16<<20, 64<<10, false))
 	out.Answer = int64(o.whole("answerBytes", 1, 64<<20, 1<<20, false))
@@ -321,7 +392,32 @@
 	if v == nil {
 		return 0
 	}
-	return (v.MaxConnections - v.Reserve) / s.Fleet.Seats()
+	return (v.MaxConnections - v.Reserve) / s.Seats()
+}
+
+func (s *State) Slots() map[ident.Service]int {
+	out := map[ident.Service]int{}
+	for n, v := range s.Services {
+		out[n] = v.Probe.Slots
+	}
+	for _, l := range s.Lanes {
+		out[l.Service] += l.Slots
+	}
+	return out
+}
+
+func (s *State) Seats() int {
+	if !s.Fleet.Open {
+		return s.Fleet.Seats()
+	}
+	n := SeatsMost
+	sums := s.Slots()
+	for k, v := range s.Services {
+		if sums[k] > 0 {
+			n = min(n, (v.MaxConnections-v.Reserve)/sums[k])
+		}
+	}
+	return max(0, n)
 }
 
 func (c *check) sums(s *State) {
@@ -334,6 +430,12 @@
 				text += fmt.Sprintf(" + %s %d", n, l.Slots)
 			}
 		}
+		if s.Fleet.Open {
+			if sum+v.Reserve > v.MaxConnections {
+				c.say("/services/"+string(name)+"/maxConnections", "is %d; one seat of an open fleet needs %d slots (%s) + reserve %d = %d", v.MaxConnections, sum, text, v.Reserve, sum+v.Reserve)
+			}
+			continue
+		}
 		seats := s.Fleet.Seats()
 		if peak := sum*seats + v.Reserve; peak > v.MaxConnections {
 			c.say("/services/"+string(name)+"/maxConnections", "is %d; the peak is %d seats (nodes %d + surge %d + retiring %d) x %d slots (%s) + reserve %d = %d",
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -151,6 +151,16 @@
 	return s
 }
 
+func (b *Book) Edition(g ident.Generation) uint64 {
+	if s := b.State(g); s != nil {
+		return s.Edition
+	}
+	if l := b.Line(g); l != nil {
+		return desired.EditionOf(l.Doc)
+	}
+	return 0
+}
+
 func (b *Book) setDesired(c *wire.SetDesired) Result {
 	if l := b.ByChange(c.ChangeId); l != nil {
 		return Result{Code: Done, Generation: ident.Generation(l.Generation)}
@@ -201,7 +211,7 @@
 	b.span(func(g ident.Generation, s *desired.State) {
 		k := 0
 		if s != nil {
-			k = s.Fleet.Seats()
+			k = s.Seats()
 		}
 		if n < 0 || k < n {
 			n = k
@@ -242,7 +252,9 @@
 		out[Lot{n, l.Service}] = l.Slots
 	}
 	for n, v := range s.Services {
-		out[Lot{"", n}] = v.Probe.Slots
+		if v.Probe.Slots > 0 {
+			out[Lot{"", n}] = v.Probe.Slots
+		}
 	}
 	return out
 }
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -159,13 +159,16 @@
 	if len(faults) == 0 {
 		d, faults = desired.Check(tree)
 	}
+	if len(faults) == 0 && p.now_ != nil {
+		faults = d.Follows(p.now_.Edition)
+	}
 	if len(faults) > 0 {
 		p.say(Line{Decision: "error", Line: p.line, Reason: "not sound", Faults: faults})
 		return
 	}
 	p.gen++
 	p.tree, p.now_ = tree, d
-	p.Rules(d, ledger.Slots(d), 0, d.Fleet.Seats(), p.now)
+	p.Rules(d, ledger.Slots(d), 0, d.Seats(), p.now)
 	p.refresh()
 	p.say(Line{Decision: "in force"})
 }
