--- a/cell/state.go
+++ b/cell/state.go
@@ -39,6 +39,7 @@
 	Work    int
 	Pulse   uint64
 	LeftAt  uint64
+	Turn    uint64
 }
 
 type Soundness struct {
@@ -58,6 +59,7 @@
 type ending struct {
 	pulse uint64
 	life  string
+	turn  uint64
 	at    ident.Moment
 }
 
@@ -84,7 +86,7 @@
 	n := ident.Hash(r.Nodes...)
 	for _, w := range r.Wants {
 		for i, k := range w.ByNode {
-			n += ident.Hash(w.Service, strconv.Itoa(i), strconv.FormatUint(uint64(k), 10))
+			n += ident.Hash(w.Service, strconv.FormatBool(w.Only), strconv.Itoa(i), strconv.FormatUint(uint64(k), 10))
 		}
 	}
 	return n
@@ -98,13 +100,13 @@
 	return strings.TrimSpace(b.String())
 }
 
-func (r Roll) For(service string) []uint32 {
+func (r Roll) For(service string) (wants []uint32, only bool) {
 	for _, w := range r.Wants {
 		if w.Service == service && len(w.ByNode) == len(r.Nodes) {
-			return w.ByNode
+			return w.ByNode, w.Only
 		}
 	}
-	return nil
+	return nil, false
 }
 
 const TombsKept = 256
@@ -139,6 +141,8 @@
 	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}, ended: map[ident.Addr]ending{}, pulse: 1}
 }
 
+func (s *Soundness) Upto() uint64 { return s.ver }
+
 func Part(addr string) int { return int(ident.Hash(addr) % Parts) }
 
 func Sum(addr string, ver uint64) uint64 { return ident.Hash(addr, strconv.FormatUint(ver, 10)) }
@@ -170,6 +174,12 @@
 	for _, a := range ident.Keys(old.Table) {
 		l := old.Table[a]
 		b := s.table[a]
+		if l.State == Ready {
+			if e, ended := s.ended[a]; b == nil && !(ended && e.life == l.Incarnation) && !strings.HasPrefix(l.Incarnation, Bare) {
+				s.remember(l, now)
+			}
+			continue
+		}
 		if l.State != Leaving || b != nil && (b.Life != l.Incarnation || b.State == Leaving) {
 			continue
 		}
@@ -185,6 +195,14 @@
 	}
 }
 
+func (s *Soundness) remember(l *wire.Backend, now ident.Moment) {
+	cold := time.Duration(l.ColdNs)
+	b := &Backend{Addr: ident.Addr(l.Addr), Service: ident.Service(l.Service), Life: l.Incarnation, Slots: int(min(l.Slots, SlotLimit)), State: Ready, ColdTo: now.Add(cold), ColdAll: cold, Heard: now}
+	b.Work = Work(b, now)
+	s.table[b.Addr] = b
+	s.touch(b)
+}
+
 func (s *Soundness) touch(b *Backend) {
 	p := Part(string(b.Addr))
 	if b.Version != 0 {
@@ -208,11 +226,17 @@
 
 func (s *Soundness) Hear(a *wire.Announce, now ident.Moment) bool {
 	addr := ident.Addr(a.Addr)
+	if addr == "" {
+		addr = s.placeOf(a.Incarnation)
+	}
 	b := s.table[addr]
+	if s.late(b, a) {
+		return true
+	}
 	if a.State == Gone {
-		if b != nil && b.Service == ident.Service(a.Service) && (a.Incarnation == "" || a.Incarnation == b.Life) {
+		if b != nil && (b.Service == ident.Service(a.Service) || a.Addr == "") && (a.Incarnation == "" || a.Incarnation == b.Life) {
 			s.drop(addr)
-			s.ended[addr] = ending{s.pulse, a.Incarnation, now}
+			s.ended[addr] = ending{s.pulse, a.Incarnation, max(b.Turn, a.Turn), now}
 		}
 		return true
 	}
@@ -248,6 +272,7 @@
 		}
 	}
 	b.Pulse = max(b.Pulse, pulse)
+	b.Turn = max(b.Turn, a.Turn)
 	b.ColdTo = now.Add(cold)
 	b.Heard = now
 	b.Beat++
@@ -256,6 +281,26 @@
 	return true
 }
 
+func (s *Soundness) placeOf(life string) ident.Addr {
+	for a, b := range s.table {
+		if b.Life == life {
+			return a
+		}
+	}
+	return ""
+}
+
+func (s *Soundness) late(b *Backend, a *wire.Announce) bool {
+	if a.Incarnation == "" || a.Turn == 0 {
+		return false
+	}
+	if b != nil {
+		return b.Service == ident.Service(a.Service) && b.Life == a.Incarnation && a.Turn < b.Turn
+	}
+	e := s.ended[ident.Addr(a.Addr)]
+	return e.life == a.Incarnation && a.Turn < e.turn
+}
+
 func (s *Soundness) stale(b *Backend, a *wire.Announce, pulse uint64) bool {
 	if b != nil {
 		other := b.Service != ident.Service(a.Service) || a.Incarnation != "" && a.Incarnation != b.Life
@@ -552,7 +597,7 @@
 	Work int
 }
 
-func Deal(list []Share, nodes []string, wants []uint32, node string, turn uint64) map[ident.Addr]int {
+func Deal(list []Share, nodes []string, wants []uint32, only bool, node string, turn uint64) map[ident.Addr]int {
 	at := sort.SearchStrings(nodes, node)
 	if at == len(nodes) || nodes[at] != node {
 		return nil
@@ -563,6 +608,11 @@
 	}
 	upto := make([]uint64, len(nodes))
 	for i := range nodes {
+		if only && all > 0 {
+			sum += uint64(wants[i])
+			upto[i] = sum
+			continue
+		}
 		sum++
 		if all > 0 {
 			sum += 2*uint64(wants[i]) + all/uint64(len(nodes))
--- a/control/state.go
+++ b/control/state.go
@@ -108,6 +108,7 @@
 	begun bool
 	turns int
 	dealt ident.Moment
+	vows  []*vow
 }
 
 type seen struct {
@@ -136,6 +137,12 @@
 	id uint64
 }
 
+type vow struct {
+	pending
+	upto uint64
+	has  map[string]bool
+}
+
 type State struct {
 	Boot
 	Members *member.State
@@ -283,6 +290,7 @@
 		s.Members.Table(b.Table, f.Addr, now)
 	case *wire.Frame_Ask:
 		s.Relay.Heard(b.Ask)
+		s.witness(f.Addr, b.Ask, now)
 		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_News{News: s.answer(b.Ask, now)}})
 	case *wire.Frame_News:
 		s.Relay.News(b.News, f.Addr, now)
@@ -373,9 +381,10 @@
 			s.inForce(force{s.Book.Generation, q.asker})
 			continue
 		}
-		if q.set.Basis != uint64(s.Book.Generation) {
+		edition := s.Book.Edition(s.Book.Generation)
+		if !q.set.ByEdition && q.set.Basis != uint64(s.Book.Generation) || q.set.ByEdition && q.set.Basis != edition {
 			s.decide(duty.Decision{Decision: "refused change", Note: "another change came first: " + q.set.ChangeId})
-			s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation)})
+			s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation), Edition: edition})
 			continue
 		}
 		var tree any = map[string]any{}
@@ -393,19 +402,23 @@
 			}
 			tree = desired.Merge(base, tree)
 		}
+		doc := desired.Write(tree)
 		if len(faults) == 0 && !q.set.Withdraw {
-			_, faults = desired.Check(tree)
+			var d *desired.State
+			if d, faults = desired.Read(doc); len(faults) == 0 {
+				faults = d.Follows(edition)
+			}
 		}
 		if len(faults) > 0 {
 			s.decide(duty.Decision{Decision: "refused change", Note: fmt.Sprintf("%s: %d faults, first %s %s", q.set.ChangeId, len(faults), faults[0].Path, faults[0].Text)})
-			r := &wire.ProposeReply{Code: uint32(ledger.Invalid), Generation: uint64(s.Book.Generation)}
+			r := &wire.ProposeReply{Code: uint32(ledger.Invalid), Generation: uint64(s.Book.Generation), Edition: edition}
 			for _, f := range faults {
 				r.Faults = append(r.Faults, &wire.Fault{Path: f.Path, Text: f.Text})
 			}
 			s.reply(q.asker, r)
 			continue
 		}
-		i, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: q.set.Basis, ChangeId: q.set.ChangeId, Doc: desired.Write(tree), Author: q.set.Author, Only: q.set.Only, Withdraw: q.set.Withdraw}}}, now)
+		i, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(s.Book.Generation), ChangeId: q.set.ChangeId, Doc: doc, Author: q.set.Author, Only: q.set.Only, Withdraw: q.set.Withdraw}}}, now)
 		if ok {
 			s.waits[i] = q.asker
 			s.setIndex = i
@@ -415,7 +428,7 @@
 
 func (s *State) inForce(f force) {
 	if s.Book.InForce >= f.gen {
-		s.reply(f.asker, &wire.ProposeReply{Code: uint32(ledger.Done), Generation: uint64(f.gen)})
+		s.reply(f.asker, &wire.ProposeReply{Code: uint32(ledger.Done), Generation: uint64(f.gen), Edition: s.Book.Edition(f.gen)})
 		return
 	}
 	s.forces = append(s.forces, f)
@@ -431,7 +444,7 @@
 		if e.Change.GetSetDesired() != nil && r.Code == ledger.Done {
 			s.inForce(force{r.Generation, a})
 		} else {
-			p := &wire.ProposeReply{Code: uint32(r.Code), Generation: uint64(r.Generation), Seat: uint32(r.Seat), Visit: string(r.Visit), Status: r.Status}
+			p := &wire.ProposeReply{Code: uint32(r.Code), Generation: uint64(r.Generation), Edition: s.Book.Edition(r.Generation), Seat: uint32(r.Seat), Visit: string(r.Visit), Status: r.Status}
 			s.reply(a, p)
 		}
 	}
@@ -590,7 +603,11 @@
 		}
 		s.moved(h)
 		s.copyCell(c, h, now)
-		s.announced(p, 200, "")
+		if a.State == cell.Ready || s.witnesses() == 0 {
+			s.announced(p, 200, "")
+			return
+		}
+		h.vows = append(h.vows, &vow{p, h.sound.Upto(), map[string]bool{}})
 		return
 	}
 	if h := s.holds[c]; h != nil && h.heir != nil {
@@ -619,6 +636,54 @@
 	s.announced(p, 503, "cell "+a.Cell+" has no holder just now")
 }
 
+func (s *State) witnesses() int {
+	n := 0
+	for _, c := range s.Members.Ring() {
+		if c.Role == member.Control && c.Id != string(s.Member) && !c.Leaving {
+			n++
+		}
+	}
+	return min(n, max(1, s.Losses))
+}
+
+func (s *State) witness(from string, a *wire.Ask, now ident.Moment) {
+	head := false
+	for _, c := range s.Members.Ring() {
+		head = head || c.Addr == from && c.Role == member.Control
+	}
+	if !head {
+		return
+	}
+	for _, c := range a.Cells {
+		h := s.holds[ident.Cell(c.Cell)]
+		if h == nil || uint64(h.epoch) != c.Epoch {
+			continue
+		}
+		for _, v := range h.vows {
+			if c.Upto >= v.upto {
+				v.has[from] = true
+			}
+		}
+		s.keepVows(h, now)
+	}
+}
+
+func (s *State) keepVows(h *hold, now ident.Moment) {
+	need := s.witnesses()
+	keep := h.vows[:0]
+	for _, v := range h.vows {
+		switch {
+		case len(v.has) >= need:
+			s.announced(v.pending, 200, "")
+		case now.Sub(v.at) > HeldMost:
+			s.announced(v.pending, 503, "heard, but not yet by those that must not forget it; say it again")
+		default:
+			keep = append(keep, v)
+		}
+	}
+	h.vows = keep
+}
+
 func (s *State) onward(p pending, a *wire.Announce, to string) {
 	s.passID++
 	s.passes[s.passID] = p
@@ -784,7 +849,9 @@
 	}
 	h.dealt = now
 	by := map[string][]uint32{}
+	homes := make([]bool, len(nodes))
 	for i, n := range nodes {
+		homes[i] = ident.Cell(s.Members.Card(ident.Member(n)).GetCell()) == h.sound.Cell
 		for _, w := range s.Relay.ConfirmOf(n).GetWants() {
 			if by[w.Service] == nil {
 				by[w.Service] = make([]uint32, len(nodes))
@@ -792,12 +859,23 @@
 			by[w.Service][i] = w.Slots
 		}
 	}
+	if d := s.Relay.Desired; d != nil {
+		for _, v := range d.ServiceNames() {
+			if by[string(v)] == nil && s.lined(string(v)) {
+				by[string(v)] = make([]uint32, len(nodes))
+			}
+		}
+	}
 	r := cell.Roll{Nodes: nodes}
 	for _, v := range ident.Keys(by) {
-		if old := h.sound.For(v); slices.Equal(nodes, h.sound.Nodes) && old != nil && near(old, by[v]) {
+		only := s.lined(v)
+		if only {
+			by[v] = homeFirst(homes, by[v])
+		}
+		if old, was := h.sound.For(v); slices.Equal(nodes, h.sound.Nodes) && old != nil && was == only && near(old, by[v]) {
 			by[v] = old
 		}
-		r.Wants = append(r.Wants, &wire.Wants{Service: v, ByNode: by[v]})
+		r.Wants = append(r.Wants, &wire.Wants{Service: v, ByNode: by[v], Only: only})
 	}
 	if r.Sum() != h.sound.Roll.Sum() {
 		s.decide(duty.Decision{Decision: "dealt", Cell: string(h.sound.Cell), Note: strings.Join(nodes, " ") + " " + r.Text()})
@@ -805,6 +883,31 @@
 	h.sound.Roll = r
 }
 
+func (s *State) lined(v string) bool {
+	d := s.Relay.Desired
+	return d != nil && d.Services[ident.Service(v)] != nil && d.Services[ident.Service(v)].Line > 0
+}
+
+func homeFirst(homes []bool, wants []uint32) []uint32 {
+	out := make([]uint32, len(wants))
+	all, n := uint32(0), uint32(0)
+	for i, w := range wants {
+		if homes[i] {
+			all += w
+			n++
+		}
+	}
+	for i, w := range wants {
+		switch {
+		case n == 0:
+			out[i] = 1 + w
+		case homes[i]:
+			out[i] = 1 + 2*w + all/n
+		}
+	}
+	return out
+}
+
 func (s *State) decide(d duty.Decision) {
 	d.Generation = uint64(max(s.Book.Generation, s.Relay.DocGen))
 	s.out = append(s.out, d)
@@ -885,6 +988,7 @@
 		}
 		h.begun = true
 		h.sound.Tick(now)
+		s.keepVows(h, now)
 		s.moved(h)
 		s.enroll(h, now)
 		s.copyCell(c, h, now)
