--- a/data/state.go
+++ b/data/state.go
@@ -733,8 +733,8 @@
 		key := string(e.cell.Cell) + " " + e.Service
 		work := int(min(e.Work, cell.SlotLimit))
 		groups[key] = append(groups[key], cell.Share{Addr: a, Work: work})
-		if n := s.Desired().Services[ident.Service(e.Service)].Line; n > 0 && e.Slots > 0 {
-			lines[key] = append(lines[key], cell.Share{Addr: a, Work: n * work / int(e.Slots)})
+		if n := s.Desired().Services[ident.Service(e.Service)].Line; n > 0 {
+			lines[key] = append(lines[key], cell.Share{Addr: a, Work: min(n*work, cell.SlotLimit)})
 		}
 	}
 	shares, places := map[ident.Addr]int{}, map[ident.Addr]int{}
--- a/desired/state.go
+++ b/desired/state.go
@@ -285,7 +285,7 @@
 	out.Reserve = o.whole("reserve", 0, 1<<20, 0, false)
 	out.FurtherShots = o.whole("furtherShots", 0, 10000, 10, false)
 	out.FurtherShare = o.whole("furtherShare", 0, 1000, 200, false)
-	out.Line = o.whole("line", 0, 4096, 0, false)
+	out.Line = o.whole("line", 0, 64, 0, false)
 	out.Named = o.flag("named")
 	out.Probe = Probe{Slots: 1, Path: "/soundness", Every: time.Second, Wait: 500 * time.Millisecond}
 	if v, ok := o.take("probe"); ok {
