Backends are chosen by the pace a node saw of them, not by load alone

A node keeps, for each backend, the mean of the logarithm of time over the usual time of that kind of visit, drawn towards 1 and fading in 10 s; a failed shot counts as four times the usual. The cheapest free share is taken: pace, load, idle connection, own cell. Ruled out: spreading paces between nodes, since shares are dealt by home and a node sees its own backends often enough at these sizes.

--- a/data/state.go
+++ b/data/state.go
@@ -729,7 +729,7 @@
 		}
 		g := s.guards[a]
 		_, barred := s.bars[a]
-		list = append(list, pass.Backend{Addr: a, Service: ident.Service(e.Service), Life: e.Incarnation, Cell: e.cell.Cell, Near: e.cell.Cell == s.Cell, Barred: barred || !s.named(ident.Service(e.Service)) && (g == nil || !g.up || g.life != e.Incarnation)})
+		list = append(list, pass.Backend{Addr: a, Service: ident.Service(e.Service), Life: e.Incarnation, Cell: e.cell.Cell, Slots: int(e.Slots), Near: e.cell.Cell == s.Cell, Barred: barred || !s.named(ident.Service(e.Service)) && (g == nil || !g.up || g.life != e.Incarnation)})
 		key := string(e.cell.Cell) + " " + e.Service
 		work := int(min(e.Work, cell.SlotLimit))
 		groups[key] = append(groups[key], cell.Share{Addr: a, Work: work})
--- a/forward/state.go
+++ b/forward/state.go
@@ -75,6 +75,8 @@
 	Unsure   bool
 	Kept     bool
 	asked    ident.Moment
+	sent     ident.Moment
+	late     bool
 	skip     map[ident.Addr]bool
 }
 
@@ -391,6 +393,7 @@
 		v.AnswerBy = min(v.Expiry, v.Arrived.Add(v.Rule.Work))
 	}
 	v.Reclaim = now.Add(2 * v.Rule.Whole)
+	v.sent, v.late = now, false
 	s.move(v, Sent, "")
 	s.emit(Write{v.Visit, v.Shot, min(at, v.Expiry), v.Reclaim})
 }
@@ -415,6 +418,24 @@
 	s.giveUp(v, why)
 }
 
+func (v *Visit) kind() string {
+	if v.Rule.Route != "" {
+		return v.Rule.Route
+	}
+	return string(v.Lane)
+}
+
+func (s *State) timed(v *Visit, e Ending, status int, now ident.Moment) {
+	b := v.Backend
+	switch {
+	case v.late:
+	case e == Whole && status < 500:
+		s.State.Timed(b.Addr, b.Life, v.kind(), now.Sub(v.sent), now)
+	case e != Moved:
+		s.State.Failed(b.Addr, b.Life, now)
+	}
+}
+
 func (s *State) again(v *Visit, now ident.Moment) bool {
 	if v.Told || v.Left || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || !s.further(v.Rule.Service) {
 		return false
@@ -441,6 +462,7 @@
 		return
 	}
 	s.Counts["ended "+e.String()]++
+	s.timed(v, e, status, now)
 	switch e {
 	case Whole:
 		if len(v.Arrival.Key) > 0 {
@@ -537,6 +559,10 @@
 			}
 		case v.Phase == Sent:
 			if !v.AnswerBy.After(now) {
+				if !v.late {
+					s.timed(v, Late, 0, now)
+					v.late = true
+				}
 				s.tell(v, Answer{Status: 504, Ran: RanUnknown, Reason: "no answer in time"})
 			}
 			if !v.Reclaim.After(now) {
--- a/pass/state.go
+++ b/pass/state.go
@@ -31,6 +31,7 @@
 	Cell    ident.Cell
 	Share   int
 	Line    int
+	Slots   int
 	Near    bool
 	Barred  bool
 }
@@ -106,13 +107,15 @@
 	peak     map[ident.Service]int
 	missed   map[ident.Service]int
 	turn     int
+	paces    map[ident.Addr]*pace
+	usual    map[string]*mean
 	out      Out
 	Admitted uint64
 	Refused  uint64
 }
 
 func New() *State {
-	return &State{pools: map[Key]*Pool{}, lanes: map[ident.Lane]*lane{}, floors: map[ledger.Lot]int{}, backends: map[ident.Addr]*Backend{}, byName: map[ident.Service][]*Backend{}, load: map[ident.Addr]int{}, peak: map[ident.Service]int{}, missed: map[ident.Service]int{}}
+	return &State{pools: map[Key]*Pool{}, lanes: map[ident.Lane]*lane{}, floors: map[ledger.Lot]int{}, backends: map[ident.Addr]*Backend{}, byName: map[ident.Service][]*Backend{}, load: map[ident.Addr]int{}, peak: map[ident.Service]int{}, missed: map[ident.Service]int{}, paces: map[ident.Addr]*pace{}, usual: map[string]*mean{}}
 }
 
 func (s *State) Rules(rules []LaneRule, floors map[ledger.Lot]int) {
@@ -187,6 +190,11 @@
 		s.backends[b.Addr] = &b
 		s.byName[b.Service] = append(s.byName[b.Service], &b)
 	}
+	for a, p := range s.paces {
+		if b := s.backends[a]; b == nil || b.Life != p.life {
+			delete(s.paces, a)
+		}
+	}
 	for _, k := range s.keys() {
 		s.trim(k, s.pools[k])
 	}
@@ -280,7 +288,7 @@
 		return nil, LaneFull
 	}
 	var best *Backend
-	score := 0.0
+	least := 0.0
 	why := NoBackend
 	list := s.byName[l.Service]
 	s.turn++
@@ -311,15 +319,9 @@
 		if s.load[b.Addr] >= room || idle == 0 && busy >= s.cap(l.Lane, l.Service) {
 			continue
 		}
-		n := float64(room-s.load[b.Addr]) / float64(room)
-		if idle > 0 {
-			n += 0.1
-		}
-		if b.Near {
-			n += 0.2
-		}
-		if best == nil || n > score {
-			best, score = b, n
+		n := s.cost(b, room, idle > 0)
+		if best == nil || n < least {
+			best, least = b, n
 		}
 	}
 	return best, why
