--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -199,3 +199,44 @@
 	say(10*time.Second, Ready)
 	require.Equal(t, 1, s.Counts()["x"])
 }
+
+func TestAnAnnounceOfAnEarlierTurnChangesNothing(t *testing.T) {
+	now := ident.Moment(1e9)
+	s := New("a", 1)
+	say := func(life string, turn uint64, state int, slots uint32) bool {
+		now = now.Add(10 * time.Millisecond)
+		return s.Hear(&wire.Announce{Addr: "b", Service: "x", Incarnation: life, Turn: turn, Slots: slots, State: uint32(state), Epoch: 1, Pulse: s.pulse, Stands: true}, now)
+	}
+	line := func() Backend { return *s.Lines()[0] }
+	require.True(t, say("1", 5, Ready, 4))
+	was := line()
+	for _, state := range []int{Ready, Leaving, Gone} {
+		require.True(t, say("1", 4, state, 9))
+		require.Equal(t, was, line())
+	}
+	require.Len(t, s.Moves(), 1)
+	require.True(t, say("1", 5, Ready, 6))
+	require.Equal(t, 6, line().Slots)
+	require.True(t, say("1", 0, Ready, 7))
+	require.Equal(t, []uint64{7, 5}, []uint64{uint64(line().Slots), line().Turn})
+	require.True(t, say("1", 9, Leaving, 7))
+	require.True(t, say("1", 8, Ready, 8))
+	require.Equal(t, []int{Leaving, 7}, []int{line().State, line().Slots})
+
+	s.Tick(now.Add(time.Second))
+	require.True(t, say("2", 1, Ready, 3))
+	require.Equal(t, []uint64{3, 1}, []uint64{uint64(line().Slots), line().Turn})
+	require.True(t, say("2", 7, Gone, 0))
+	require.Empty(t, s.Lines())
+	s.Tick(now.Add(2 * time.Second))
+	require.True(t, say("2", 6, Ready, 3))
+	require.Empty(t, s.Lines())
+	require.True(t, say("2", 8, Ready, 3))
+	require.Len(t, s.Lines(), 1)
+	require.True(t, say("2", 9, Gone, 0))
+
+	s.Tick(now.Add(3 * time.Second))
+	require.True(t, say("", 9, Ready, 3))
+	require.True(t, say("", 4, Ready, 5))
+	require.Equal(t, 5, line().Slots)
+}
--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -698,6 +698,7 @@
 		}
 		var v struct {
 			Generation uint64
+			Edition    uint64
 			Trial      string
 			Error      string
 			Faults     []desired.Fault
@@ -713,7 +714,7 @@
 			s.note("generation %d is in force, after %v", v.Generation, time.Since(start).Round(time.Millisecond))
 			return good, nil
 		case 412:
-			s.note("another change came first: the fleet stands at generation %d", v.Generation)
+			s.note("another change came first: the fleet stands at generation %d, edition %d", v.Generation, v.Edition)
 			return late, nil
 		case 422:
 			s.faults(v.Faults)
--- a/control/bad_test.go
+++ b/control/bad_test.go
@@ -137,6 +137,12 @@
 		{"PUT", ops.URL + "/desired", "0", "c", strings.Repeat(" ", desired.SizeLimit+1), 413, "too large"},
 		{"PUT", ops.URL + "/desired?only=n,n", "0", "c", "{}", 400, "each once"},
 		{"PUT", ops.URL + "/desired?only=N%20x", "0", "c", "{}", 400, "must name members"},
+		{"PUT", ops.URL + "/desired", "0", "c edition 1", "{}", 400, "one of If-Match and Sloeturn-Edition-Basis"},
+		{"PUT", ops.URL + "/desired", "", "c edition 1,2", "{}", 400, "must be an edition"},
+		{"PATCH", ops.URL + "/desired", "", "c edition -1", "{}", 400, "must be an edition"},
+		{"PATCH", ops.URL + "/desired", "", "c edition ", "{}", 400, "must be an edition"},
+		{"PATCH", ops.URL + "/desired", "", "c edition 9007199254740992", "{}", 400, "must be an edition"},
+		{"PUT", ops.URL + "/desired", "", " edition 1", "{}", 400, "Sloeturn-Change-Id"},
 		{"GET", ops.URL + "/desired/0", "", "", "", 400, "not a generation"},
 		{"GET", ops.URL + "/desired/x", "", "", "", 400, "not a generation"},
 		{"GET", ops.URL + "/decisions?from=-1", "", "", "", 400, "must be a position"},
@@ -153,8 +159,12 @@
 		if c.match != "" {
 			r.Header.Set("If-Match", c.match)
 		}
-		if c.id != "" {
-			r.Header.Set("Sloeturn-Change-Id", c.id)
+		id, edition, by := strings.Cut(c.id, " edition ")
+		if by {
+			r.Header.Set("Sloeturn-Edition-Basis", edition)
+		}
+		if id != "" {
+			r.Header.Set("Sloeturn-Change-Id", id)
 		}
 		resp, err := http.DefaultClient.Do(r)
 		require.NoError(t, err)
--- /dev/null
+++ b/desired/route_test.go
@@ -0,0 +1,263 @@
+package desired
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/ident"
+)
+
+const routed = `{
+ "edition": 7,
+ "limits": {"headBytes": 8192, "bodyBytes": 1000, "headMs": 2000, "idleMs": 30000},
+ "fleet": {"open": true},
+ "services": {"pay": {"maxConnections": 60, "reserve": 8, "named": true, "line": 9, "furtherShare": 50}, "look": {"maxConnections": 40}},
+ "tenants": {"mor": {}},
+ "lanes": {
+  "pay-a": {"tenant": "mor", "service": "pay", "slots": 5, "once": true, "waitMs": 100, "connectMs": 80},
+  "pay-b": {"tenant": "mor", "service": "pay", "slots": 5, "waitMs": 0, "connectMs": 150},
+  "look": {"tenant": "mor", "service": "look", "slots": 6, "repeatable": true, "bodyBytes": 10}},
+ "routes": {
+  "Pay.v1_x-2": {"host": "api.example", "prefix": "/pay/", "aimMs": 200, "rank": 3, "wholeMs": 900, "shots": 5, "lanes": {"pay-a": 3, "pay-b": 1, "look": 0}},
+  "all": {"host": "api.example", "prefix": "/", "repeatable": true, "wholeMs": 500, "shots": 1, "lanes": {"look": 1}},
+  "deep": {"host": "api.example", "prefix": "/pay/slow/", "wholeMs": 500, "shots": 1, "lanes": {"look": 1}}}
+}`
+
+func TestRoutedStateReads(t *testing.T) {
+	s, faults := Read([]byte(routed))
+	require.Empty(t, faults)
+	require.Equal(t, uint64(7), s.Edition)
+	require.Equal(t, &Limits{8192, 1000, 2 * time.Second, 30 * time.Second}, s.Limits)
+	require.Equal(t, 5, s.Seats())
+	pay := s.Services["pay"]
+	require.True(t, pay.Named)
+	require.Zero(t, pay.Probe.Slots)
+	require.Equal(t, []int{9, 50, 200}, []int{pay.Line, pay.FurtherShare, s.Services["look"].FurtherShare})
+	require.True(t, s.Lanes["look"].Again)
+
+	r := s.Routes["Pay.v1_x-2"]
+	require.Equal(t, Route{Name: "Pay.v1_x-2", Host: "api.example", Prefix: "/pay/", Aim: 200 * time.Millisecond, Rank: 3, Whole: 900 * time.Millisecond, Shots: 5, Targets: r.Targets, Sum: 4}, *r)
+	require.Len(t, r.Targets, 3)
+	a := *s.Lanes["pay-a"]
+	a.Route, a.Aim, a.Rank, a.Once = r.Name, r.Aim, 3, false
+	a.Work, a.Whole, a.Shots, a.Body = r.Whole, r.Whole, 5, 1000
+	a.Wait, a.Connect = 40*time.Millisecond, 40*time.Millisecond
+	require.Equal(t, &a, r.Targets[1].Rule)
+	require.True(t, s.Lanes["pay-a"].Once)
+	b := r.Targets[2].Rule
+	require.Equal(t, []time.Duration{0, 40 * time.Millisecond}, []time.Duration{b.Wait, b.Connect})
+	look := s.Routes["all"].Targets[0].Rule
+	require.True(t, look.Again)
+	require.False(t, r.Targets[0].Rule.Again)
+	require.Equal(t, []time.Duration{180 * time.Millisecond, 150 * time.Millisecond}, []time.Duration{look.Wait, look.Connect})
+	require.Equal(t, int64(10), look.Body)
+}
+
+func TestAShortAimLeavesOneMillisecond(t *testing.T) {
+	s, faults := Read([]byte(strings.Replace(routed, `"aimMs": 200`, `"aimMs": 30`, 1)))
+	require.Empty(t, faults)
+	for _, target := range s.Routes["Pay.v1_x-2"].Targets {
+		require.Equal(t, time.Millisecond, target.Rule.Connect)
+	}
+}
+
+func TestFindTakesTheLongestPrefix(t *testing.T) {
+	s, faults := Read([]byte(routed))
+	require.Empty(t, faults)
+	for _, c := range [][3]string{
+		{"api.example", "/", "all"}, {"api.example", "/pay", "all"}, {"api.example", "/pay/", "Pay.v1_x-2"}, {"api.example", "/pay/slow", "Pay.v1_x-2"},
+		{"api.example", "/pay/slow/", "deep"}, {"api.example", "/pay/slow/x/y", "deep"}, {"api.example", "/payslow/", "all"}, {"api.example", "/PAY/", "all"},
+		{"api.example", "", ""}, {"api.example", "pay/", ""}, {"other", "/", ""}, {"", "/", ""}, {"API.example", "/", ""},
+	} {
+		got := ""
+		if r := s.Find(c[0], c[1]); r != nil {
+			got = r.Name
+		}
+		require.Equal(t, c[2], got, c)
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	s, faults := Read([]byte(routed))
+	require.Empty(t, faults)
+	r := s.Routes["Pay.v1_x-2"]
+	for _, step := range []uint64{1, 2, 3, 1 << 40, 0xbf58476d1ce4e5b9} {
+		got := map[ident.Lane]int{}
+		for i := uint64(0); i < 10000; i++ {
+			got[r.Pick(i*step).Name]++
+		}
+		require.Zero(t, got["look"])
+		require.InDelta(t, 7500, got["pay-a"], 100, step)
+		require.InDelta(t, 2500, got["pay-b"], 100, step)
+	}
+	for _, n := range []uint64{0, 1, 1 << 63, ^uint64(0)} {
+		require.NotNil(t, r.Pick(n))
+		require.Same(t, r.Pick(n), r.Pick(n))
+	}
+	one := map[ident.Lane]int{}
+	for i := uint64(0); i < 40; i++ {
+		one[r.Pick(i).Name]++
+	}
+	require.InDelta(t, 30, one["pay-a"], 2)
+}
+
+func TestEachFaultOfTheNewFieldsIsNamed(t *testing.T) {
+	const pay = "/routes/Pay.v1_x-2"
+	long := strings.Repeat("a", 254)
+	for _, c := range [][3]string{
+		{`"edition": 7`, `"edition": 0`, "/edition"}, {`"edition": 7`, `"edition": 9007199254740992`, "/edition"}, {`"edition": 7`, `"edition": 1.5`, "/edition"},
+		{`"edition": 7`, `"edition": "7"`, "/edition"}, {`"edition": 7`, `"edition": null`, "/edition"},
+		{`"headBytes": 8192`, `"headBytes": 0`, "/limits/headBytes"}, {`"bodyBytes": 1000`, `"bodyBytes": -1`, "/limits/bodyBytes"}, {`"headMs": 2000`, `"headMs": 3600001`, "/limits/headMs"},
+		{`"idleMs": 30000`, `"idleMs": "x"`, "/limits/idleMs"}, {`"idleMs"`, `"restMs"`, "/limits/restMs"}, {`"limits": {`, `"limits": [], "x": {`, "/limits /x"},
+		{`"open": true`, `"open": true, "nodes": 3`, "/fleet/nodes"}, {`"open": true`, `"open": true, "surge": 0`, "/fleet/surge"}, {`"open": true`, `"open": true, "retiring": 1`, "/fleet/retiring"},
+		{`"open": true`, `"open": 1`, "/fleet/open /fleet/nodes"}, {`"open": true`, `"open": false`, "/fleet/nodes"}, {`{"open": true}`, `{}`, "/fleet/nodes"},
+		{`"named": true`, `"named": "yes"`, "/services/pay/named"}, {`"named": true`, `"named": true, "probe": {"slots": 1}`, "/services/pay/probe/slots"},
+		{`"line": 9`, `"line": 4097`, "/services/pay/line"}, {`"line": 9`, `"line": -1`, "/services/pay/line"},
+		{`"furtherShare": 50`, `"furtherShare": 1001`, "/services/pay/furtherShare"}, {`"furtherShare": 50`, `"furtherShare": 0.2`, "/services/pay/furtherShare"},
+		{`"maxConnections": 60`, `"maxConnections": 17`, "/services/pay/maxConnections"}, {`"maxConnections": 60`, `"maxConnections": 7`, "/services/pay/maxConnections"},
+		{`"repeatable": true, "bodyBytes"`, `"repeatable": true, "once": true, "bodyBytes"`, "/lanes/look/repeatable"}, {`"repeatable": true, "bodyBytes"`, `"repeatable": 1, "bodyBytes"`, "/lanes/look/repeatable"},
+		{`"host": "api.example", "prefix": "/pay/"`, `"prefix": "/pay/"`, pay + "/host"}, {`"api.example", "prefix": "/pay/"`, `"API.example", "prefix": "/pay/"`, pay + "/host"},
+		{`"api.example", "prefix": "/pay/"`, `"api:80", "prefix": "/pay/"`, pay + "/host"}, {`"api.example", "prefix": "/pay/"`, `"` + long + `", "prefix": "/pay/"`, pay + "/host"}, {`"api.example", "prefix": "/pay/"`, `"", "prefix": "/pay/"`, pay + "/host"},
+		{`"/pay/"`, `"/pay"`, pay + "/prefix"}, {`"/pay/"`, `"pay/"`, pay + "/prefix"}, {`"/pay/"`, `"/p y/"`, pay + "/prefix"}, {`"/pay/"`, `"/p\u0007/"`, pay + "/prefix"}, {`"/pay/"`, `"/p\u00a0/"`, pay + "/prefix"}, {`"prefix": "/pay/",`, ``, pay + "/prefix"},
+		{`"aimMs": 200`, `"aimMs": 0`, pay + "/aimMs"}, {`"aimMs": 200`, `"aimMs": 3600001`, pay + "/aimMs"}, {`"rank": 3`, `"rank": 1001`, pay + "/rank"}, {`"rank": 3`, `"rank": -1`, pay + "/rank"},
+		{`"wholeMs": 900,`, ``, pay + "/wholeMs"}, {`"wholeMs": 900`, `"wholeMs": 0`, pay + "/wholeMs"}, {`"shots": 5,`, ``, pay + "/shots"}, {`"shots": 5`, `"shots": 17`, pay + "/shots"}, {`"shots": 5`, `"shots": 0`, pay + "/shots"},
+		{`"wholeMs": 900`, `"wholeMs": 900, "repeatable": null`, pay + "/repeatable"}, {`"wholeMs": 900`, `"wholeMs": 900, "spare": 1`, pay + "/spare"},
+		{`"pay-a": 3`, `"nobody": 3`, pay + "/lanes/nobody"}, {`"pay-a": 3`, `"pay-a": 1000001`, pay + "/lanes/pay-a"}, {`"pay-a": 3`, `"pay-a": -1`, pay + "/lanes/pay-a"}, {`"pay-a": 3`, `"pay-a": true`, pay + "/lanes/pay-a"},
+		{`{"pay-a": 3, "pay-b": 1, "look": 0}`, `{"look": 0}`, pay + "/lanes"}, {`{"pay-a": 3, "pay-b": 1, "look": 0}`, `{}`, pay + "/lanes"}, {`{"pay-a": 3, "pay-b": 1, "look": 0}`, `["pay-a"]`, pay + "/lanes"}, {`, "lanes": {"pay-a": 3, "pay-b": 1, "look": 0}`, ``, pay + "/lanes"},
+		{`"all": {"host": "api.example", "prefix": "/",`, `"all": {"host": "api.example", "prefix": "/pay/",`, "/routes/all"},
+		{`"Pay.v1_x-2": {`, `"Pay v1": {`, "/routes/Pay v1"}, {`"Pay.v1_x-2": {`, `"": {`, "/routes/"}, {`"Pay.v1_x-2": {`, `"` + strings.Repeat("r", 129) + `": {`, "/routes/" + strings.Repeat("r", 129)},
+		{`"all": {`, `"all": 3, "more": {`, "/routes/all /routes/all/host /routes/all/prefix /routes/all/wholeMs /routes/all/shots /routes/all/lanes"}, {`"routes": {`, `"routes": [], "x": {`, "/routes /x"},
+		{`"look": {"tenant": "mor"`, `"look": {"tenant": "nobody"`, "/lanes/look/tenant"},
+	} {
+		require.Equal(t, 1, strings.Count(routed, c[0]), c[0])
+		_, faults := Read([]byte(strings.Replace(routed, c[0], c[1], 1)))
+		var paths []string
+		for _, f := range faults {
+			require.NotEmpty(t, f.Text)
+			paths = append(paths, f.Path)
+		}
+		require.ElementsMatch(t, strings.Split(c[2], " /"), strings.Split(strings.Join(paths, " "), " /"), "%s -> %s: %v", c[0], c[1], faults)
+	}
+	_, faults := Read([]byte(strings.Replace(routed, `"prefix": "/",`, `"prefix": "/pay/",`, 1)))
+	require.Contains(t, faults[0].Text, "Pay.v1_x-2")
+}
+
+func TestOpenFleetSeatsAreWhatTheLeastCapAllows(t *testing.T) {
+	doc := func(services, lanes string) string {
+		return fmt.Sprintf(`{"fleet":{"open":true},"services":{%s},"tenants":{"t":{}},"lanes":{%s}}`, services, lanes)
+	}
+	for _, c := range []struct {
+		services, lanes string
+		seats           int
+	}{
+		{``, ``, SeatsMost},
+		{`"a":{"maxConnections":9,"named":true}`, ``, SeatsMost},
+		{`"a":{"maxConnections":9}`, ``, 9},
+		{`"a":{"maxConnections":9,"reserve":2}`, `"l":{"tenant":"t","service":"a","slots":2}`, 2},
+		{`"a":{"maxConnections":9,"reserve":2,"named":true}`, `"l":{"tenant":"t","service":"a","slots":2}`, 3},
+		{`"a":{"maxConnections":90,"probe":{"slots":4}},"b":{"maxConnections":20}`, `"l":{"tenant":"t","service":"a","slots":2},"m":{"tenant":"t","service":"b","slots":1},"n":{"tenant":"t","service":"b","slots":3}`, 4},
+		{`"a":{"maxConnections":5,"reserve":2}`, `"l":{"tenant":"t","service":"a","slots":2}`, 1},
+	} {
+		s, faults := Read([]byte(doc(c.services, c.lanes)))
+		require.Empty(t, faults)
+		require.Equal(t, c.seats, s.Seats(), c.services)
+		for n, sum := range s.Slots() {
+			v := s.Services[n]
+			require.LessOrEqual(t, sum*s.Seats()+v.Reserve, v.MaxConnections)
+		}
+	}
+	_, faults := Read([]byte(doc(`"a":{"maxConnections":4,"reserve":2}`, `"l":{"tenant":"t","service":"a","slots":2}`)))
+	require.Len(t, faults, 1)
+	require.Contains(t, faults[0].Text, "one seat of an open fleet needs 3 slots (probe 1 + l 2) + reserve 2 = 5")
+}
+
+func TestEditionsRise(t *testing.T) {
+	for _, c := range [][3]uint64{{0, 0, 0}, {0, 5, 0}, {5, 6, 0}, {5, EditionMost, 0}, {5, 5, 1}, {5, 4, 1}, {5, 0, 1}} {
+		faults := (&State{Edition: c[1]}).Follows(c[0])
+		require.Len(t, faults, int(c[2]), c)
+		for _, f := range faults {
+			require.Equal(t, "/edition", f.Path)
+		}
+	}
+	require.Equal(t, uint64(7), EditionOf([]byte(routed)))
+	for _, doc := range []string{"", "[]", "{}", `{"edition":"7"}`, `{"edition":-1}`, `{"edition":1e99}`} {
+		require.Zero(t, EditionOf([]byte(doc)), doc)
+	}
+}
+
+func TestAPatchReplacesARoutesLanesWhole(t *testing.T) {
+	base, _ := ReadTree([]byte(routed))
+	with := func(doc string) *State {
+		patch, faults := ReadTree([]byte(doc))
+		require.Empty(t, faults)
+		s, faults := Check(Merge(base, patch))
+		require.Empty(t, faults)
+		return s
+	}
+	lanes := func(r *Route) string {
+		out := ""
+		for _, t := range r.Targets {
+			out += fmt.Sprintf("%s:%d ", t.Rule.Name, t.Weight)
+		}
+		return out
+	}
+	s := with(`{"routes":{"Pay.v1_x-2":{"lanes":{"pay-b":2,"pay-a":null}}}}`)
+	require.Equal(t, "pay-b:2 ", lanes(s.Routes["Pay.v1_x-2"]))
+	require.Equal(t, 5, s.Routes["Pay.v1_x-2"].Shots)
+	s = with(`{"routes":{"Pay.v1_x-2":{"host":"h","prefix":"/p/","repeatable":true,"aimMs":900,"rank":4,"wholeMs":7,"shots":2,"lanes":{"look":8}}}}`)
+	r := s.Routes["Pay.v1_x-2"]
+	require.Equal(t, Route{Name: r.Name, Host: "h", Prefix: "/p/", Repeatable: true, Aim: 900 * time.Millisecond, Rank: 4, Whole: 7 * time.Millisecond, Shots: 2, Targets: r.Targets, Sum: 8}, *r)
+	require.Equal(t, "look:8 ", lanes(r))
+	require.Len(t, s.Routes, 3)
+	s = with(`{"routes":{"Pay.v1_x-2":null,"new":{"host":"h","prefix":"/","wholeMs":7,"shots":2,"lanes":{"look":8,"pay-a":null}}}}`)
+	require.Equal(t, []string{"all", "deep", "new"}, s.RouteNames())
+	require.Equal(t, "look:8 ", lanes(s.Routes["new"]))
+	s = with(`{"routes":null}`)
+	require.Empty(t, s.Routes)
+	s = with(`{"lanes":{"look":{"slots":2}}}`)
+	require.Equal(t, ident.Service("look"), s.Lanes["look"].Service)
+	again, _ := ReadTree([]byte(routed))
+	require.Equal(t, again, base)
+}
+
+func FuzzRead(f *testing.F) {
+	for _, doc := range []string{good, routed, `{"fleet":{"open":true}}`, `{"fleet":{"nodes":1},"services":{"s":{"maxConnections":1,"probe":{"path":"/\u2028<\ud800"}}}}`, "[]", "", `{"routes":{"a":{}}}`} {
+		f.Add([]byte(doc))
+	}
+	f.Fuzz(func(t *testing.T, doc []byte) {
+		EditionOf(doc)
+		tree, faults := ReadTree(doc)
+		s, more := Read(doc)
+		if len(faults) > 0 {
+			require.NotEmpty(t, more)
+			return
+		}
+		Merge(tree, tree)
+		if len(more) > 0 {
+			return
+		}
+		require.Equal(t, s.Edition, EditionOf(doc))
+		text := Write(tree)
+		if len(text) > SizeLimit {
+			return
+		}
+		again, faults := Read(text)
+		require.Empty(t, faults)
+		require.Equal(t, s, again)
+		require.Equal(t, text, Write(Merge(nil, tree)))
+		for _, r := range s.Routes {
+			require.Same(t, r, s.Find(r.Host, r.Prefix))
+			require.NotNil(t, r.Pick(uint64(len(doc))))
+		}
+		require.GreaterOrEqual(t, s.Seats(), 1)
+		for n, sum := range s.Slots() {
+			if v := s.Services[n]; v != nil {
+				require.LessOrEqual(t, sum*s.Seats()+v.Reserve, v.MaxConnections)
+			}
+		}
+	})
+}
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sloeturn/desired"
 	"sloeturn/ident"
 	"sloeturn/wire"
 )
@@ -119,3 +120,129 @@
 	h.Apply(&wire.Entry{Index: 99, Stamp: h.Stamp + ClaimLifeMs + 1, Change: &wire.Change{Body: &wire.Change_Noop{Noop: &wire.Noop{}}}})
 	require.Empty(t, h.Claims)
 }
+
+func (h *hand) open(slots, most int, more string) Result {
+	doc := fmt.Sprintf(`{%s"fleet":{"open":true},"services":{"s":{"maxConnections":%d}},"tenants":{"t":{}},"lanes":{"l":{"tenant":"t","service":"s","slots":%d}}}`, more, most, slots)
+	return h.do(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(h.Generation), ChangeId: fmt.Sprint(h.n), Doc: []byte(doc)}}})
+}
+
+func TestAnOpenFleetGivesAsManySeatsAsItsCapsAllow(t *testing.T) {
+	h := &hand{Book: NewBook()}
+	h.open(2, 12, "")
+	h.grow()
+	for i := 0; i < 4; i++ {
+		require.Equal(t, ident.Seat(i), h.take(i).Seat)
+	}
+	require.Equal(t, NoSeat, h.take(4).Code)
+
+	h.open(2, 24, "")
+	require.Equal(t, 4, h.SeatCount())
+	require.Equal(t, NoSeat, h.take(4).Code)
+	h.grow()
+	require.Equal(t, 8, h.SeatCount())
+	require.Equal(t, Done, h.take(4).Code)
+	require.Equal(t, Done, h.take(5).Code)
+
+	h.open(2, 15, "")
+	require.Equal(t, 5, h.SeatCount())
+	require.True(t, Counts(h.Core(), h.Seats[4]))
+	require.False(t, Counts(h.Core(), h.Seats[5]))
+	require.Equal(t, NoSeat, h.take(6).Code)
+	h.open(4, 15, "")
+	require.Equal(t, 3, h.SeatCount())
+	require.Equal(t, 2, h.Floors()[Lot{"l", "s"}])
+	require.LessOrEqual(t, h.SeatCount()*h.allowed(0), 15)
+	h.grow()
+	require.Equal(t, 4, h.Floors()[Lot{"l", "s"}])
+
+	h.set(2, 4, 15)
+	require.Equal(t, 2, h.SeatCount())
+	h.grow()
+	h.open(1, 15, "")
+	require.Equal(t, 2, h.SeatCount())
+	b, err := ReadBook(h.Image())
+	require.NoError(t, err)
+	require.Equal(t, 2, b.SeatCount())
+}
+
+func TestAnOpenFleetKeepsItsCapWhileStatesChange(t *testing.T) {
+	for seed := int64(0); seed < 200; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		h := &hand{Book: NewBook()}
+		held := map[ident.Seat]int{}
+		least := 0
+		for i := 0; i < 80; i++ {
+			switch r.Intn(5) {
+			case 0:
+				most := 40 + r.Intn(40)
+				if r.Intn(3) == 0 {
+					nodes := 1 + r.Intn(8)
+					h.set(nodes, 1+r.Intn(most/nodes-1), most)
+				} else {
+					h.open(1+r.Intn(30), most, "")
+				}
+			case 1, 2:
+				h.take(r.Intn(40))
+			case 3:
+				for s := range h.Seats {
+					if r.Intn(2) == 0 {
+						held[s] = h.allowed(s)
+					}
+				}
+			case 4:
+				fit := true
+				for s := range h.Seats {
+					fit = fit && held[s] <= h.allowed(s)
+				}
+				if fit {
+					h.grow()
+				}
+			}
+			least = 0
+			h.span(func(g ident.Generation, s *desired.State) {
+				if s != nil {
+					least = max(least, s.Services["s"].MaxConnections)
+				}
+			})
+			sum, new := 0, 0
+			for s := range h.Seats {
+				sum += max(held[s], h.allowed(s))
+				new += h.allowed(s)
+			}
+			require.LessOrEqual(t, sum, least, "seed %d step %d", seed, i)
+			if s := h.State(h.Generation); s != nil {
+				require.LessOrEqual(t, new, s.Services["s"].MaxConnections, "seed %d step %d", seed, i)
+			}
+		}
+	}
+}
+
+func TestANamedServiceHasNoProbeLot(t *testing.T) {
+	h := &hand{Book: NewBook()}
+	set := func(named bool) {
+		doc := fmt.Sprintf(`{"fleet":{"open":true},"services":{"s":{"maxConnections":12,"named":%v}},"tenants":{"t":{}},"lanes":{"l":{"tenant":"t","service":"s","slots":2}}}`, named)
+		h.do(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(h.Generation), ChangeId: fmt.Sprint(h.n), Doc: []byte(doc)}}})
+	}
+	set(false)
+	h.grow()
+	require.Equal(t, map[Lot]int{{"l", "s"}: 2, {"", "s"}: 1}, h.Floors())
+	set(true)
+	require.Equal(t, map[Lot]int{{"l", "s"}: 2}, h.Floors())
+	require.Equal(t, 4, h.SeatCount())
+	h.grow()
+	require.Equal(t, 6, h.SeatCount())
+	set(false)
+	require.Equal(t, map[Lot]int{{"l", "s"}: 2}, h.Floors())
+	require.Equal(t, 4, h.SeatCount())
+}
+
+func TestTheBookKnowsEachGenerationsEdition(t *testing.T) {
+	h := &hand{Book: NewBook()}
+	require.Zero(t, h.Edition(0))
+	h.open(2, 12, "")
+	h.open(2, 12, `"edition":41,`)
+	require.Equal(t, []uint64{0, 41, 0}, []uint64{h.Edition(1), h.Edition(2), h.Edition(3)})
+	h.open(9, 1, `"edition":42,`)
+	require.Nil(t, h.State(3))
+	require.Equal(t, uint64(42), h.Edition(3))
+}
