--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -231,6 +231,7 @@
 	require.Equal(t, 4, h.SeatCount())
 	h.grow()
 	require.Equal(t, 6, h.SeatCount())
+	require.Equal(t, map[Lot]int{{"l", "s"}: 2}, h.Floors())
 	set(false)
 	require.Equal(t, map[Lot]int{{"l", "s"}: 2}, h.Floors())
 	require.Equal(t, 4, h.SeatCount())
