The ring of decisions grows as it fills; how many are kept is a checked setting

Cause: both daemons made the whole ring at start, 65536 decisions of 216 bytes at a node and 16384 at a control process. Untouched pages cost nothing, but the collector counted the 14 MB as live and first ran at 28 MB, so a node's own rubbish piled up to its peak. Ruled out: a ring of bytes; a ring of values that grows is enough once its bound is told. A follower's channel is made only when somebody reads. Test seen failing: the ring took 1048576 places for 100 decisions.

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -21,6 +21,8 @@
 
 var Build = "0.2.0"
 
+const DecisionsMost = 1 << 20
+
 var ErrBoot = merry.Sentinel("boot: settings are not sound")
 
 type Flags struct {
@@ -34,6 +36,7 @@
 	LogLevel  string   `arg:"--log-level" help:"debug, info, warn or error"`
 	DrainMs   int      `arg:"--drain-ms" help:"longest time a planned stop may take"`
 	TenureMs  int      `arg:"--tenure-ms" help:"longest time a node may take a new desired state's place for an old one; a change is acknowledged after it at the latest"`
+	Decisions int      `arg:"--decisions" help:"newest decisions kept for operators to read"`
 	StaleMs   int      `arg:"--stale-ms" help:"how long a node that is out of touch serves on the last news it has; 0: as long as the tenure"`
 }
 
@@ -57,6 +60,7 @@
 	DrainMs   int      `json:"drainMs"`
 	TenureMs  int      `json:"tenureMs"`
 	StaleMs   int      `json:"staleMs"`
+	Decisions int      `json:"decisions"`
 	Data      string   `json:"data,omitempty"`
 	Founders  []string `json:"founders,omitempty"`
 	Files     int      `json:"ringFiles,omitempty"`
@@ -84,7 +88,7 @@
 }
 
 func Read(f Flags, d *DiskFlags) (*Settings, []desired.Fault) {
-	s := &Settings{LogLevel: "info", DrainMs: 30000, TenureMs: 5000}
+	s := &Settings{LogLevel: "info", DrainMs: 30000, TenureMs: 5000, Decisions: 16384}
 	var faults []desired.Fault
 	say := func(path, form string, args ...any) {
 		faults = append(faults, desired.Fault{Path: path, Text: fmt.Sprintf(form, args...)})
@@ -124,6 +128,9 @@
 	if f.StaleMs != 0 {
 		s.StaleMs = f.StaleMs
 	}
+	if f.Decisions != 0 {
+		s.Decisions = f.Decisions
+	}
 	if d != nil {
 		over(&s.Data, d.Data)
 		if len(d.Founders) > 0 {
@@ -196,6 +203,9 @@
 	if s.StaleMs != 0 && (s.StaleMs < s.TenureMs || s.StaleMs > 3600000) {
 		say("staleMs", "must be 0, or from tenureMs, %d, to 3600000; is %d", s.TenureMs, s.StaleMs)
 	}
+	if s.Decisions < 1 || s.Decisions > DecisionsMost {
+		say("decisions", "must be from 1 to %d; is %d", DecisionsMost, s.Decisions)
+	}
 	if d != nil && (s.Losses < 1 || s.Losses > 4) {
 		say("losses", "must be from 1 to 4; is %d", s.Losses)
 	}
@@ -240,6 +250,7 @@
 		{"operators", s.Operators, n.Operators}, {"data", s.Data, n.Data}, {"seeds", strings.Join(s.Seeds, ","), strings.Join(n.Seeds, ",")},
 		{"founders", strings.Join(s.Founders, ","), strings.Join(n.Founders, ",")},
 		{"tenureMs", fmt.Sprint(s.TenureMs), fmt.Sprint(n.TenureMs)}, {"staleMs", fmt.Sprint(s.StaleMs), fmt.Sprint(n.StaleMs)},
+		{"decisions", fmt.Sprint(s.Decisions), fmt.Sprint(n.Decisions)},
 		{"losses", fmt.Sprint(s.Losses), fmt.Sprint(n.Losses)}, {"joins", fmt.Sprint(s.Joins), fmt.Sprint(n.Joins)},
 		{"ringFiles", fmt.Sprint(s.Files), fmt.Sprint(n.Files)}, {"ringFileMB", fmt.Sprint(s.FileMB), fmt.Sprint(n.FileMB)},
 	} {
--- a/control/node.go
+++ b/control/node.go
@@ -55,7 +55,7 @@
 }
 
 func NewNode(b Boot, d Disks, l log.Logger) (*Node, error) {
-	n := &Node{Log: l, Stream: duty.NewStream(16384, b.Incarnation), asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1)}
+	n := &Node{Log: l, Stream: duty.NewStream(b.Decisions, b.Incarnation), asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1)}
 	var got *agreement.Recovered
 	if d.Path != "" {
 		dir, err := ringfile.OpenDir(d.Path)
--- a/control/state.go
+++ b/control/state.go
@@ -84,6 +84,7 @@
 	Voter       ident.Voter
 	Build       string
 	Seed        int64
+	Decisions   int
 	Tenure      time.Duration
 	Stale       time.Duration
 	Drain       time.Duration
--- a/data/node.go
+++ b/data/node.go
@@ -96,7 +96,7 @@
 }
 
 func NewNode(b Boot, l log.Logger) *Node {
-	n := &Node{Log: l, Stream: duty.NewStream(65536, b.Incarnation), idle: map[pass.Key][]*conn{}, calls: map[ident.Visit]*call{}, guards: map[ident.Addr]*sentry{}, silent: map[ident.Addr]bool{}, asks: map[uint64]chan Announced{}, ended: make(chan struct{})}
+	n := &Node{Log: l, Stream: duty.NewStream(b.Decisions, b.Incarnation), idle: map[pass.Key][]*conn{}, calls: map[ident.Visit]*call{}, guards: map[ident.Addr]*sentry{}, silent: map[ident.Addr]bool{}, asks: map[uint64]chan Announced{}, ended: make(chan struct{})}
 	n.State = New(b, ident.Now())
 	n.Hub = &wire.Hub{Name: string(b.Member), Addr: string(b.Addr), Build: b.Build, Incarnation: uint64(b.Incarnation), Log: l, Take: func(f *wire.Frame) { n.Offer(Got{f}) }}
 	n.Step = n.State.Step
--- a/data/state.go
+++ b/data/state.go
@@ -125,6 +125,7 @@
 	Incarnation ident.Incarnation
 	Seeds       []ident.Addr
 	Build       string
+	Decisions   int
 	Tenure      time.Duration
 	Stale       time.Duration
 }
--- a/duty/stream.go
+++ b/duty/stream.go
@@ -31,23 +31,30 @@
 type Stream struct {
 	life  string
 	lock  sync.Mutex
+	most  uint64
 	ring  []Decision
 	next  uint64
 	woken chan struct{}
 }
 
 func NewStream(size int, life ident.Incarnation) *Stream {
-	return &Stream{life: strconv.FormatUint(uint64(life), 16), ring: make([]Decision, size), next: 1, woken: make(chan struct{})}
+	return &Stream{life: strconv.FormatUint(uint64(life), 16), most: uint64(max(1, size)), next: 1}
 }
 
 func (s *Stream) Add(d Decision, now ident.Moment) {
 	d.AtMs = int64(now) / 1e6
 	s.lock.Lock()
 	d.Position = s.next
-	s.ring[s.next%uint64(len(s.ring))] = d
+	if at := (s.next - 1) % s.most; at < uint64(len(s.ring)) {
+		s.ring[at] = d
+	} else {
+		s.ring = append(s.ring, d)
+	}
 	s.next++
-	close(s.woken)
-	s.woken = make(chan struct{})
+	if s.woken != nil {
+		close(s.woken)
+		s.woken = nil
+	}
 	s.lock.Unlock()
 }
 
@@ -55,8 +62,8 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	oldest := uint64(1)
-	if s.next > uint64(len(s.ring)) {
-		oldest = s.next - uint64(len(s.ring))
+	if s.next > s.most {
+		oldest = s.next - s.most
 	}
 	if from < oldest {
 		if from > 0 {
@@ -65,9 +72,12 @@
 		from = oldest
 	}
 	for from < s.next && len(list) < most {
-		list = append(list, s.ring[from%uint64(len(s.ring))])
+		list = append(list, s.ring[(from-1)%s.most])
 		from++
 	}
+	if s.woken == nil {
+		s.woken = make(chan struct{})
+	}
 	return list, from, lost, s.woken
 }
 
--- a/duty/stream_test.go
+++ b/duty/stream_test.go
@@ -26,3 +26,17 @@
 	require.Len(t, ask("?lane=b"), 2)
 	require.Contains(t, ask("?from=soon")[0], "must be a position")
 }
+
+func TestAStreamTakesRoomOnlyForWhatItWasTold(t *testing.T) {
+	s := NewStream(1<<20, 1)
+	for i := 0; i < 100; i++ {
+		s.Add(Decision{Decision: "x"}, 1)
+	}
+	require.LessOrEqual(t, cap(s.ring), 200)
+	list, next, lost, woken := s.Read(101, 10)
+	require.Empty(t, list)
+	require.EqualValues(t, 101, next)
+	require.Zero(t, lost)
+	s.Add(Decision{Decision: "y"}, 2)
+	<-woken
+}
