--- a/boot/boot.go
+++ b/boot/boot.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"sort"
 	"strings"
 	"time"
@@ -21,7 +22,11 @@
 
 var Build = "0.2.0"
 
-const DecisionsMost = 1 << 20
+const (
+	DecisionsMost = 1 << 20
+	memoryLeast   = 16
+	memoryMost    = 1 << 20
+)
 
 var ErrBoot = merry.Sentinel("boot: settings are not sound")
 
@@ -37,6 +42,8 @@
 	DrainMs   int      `arg:"--drain-ms" help:"longest time a planned stop may take"`
 	TenureMs  int      `arg:"--tenure-ms" help:"longest time a node may take a new desired state's place for an old one; a change is acknowledged after it at the latest"`
 	Decisions int      `arg:"--decisions" help:"newest decisions kept for operators to read"`
+	MemoryMB  int      `arg:"--memory-mb" help:"memory this process may use, kept to softly; 0: no bound"`
+	Growth    int      `arg:"--growth" help:"per cent the heap may grow over what lives before it is swept"`
 	StaleMs   int      `arg:"--stale-ms" help:"how long a node that is out of touch serves on the last news it has; 0: as long as the tenure"`
 }
 
@@ -61,6 +68,8 @@
 	TenureMs  int      `json:"tenureMs"`
 	StaleMs   int      `json:"staleMs"`
 	Decisions int      `json:"decisions"`
+	MemoryMB  int      `json:"memoryMB,omitempty"`
+	Growth    int      `json:"growth"`
 	Data      string   `json:"data,omitempty"`
 	Founders  []string `json:"founders,omitempty"`
 	Files     int      `json:"ringFiles,omitempty"`
@@ -73,6 +82,13 @@
 func (s *Settings) Tenure() time.Duration { return time.Duration(s.TenureMs) * time.Millisecond }
 func (s *Settings) Stale() time.Duration  { return time.Duration(s.StaleMs) * time.Millisecond }
 
+func (s *Settings) Bound() {
+	debug.SetGCPercent(s.Growth)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 3 / 4)
+	}
+}
+
 func Addrs(list []string) []ident.Addr {
 	var out []ident.Addr
 	for _, a := range list {
@@ -88,7 +104,7 @@
 }
 
 func Read(f Flags, d *DiskFlags) (*Settings, []desired.Fault) {
-	s := &Settings{LogLevel: "info", DrainMs: 30000, TenureMs: 5000, Decisions: 16384}
+	s := &Settings{LogLevel: "info", DrainMs: 30000, TenureMs: 5000, Decisions: 16384, Growth: 100}
 	var faults []desired.Fault
 	say := func(path, form string, args ...any) {
 		faults = append(faults, desired.Fault{Path: path, Text: fmt.Sprintf(form, args...)})
@@ -128,6 +144,12 @@
 	if f.StaleMs != 0 {
 		s.StaleMs = f.StaleMs
 	}
+	if f.MemoryMB != 0 {
+		s.MemoryMB = f.MemoryMB
+	}
+	if f.Growth != 0 {
+		s.Growth = f.Growth
+	}
 	if f.Decisions != 0 {
 		s.Decisions = f.Decisions
 	}
@@ -206,6 +228,12 @@
 	if s.Decisions < 1 || s.Decisions > DecisionsMost {
 		say("decisions", "must be from 1 to %d; is %d", DecisionsMost, s.Decisions)
 	}
+	if s.MemoryMB != 0 && (s.MemoryMB < memoryLeast || s.MemoryMB > memoryMost) {
+		say("memoryMB", "must be 0, or from %d to %d; is %d", memoryLeast, memoryMost, s.MemoryMB)
+	}
+	if s.Growth < 10 || s.Growth > 1000 {
+		say("growth", "must be from 10 to 1000; is %d", s.Growth)
+	}
 	if d != nil && (s.Losses < 1 || s.Losses > 4) {
 		say("losses", "must be from 1 to 4; is %d", s.Losses)
 	}
@@ -251,6 +279,7 @@
 		{"founders", strings.Join(s.Founders, ","), strings.Join(n.Founders, ",")},
 		{"tenureMs", fmt.Sprint(s.TenureMs), fmt.Sprint(n.TenureMs)}, {"staleMs", fmt.Sprint(s.StaleMs), fmt.Sprint(n.StaleMs)},
 		{"decisions", fmt.Sprint(s.Decisions), fmt.Sprint(n.Decisions)},
+		{"memoryMB", fmt.Sprint(s.MemoryMB), fmt.Sprint(n.MemoryMB)}, {"growth", fmt.Sprint(s.Growth), fmt.Sprint(n.Growth)},
 		{"losses", fmt.Sprint(s.Losses), fmt.Sprint(n.Losses)}, {"joins", fmt.Sprint(s.Joins), fmt.Sprint(n.Joins)},
 		{"ringFiles", fmt.Sprint(s.Files), fmt.Sprint(n.Files)}, {"ringFileMB", fmt.Sprint(s.FileMB), fmt.Sprint(n.FileMB)},
 	} {
--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -15,13 +15,13 @@
 	require.Empty(t, faults)
 	require.Equal(t, "two", s.Name)
 	require.Equal(t, 500, s.DrainMs)
-	require.Equal(t, 16384, s.Decisions)
-	_, faults = Read(Flags{Boot: file, Name: "No", Address: "host:7", LogLevel: "loud", Decisions: -1}, &DiskFlags{Data: "d", Files: 1})
+	require.Equal(t, []int{16384, 0, 100}, []int{s.Decisions, s.MemoryMB, s.Growth})
+	_, faults = Read(Flags{Boot: file, Name: "No", Address: "host:7", LogLevel: "loud", Decisions: -1, MemoryMB: 3, Growth: 5}, &DiskFlags{Data: "d", Files: 1})
 	var paths []string
 	for _, f := range faults {
 		paths = append(paths, f.Path)
 	}
-	require.ElementsMatch(t, []string{"name", "address", "founders", "logLevel", "decisions", "ringFiles"}, paths)
+	require.ElementsMatch(t, []string{"name", "address", "founders", "logLevel", "decisions", "memoryMB", "growth", "ringFiles"}, paths)
 }
 
 func TestReloadTakesWhatCanChangeAndNamesTheRest(t *testing.T) {
--- a/control/serve.go
+++ b/control/serve.go
@@ -18,6 +18,7 @@
 }
 
 func Serve(set *boot.Settings, log *boot.Logger, reload func(), doors ...Door) error {
+	set.Bound()
 	n, err := NewNode(Boot{
 		Member: ident.Member(set.Name), Addr: ident.Addr(set.Address), HTTP: set.HTTP + "," + set.Operators, Cell: ident.Cell(set.Cell),
 		Incarnation: ident.NewIncarnation(), Seeds: boot.Addrs(set.Seeds), Founders: boot.Addrs(set.Founders), Build: boot.Build, Seed: int64(ident.NewIncarnation()),
