A recovered voter stands within 60 to 300 ms, each in its own part of that time

Cause: after every process was killed the first voter stood 0.5 to 1 s after the start; nobody was there whom a short time could disturb. Change: a voter that recovered has four early times to stand, 60 to 300 ms apart, in a part of that span of its own by its place in the roster; the first word of a leader or a vote given ends them. Pre-vote keeps a live leader safe. Ruled out: one random time of 60 to 300 ms for all: two stand within one sync of each other in some 10 % of cases and then wait a whole time.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -28,6 +29,9 @@
 	BeatEvery    = 60 * time.Millisecond
 	ElectLeast   = 500 * time.Millisecond
 	ElectSpread  = 500 * time.Millisecond
+	StandLeast   = 60 * time.Millisecond
+	StandSpread  = 240 * time.Millisecond
+	StandsMost   = 4
 	QuorumLost   = 1200 * time.Millisecond
 	FoundEvery   = 200 * time.Millisecond
 	SilentVoter  = 10 * time.Second
@@ -103,6 +107,7 @@
 	leaderAddr string
 	heardLead  ident.Moment
 	electAt    ident.Moment
+	stands     int
 	votes      map[string]bool
 	pre        bool
 	handoff    bool
@@ -155,8 +160,10 @@
 		s.synced = s.last()
 		s.stamp = s.lastStamp()
 		s.heardLead = now.Add(-ElectLeast)
+		s.stands = StandsMost
 	}
 	s.setElect(now)
+	s.setStand(now)
 	return s
 }
 
@@ -284,6 +291,17 @@
 	s.electAt = now.Add(ElectLeast + time.Duration(s.rand.Int63n(int64(ElectSpread))))
 }
 
+func (s *State) setStand(now ident.Moment) {
+	all := Voters(s.Roster())
+	at := slices.IndexFunc(all, func(v *wire.Voter) bool { return v.Id == string(s.Self.Voter) })
+	if s.stands == 0 || at < 0 {
+		return
+	}
+	s.stands--
+	each := StandSpread / time.Duration(len(all))
+	s.electAt = now.Add(StandLeast + time.Duration((at+s.stands)%len(all))*each + time.Duration(s.rand.Int63n(int64(each/2))))
+}
+
 func (s *State) send(to string, f *wire.Frame) {
 	s.out.Sends = append(s.out.Sends, wire.Send{To: to, Frame: f})
 }
@@ -622,6 +640,7 @@
 		}
 		if now.After(s.electAt) {
 			s.setElect(now)
+			s.setStand(now)
 			if s.voting() && !s.ailing && (!s.Leaving || now.Sub(s.heardLead) > LastResort) {
 				s.campaign(now, true, false)
 			}
@@ -638,8 +657,8 @@
 		s.leader, s.leaderAddr = "", ""
 		s.vow()
 		s.enter(Candidate)
+		s.setElect(now)
 	}
-	s.setElect(now)
 	for _, v := range Voters(s.Roster()) {
 		if v.Id == string(s.Self.Voter) {
 			continue
@@ -686,6 +705,7 @@
 	}
 	if ok {
 		s.setElect(now)
+		s.stands = 0
 	}
 	s.sendSynced(v.CandidateAddr, reply(ok))
 }
@@ -802,7 +822,7 @@
 	} else if s.role != Follower {
 		s.toFollower(now)
 	}
-	s.leader, s.leaderAddr, s.heardLead = a.Leader, a.LeaderAddr, now
+	s.leader, s.leaderAddr, s.heardLead, s.stands = a.Leader, a.LeaderAddr, now, 0
 	s.setElect(now)
 	if a.PrevIndex > s.last() {
 		s.sendSynced(a.LeaderAddr, reply(false, 0, s.last()))
@@ -848,7 +868,7 @@
 	if p.Term > s.term {
 		s.toTerm(p.Term, now)
 	}
-	s.leader, s.leaderAddr, s.heardLead = p.Leader, p.LeaderAddr, now
+	s.leader, s.leaderAddr, s.heardLead, s.stands = p.Leader, p.LeaderAddr, now, 0
 	s.setElect(now)
 	if p.LastIndex > s.commit {
 		s.adopt(p)
