--- /dev/null
+++ b/cmd/fleetrun/hollow.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"sloeturn/hollow"
+)
+
+const hollowHeap = 7 << 30
+
+func hollowRun(a args) error {
+	debug.SetMemoryLimit(hollowHeap)
+	var vary []string
+	from, ok := hollow.Named[a.Hollow]
+	if !ok {
+		if from, ok = hollow.Named[a.From]; !ok {
+			return fmt.Errorf("--from must be base, grown or whole")
+		}
+		vary = strings.Split(a.Hollow, ",")
+		if a.Hollow == "all" {
+			vary = []string{"nodes", "backends", "services", "lanes", "tenants", "zones", "changes", "visits", "controls", "beat"}
+		}
+	}
+	for _, v := range vary {
+		if hollow.Steps[v] == nil {
+			return fmt.Errorf("--hollow has no variable %q", v)
+		}
+	}
+	s, err := from.Read(a.Size)
+	if err != nil {
+		return err
+	}
+	slices.Sort(vary)
+	fmt.Printf("hollow run on %d threads of this machine\n", runtime.GOMAXPROCS(0))
+	return hollow.Plan{From: s, Vary: vary, Window: time.Duration(a.Window * 1e9), Limit: time.Duration(a.Limit) * time.Second, Seed: 1, Deep: a.Deep}.Run(os.Stdout)
+}
--- /dev/null
+++ b/hollow/run_test.go
@@ -0,0 +1,85 @@
+package hollow
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func small() Size {
+	s, _ := Base.Read("nodes=6,backends=12,services=2,lanes=4,tenants=2,zones=2,controls=3,changes=30")
+	return s
+}
+
+func TestASmallHollowFleetServesAndTakesAChange(t *testing.T) {
+	r, err := Measure(small(), 1, 2400*time.Millisecond, time.Minute)
+	require.NoError(t, err)
+	require.NotEmpty(t, r.Acked)
+	require.Greater(t, r.Every[0], time.Duration(0))
+	require.Less(t, r.Every[0], 6*time.Second)
+	require.Greater(t, r.Served, 10.0)
+	require.Zero(t, r.Refused)
+	require.Less(t, r.Age[1], 1500*time.Millisecond)
+	members := 0
+	for _, k := range r.Roles {
+		members += k.Members
+		require.Greater(t, k.Core, 0.0, k.Name)
+		require.Greater(t, k.KBOut, 0.0, k.Name)
+	}
+	require.Equal(t, 9, members)
+	require.Equal(t, 12, r.Lines)
+	var b bytes.Buffer
+	r.Print(&b, true)
+	require.Contains(t, b.String(), "leader")
+}
+
+func TestTheSameSeedSendsTheSameBytes(t *testing.T) {
+	run := func() (n uint64) {
+		w := New(small(), 3, time.Minute)
+		w.reset()
+		_, err := w.Up(10 * time.Second)
+		require.NoError(t, err)
+		require.NoError(t, w.Run(time.Second))
+		for _, m := range w.all {
+			n += m.BytesOut
+		}
+		return n
+	}
+	require.InEpsilon(t, run(), run(), 0.02)
+}
+
+func TestARunPastItsLimitSaysSo(t *testing.T) {
+	_, err := Measure(small(), 1, time.Second, time.Millisecond)
+	require.ErrorIs(t, err, ErrRun)
+}
+
+func TestADesiredStateThatIsRefusedEndsTheRun(t *testing.T) {
+	_, err := Measure(small().With("tenants", 1025), 1, time.Second, time.Minute)
+	require.ErrorIs(t, err, ErrRun)
+	require.Contains(t, err.Error(), "invalid")
+}
+
+func TestSizesAreReadAndRefused(t *testing.T) {
+	s, err := Base.Read("nodes=7, zones=3")
+	require.NoError(t, err)
+	require.Equal(t, 7, s.Nodes)
+	require.Equal(t, 3, s.Zones)
+	for _, bad := range []string{"nodes", "node=4", "nodes=x", "nodes=0", "controls=2", "beat=1"} {
+		_, err := Base.Read(bad)
+		require.ErrorIs(t, err, ErrSize, bad)
+	}
+	for n, s := range Named {
+		require.Empty(t, s.Faults(), n)
+	}
+}
+
+func TestTheLineThroughPoints(t *testing.T) {
+	base, slope, off := Line([]float64{1, 2, 3}, []float64{5, 7, 9})
+	require.InDelta(t, 3, base, 1e-9)
+	require.InDelta(t, 2, slope, 1e-9)
+	require.InDelta(t, 0, off, 1e-9)
+	_, _, off = Line([]float64{1, 2, 3}, []float64{1, 4, 9})
+	require.Greater(t, off, 0.1)
+}
--- /dev/null
+++ b/hollow/slopes.go
@@ -0,0 +1,109 @@
+package hollow
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"time"
+)
+
+type Plan struct {
+	From   Size
+	Vary   []string
+	Window time.Duration
+	Limit  time.Duration
+	Seed   int64
+	Deep   bool
+}
+
+func (p Plan) Run(to io.Writer) error {
+	end := time.Now().Add(p.Limit)
+	if len(p.Vary) == 0 {
+		r, err := Measure(p.From, p.Seed, p.Window, time.Until(end))
+		if err != nil {
+			return err
+		}
+		r.Print(to, p.Deep)
+		return nil
+	}
+	for _, name := range p.Vary {
+		var list []*Result
+		for _, n := range Steps[name] {
+			r, err := Measure(p.From.With(name, n), p.Seed, p.Window, time.Until(end))
+			if err != nil {
+				return err
+			}
+			r.Print(to, p.Deep)
+			list = append(list, r)
+		}
+		slopes(to, name, Steps[name], list)
+	}
+	return nil
+}
+
+func (r *Result) role(name string) *Role {
+	i := slices.IndexFunc(r.Roles, func(k *Role) bool { return k.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return r.Roles[i]
+}
+
+var figures = []struct {
+	name string
+	of   func(k *Role) float64
+}{
+	{"messages in and out a second", func(k *Role) float64 { return k.In + k.Out }},
+	{"kB in a second", func(k *Role) float64 { return k.KBIn }},
+	{"kB out a second", func(k *Role) float64 { return k.KBOut }},
+	{"core %", func(k *Role) float64 { return k.Core }},
+	{"heap MB", func(k *Role) float64 { return k.Heap }},
+}
+
+// Line is the straight line of least squares through the points, and how far the worst point lies off it.
+func Line(xs, ys []float64) (base, slope, off float64) {
+	n, mx, my := float64(len(xs)), 0.0, 0.0
+	for i := range xs {
+		mx, my = mx+xs[i]/n, my+ys[i]/n
+	}
+	up, down := 0.0, 0.0
+	for i := range xs {
+		up, down = up+(xs[i]-mx)*(ys[i]-my), down+(xs[i]-mx)*(xs[i]-mx)
+	}
+	if down > 0 {
+		slope = up / down
+	}
+	base = my - slope*mx
+	for i := range xs {
+		if ys[i] != 0 {
+			off = max(off, math.Abs(base+slope*xs[i]-ys[i])/math.Abs(ys[i]))
+		}
+	}
+	return base, slope, off
+}
+
+func slopes(to io.Writer, name string, at []int, list []*Result) {
+	fmt.Fprintf(to, "slopes of %s over %v\n", name, at)
+	seen := map[string]bool{}
+	for _, r := range list {
+		for _, k := range r.Roles {
+			seen[k.Name] = true
+		}
+	}
+	for _, role := range names(seen) {
+		for _, f := range figures {
+			var xs, ys []float64
+			for i, r := range list {
+				if k := r.role(role); k != nil {
+					xs, ys = append(xs, float64(at[i])), append(ys, f.of(k))
+				}
+			}
+			if len(xs) < 3 {
+				continue
+			}
+			base, slope, off := Line(xs, ys)
+			fmt.Fprintf(to, "  %-18s %-30s %10.4g + %10.4g a piece, off by at most %3.0f %%; last to first %.2f\n", role, f.name, base, slope, 100*off, ys[len(ys)-1]/ys[0])
+		}
+	}
+}
