Hollow runs stop at their limit within a round and tell what a start costs

A fleet of 92 nodes before 2000 backends was cut off by timeout after 100 s with no word, still starting: each guard made rebuilds the whole table, so a start grows with the square of the backends. The limit is now looked at between events, and a run prints what its busiest node spends on a start and what its dearest guard costs.

--- a/cmd/fleetrun/hollow.go
+++ b/cmd/fleetrun/hollow.go
@@ -5,7 +5,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
-	"slices"
+	"runtime/pprof"
 	"strings"
 	"time"
 
@@ -36,7 +36,18 @@
 	if err != nil {
 		return err
 	}
-	slices.Sort(vary)
-	fmt.Printf("hollow run on %d threads of this machine\n", runtime.GOMAXPROCS(0))
+	runtime.GOMAXPROCS(max(1, a.Threads))
+	if a.Profile != "" {
+		f, err := os.Create(a.Profile)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
+	fmt.Printf("hollow run on %d threads of this machine\n", max(1, a.Threads))
 	return hollow.Plan{From: s, Vary: vary, Window: time.Duration(a.Window * 1e9), Limit: time.Duration(a.Limit) * time.Second, Seed: 1, Deep: a.Deep}.Run(os.Stdout)
 }
--- a/hollow/member.go
+++ b/hollow/member.go
@@ -43,6 +43,8 @@
 	Busy              time.Duration
 	Worst             time.Duration
 	Notes             uint64
+	Guards            uint64
+	Guard             time.Duration
 	Kinds             map[string]time.Duration
 	Frames            map[string]uint64
 }
@@ -95,6 +97,9 @@
 	start := spent()
 	at := start
 	for _, p := range m.inbox {
+		if m.w.over() {
+			return
+		}
 		f := &wire.Frame{}
 		if proto.Unmarshal(p.body, f) != nil {
 			continue
@@ -112,17 +117,26 @@
 	m.inbox = m.inbox[:0]
 	due := m.later
 	m.later = nil
+	most := time.Duration(0)
 	for _, l := range due {
 		if l.at > m.w.round {
 			m.later = append(m.later, l)
 			continue
 		}
+		if m.w.over() {
+			return
+		}
 		if a, ok := l.e.(*wire.Announce); ok {
 			m.beat(a)
 		} else {
 			m.step(l.e)
 		}
+		if _, ok := l.e.(data.GuardMade); ok {
+			now := m.count("guards made", at)
+			most, m.Guards, at = max(most, now-at), m.Guards+1, now
+		}
 	}
+	m.Guard = max(m.Guard, most)
 	at = m.count("beats, guards, visits", at)
 	if m.node != nil {
 		m.arrive()
--- a/hollow/report.go
+++ b/hollow/report.go
@@ -50,6 +50,9 @@
 	Heap    float64
 	Took    time.Duration
 	Window  time.Duration
+	Start   time.Duration
+	Guard   time.Duration
+	Guards  uint64
 }
 
 func heap() float64 {
@@ -138,6 +141,9 @@
 	if err := w.Run(3 * time.Second); err != nil {
 		return r, err
 	}
+	for _, m := range w.all[w.Controls:] {
+		r.Start, r.Guard, r.Guards = max(r.Start, m.Busy), max(r.Guard, m.Guard), max(r.Guards, m.Guards)
+	}
 	w.reset()
 	from := w.now
 	var list []uint64
@@ -205,6 +211,7 @@
 	say := func(form string, args ...any) { fmt.Fprintf(to, form+"\n", args...) }
 	say("hollow %v", r.Size)
 	say("  %v measured, %.1f s of the machine's; all ready after %v; change acknowledged after %v, at all nodes after %v (most)", r.Window, r.Took.Seconds(), r.Up, most(r.Acked), most(r.Every))
+	say("  from start to ready and 3 s on, the busiest node spends %.2f s of a core; it makes %d guards, the dearest costs %v", r.Start.Seconds(), r.Guards, r.Guard)
 	say("  age of cells' news p50 %v worst %v, of the leader's word p50 %v worst %v", r.Age[0], r.Age[1], r.CoreAge[0], r.CoreAge[1])
 	say("  beats a second %.0f heard %.0f not; visits a second %.0f served %.0f refused; a backend must accept %d connections", r.Beats[0], r.Beats[1], r.Served, r.Refused, r.Peak)
 	say("  a node holds %d cards, %d backends, %d pools; desired state %.1f kB, image of the book %.1f kB; heap of all %.0f MB", r.Cards, r.Lines, r.Pools, r.DocKB, r.Image, r.Heap)
--- a/hollow/size.go
+++ b/hollow/size.go
@@ -34,7 +34,7 @@
 	Whole = Size{Nodes: 490, Backends: 6500, Services: 110, Lanes: 1400, Tenants: 1024, Zones: 10, Regions: 3, Controls: 5, Changes: 6, Visits: 88, Beat: 2000}
 	Named = map[string]Size{"base": Base, "grown": Grown, "whole": Whole}
 	Steps = map[string][]int{
-		"nodes": {12, 24, 48, 96}, "backends": {60, 120, 240, 480}, "services": {5, 10, 20, 40}, "lanes": {40, 160, 640}, "tenants": {20, 200, 1000},
+		"nodes": {12, 24, 48, 96, 192}, "backends": {60, 120, 240, 480, 960}, "services": {5, 10, 20, 40}, "lanes": {40, 160, 640}, "tenants": {20, 200, 1000},
 		"zones": {2, 4, 8}, "changes": {6, 24, 60}, "visits": {5, 20, 80}, "controls": {3, 5, 9}, "beat": {1000, 2000, 4000},
 	}
 )
