--- a/cmd/fleetrun/hollow.go
+++ b/cmd/fleetrun/hollow.go
@@ -25,10 +25,13 @@
 		vary = strings.Split(a.Hollow, ",")
 		if a.Hollow == "all" {
 			vary = []string{"nodes", "backends", "services", "lanes", "tenants", "zones", "changes", "visits", "controls", "beat"}
+			if a.Live {
+				vary = []string{"nodes", "backends", "services", "lanes", "beat"}
+			}
 		}
 	}
 	for _, v := range vary {
-		if hollow.Steps[v] == nil {
+		if hollow.Steps[v] == nil || a.Live && hollow.LiveSteps[v] == nil {
 			return fmt.Errorf("--hollow has no variable %q", v)
 		}
 	}
@@ -49,5 +52,5 @@
 		defer pprof.StopCPUProfile()
 	}
 	fmt.Printf("hollow run on %d threads of this machine\n", max(1, a.Threads))
-	return hollow.Plan{From: s, Vary: vary, Window: time.Duration(a.Window * 1e9), Limit: time.Duration(a.Limit) * time.Second, Seed: 1, Deep: a.Deep}.Run(os.Stdout)
+	return hollow.Plan{From: s, Vary: vary, Window: time.Duration(a.Window * 1e9), Limit: time.Duration(a.Limit) * time.Second, Seed: 1, Deep: a.Deep, Live: a.Live, Real: a.Real, Bin: a.Bin, Dir: a.Dir}.Run(os.Stdout)
 }
--- a/cmd/fleetrun/main.go
+++ b/cmd/fleetrun/main.go
@@ -30,6 +30,8 @@
 	From       string  `arg:"--from" default:"base" help:"with --hollow and variables: the size they are varied from"`
 	Limit      int     `arg:"--limit" default:"600" help:"with --hollow: longest time in seconds"`
 	Window     float64 `arg:"--window" default:"7.2" help:"with --hollow: seconds of its own clock that are measured"`
+	Live       bool    `arg:"--live" help:"with --hollow: real processes and real sockets on loopback, hollow nodes and backends beside them"`
+	Real       int     `arg:"--real" default:"2" help:"with --live: how many nodes are processes of their own"`
 	Threads    int     `arg:"--threads" default:"4" help:"with --hollow: how many threads step the members"`
 	Profile    string  `arg:"--profile" help:"with --hollow: file for a processor profile, as go tool pprof reads it"`
 	Deep       bool    `arg:"--deep" help:"with --hollow: also what the processor time and the bytes went to"`
--- a/hollow/size.go
+++ b/hollow/size.go
@@ -37,6 +37,7 @@
 		"nodes": {12, 24, 48, 96, 192}, "backends": {60, 120, 240, 480, 960}, "services": {5, 10, 20, 40}, "lanes": {40, 160, 640}, "tenants": {20, 200, 1000},
 		"zones": {2, 4, 8}, "changes": {6, 24, 60}, "visits": {5, 20, 80}, "controls": {3, 5, 9}, "beat": {1000, 2000, 4000},
 	}
+	LiveSteps = map[string][]int{"nodes": {6, 12, 24, 48}, "backends": {60, 120, 240, 480}, "lanes": {40, 160, 640}, "services": {5, 10, 20, 40}, "beat": {1000, 2000, 4000}}
 )
 
 func (s *Size) fields() map[string]*int {
--- a/hollow/slopes.go
+++ b/hollow/slopes.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"io"
 	"math"
+	"os"
 	"slices"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 type Plan struct {
@@ -15,9 +18,47 @@
 	Limit  time.Duration
 	Seed   int64
 	Deep   bool
+	Live   bool
+	Real   int
+	Bin    string
+	Dir    string
+}
+
+func (p Plan) live(s Size, to io.Writer) error {
+	dir, err := os.MkdirTemp(p.Dir, "hollow-")
+	if err != nil {
+		return merry.Wrap(ErrRun, merry.WithCause(err))
+	}
+	l := &Live{Size: s, Real: min(p.Real, s.Nodes), Bin: p.Bin, Dir: dir, Net: 30}
+	defer l.Close()
+	if err := l.Open(); err != nil {
+		return err
+	}
+	return l.Print(to, p.Window)
+}
+
+func (p Plan) liveRun(to io.Writer) error {
+	if len(p.Vary) == 0 {
+		return p.live(p.From, to)
+	}
+	end := time.Now().Add(p.Limit)
+	for _, name := range p.Vary {
+		for _, n := range LiveSteps[name] {
+			if time.Now().After(end) {
+				return merry.Wrap(ErrRun, merry.AppendMessagef("the limit of %v is over", p.Limit))
+			}
+			if err := p.live(p.From.With(name, n), to); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
 }
 
 func (p Plan) Run(to io.Writer) error {
+	if p.Live {
+		return p.liveRun(to)
+	}
 	end := time.Now().Add(p.Limit)
 	if len(p.Vary) == 0 {
 		r, err := Measure(p.From, p.Seed, p.Window, time.Until(end))
