--- a/cmd/fleetrun/hollow.go
+++ b/cmd/fleetrun/hollow.go
@@ -17,6 +17,10 @@
 func hollowRun(a args) error {
 	debug.SetMemoryLimit(hollowHeap)
 	var vary []string
+	parted := a.Hollow == "parted"
+	if parted {
+		a.Hollow = a.From
+	}
 	from, ok := hollow.Named[a.Hollow]
 	if !ok {
 		if from, ok = hollow.Named[a.From]; !ok {
@@ -52,5 +56,11 @@
 		defer pprof.StopCPUProfile()
 	}
 	fmt.Printf("hollow run on %d threads of this machine\n", max(1, a.Threads))
+	if parted {
+		if a.Size == "" {
+			s.Regions, s.Zones = 3, 6
+		}
+		return hollow.Parted(os.Stdout, s, 1, max(10*time.Second, time.Duration(a.Window*1e9)), time.Duration(a.Limit)*time.Second)
+	}
 	return hollow.Plan{From: s, Vary: vary, Window: time.Duration(a.Window * 1e9), Limit: time.Duration(a.Limit) * time.Second, Seed: 1, Deep: a.Deep, Live: a.Live, Real: a.Real, Bin: a.Bin, Dir: a.Dir}.Run(os.Stdout)
 }
--- a/cmd/fleetrun/main.go
+++ b/cmd/fleetrun/main.go
@@ -25,7 +25,7 @@
 	Faults     string  `arg:"--faults" help:"faults to cause one after another, by comma; 'list' names them"`
 	Over       bool    `arg:"--over" help:"do not wait for one fault to end before the next begins"`
 	Gap        int     `arg:"--gap" default:"10" help:"seconds between faults"`
-	Hollow     string  `arg:"--hollow" help:"instead: a hollow fleet in this process; base, grown, whole, or the variables to vary one by one, by comma, or all"`
+	Hollow     string  `arg:"--hollow" help:"instead: a hollow fleet in this process; base, grown, whole, parted, or the variables to vary one by one, by comma, or all"`
 	Size       string  `arg:"--size" help:"with --hollow: name=number, by comma, over the size it starts from"`
 	From       string  `arg:"--from" default:"base" help:"with --hollow and variables: the size they are varied from"`
 	Limit      int     `arg:"--limit" default:"600" help:"with --hollow: longest time in seconds"`
--- a/hollow/live.go
+++ b/hollow/live.go
@@ -37,6 +37,7 @@
 	Bin    string
 	Dir    string
 	Net    int
+	Settle time.Duration
 	procs  []*proc
 	nodes  []*seat
 	doors  []string
@@ -320,7 +321,7 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(l.Settle)
 	for _, p := range l.procs {
 		p.used = p.spent()
 		p.sent, p.size = l.wire(p)
--- /dev/null
+++ b/hollow/parted.go
@@ -0,0 +1,125 @@
+package hollow
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"sloeturn/ident"
+	"sloeturn/ledger"
+)
+
+// Parted cuts one region off, then all from one another, and tells what each side does.
+func Parted(to io.Writer, s Size, seed int64, span, limit time.Duration) error {
+	w := New(s, seed, limit)
+	w.reset()
+	up, err := w.Up(60 * time.Second)
+	if err != nil {
+		return err
+	}
+	if err := w.Run(5 * time.Second); err != nil {
+		return err
+	}
+	fmt.Fprintf(to, "parted %v; all ready after %v\n", s, up)
+	for _, side := range []int{s.Regions - 1, s.Regions} {
+		name := fmt.Sprintf("region %d alone", side)
+		if side >= s.Regions {
+			name = "every region alone"
+		}
+		w.parted = side
+		fmt.Fprintf(to, " %s for %v\n", name, span)
+		asked := map[uint64]int{}
+		for _, at := range []time.Duration{3 * time.Second, 8 * time.Second, span} {
+			if err := w.Run(at - passed(at, span)); err != nil {
+				return err
+			}
+			for r := 0; r < s.Regions; r++ {
+				fmt.Fprintf(to, "  %v on, region %d: %s\n", at, r, w.side(r))
+			}
+			if at == 8*time.Second {
+				basis := w.generation()
+				for r := 0; r < s.Regions; r++ {
+					if i := slices.IndexFunc(w.all[:s.Controls], func(m *member) bool { return m.region == r }); i >= 0 {
+						asked[w.SetAt(i, w.patch(r+7), true, basis)] = r
+					}
+				}
+			}
+		}
+		for id := uint64(1); id <= w.last; id++ {
+			if r, ok := asked[id]; ok {
+				fmt.Fprintf(to, "  a change asked in region %d: %s\n", r, w.changes[id])
+			}
+		}
+		w.parted = -1
+		from := w.now
+		for w.Ready() < s.Nodes && w.now.Sub(from) < time.Minute {
+			if err := w.Run(50 * time.Millisecond); err != nil {
+				return err
+			}
+		}
+		fmt.Fprintf(to, "  joined again: %d of %d nodes ready after %v\n", w.Ready(), s.Nodes, w.now.Sub(from))
+		if err := w.Run(5 * time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func passed(at, span time.Duration) time.Duration {
+	switch at {
+	case span:
+		return 8 * time.Second
+	case 8 * time.Second:
+		return 3 * time.Second
+	}
+	return 0
+}
+
+func (c *change) String() string {
+	if !c.answer {
+		return "no answer yet"
+	}
+	if c.code != ledger.Done {
+		return fmt.Sprintf("%v after %v", c.code, c.acked)
+	}
+	every := "not at every node"
+	if c.every > 0 {
+		every = fmt.Sprintf("at every node after %v", c.every)
+	}
+	return fmt.Sprintf("in force as %d after %v, %s", c.gen, c.acked, every)
+}
+
+func (w *World) side(r int) string {
+	ready, all, whys := 0, 0, map[string]int{}
+	var heads []string
+	for _, m := range w.all {
+		if m.region != r {
+			continue
+		}
+		if m.head != nil {
+			text := m.name + " " + m.head.Agree.Role().String()
+			if !m.head.Relay.CoreFresh(w.now) {
+				text += ", not ready"
+			}
+			heads = append(heads, text)
+			continue
+		}
+		all++
+		if m.node.Ready() {
+			ready++
+		} else {
+			whys[m.node.Why(w.now)]++
+		}
+	}
+	var out []string
+	for _, k := range ident.Keys(whys) {
+		out = append(out, fmt.Sprintf("%d: %s", whys[k], k))
+	}
+	text := fmt.Sprintf("%d of %d nodes ready", ready, all)
+	if len(out) > 0 {
+		text += " (" + strings.Join(out, "; ") + ")"
+	}
+	return text + "; " + strings.Join(heads, "; ")
+}
--- a/hollow/run_test.go
+++ b/hollow/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"os/exec"
 	"testing"
 	"time"
 
@@ -83,3 +84,25 @@
 	_, _, off = Line([]float64{1, 2, 3}, []float64{1, 4, 9})
 	require.Greater(t, off, 0.1)
 }
+
+func TestAPartedRegionIsToldOfApart(t *testing.T) {
+	s := small()
+	s.Zones, s.Regions = 3, 3
+	var b bytes.Buffer
+	require.NoError(t, Parted(&b, s, 1, 9*time.Second, time.Minute))
+	require.Contains(t, b.String(), "region 2 alone")
+	require.Contains(t, b.String(), "every region alone")
+	require.Contains(t, b.String(), "joined again: 6 of 6")
+}
+
+func TestRealProcessesBesideHollowOnes(t *testing.T) {
+	bin := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", bin, "../cmd/dataplane", "../cmd/controlplane").CombinedOutput()
+	require.NoError(t, err, string(out))
+	var b bytes.Buffer
+	p := Plan{From: small(), Window: time.Second, Limit: time.Minute, Live: true, Real: 1, Bin: bin, Dir: t.TempDir()}
+	require.NoError(t, p.Run(&b))
+	require.Contains(t, b.String(), "1 real nodes, 3 real control processes; all ready after")
+	require.Contains(t, b.String(), "a change acknowledged after")
+	require.NotContains(t, b.String(), "memory now 0.0 MB")
+}
--- a/hollow/slopes.go
+++ b/hollow/slopes.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return merry.Wrap(ErrRun, merry.WithCause(err))
 	}
-	l := &Live{Size: s, Real: min(p.Real, s.Nodes), Bin: p.Bin, Dir: dir, Net: 30}
+	l := &Live{Size: s, Real: min(p.Real, s.Nodes), Bin: p.Bin, Dir: dir, Net: 30, Settle: 2 * p.Window}
 	defer l.Close()
 	if err := l.Open(); err != nil {
 		return err
