--- a/hollow/run_test.go
+++ b/hollow/run_test.go
@@ -62,6 +62,13 @@
 	require.Contains(t, err.Error(), "invalid")
 }
 
+func TestASizeTheCheckRefusesIsToldBeforeTheRun(t *testing.T) {
+	var b bytes.Buffer
+	err := Plan{From: small().With("tenants", 1025), Limit: time.Minute}.Run(&b)
+	require.ErrorIs(t, err, ErrSize)
+	require.Contains(t, b.String(), "/tenants has 1025 entries; at most 1024")
+}
+
 func TestSizesAreReadAndRefused(t *testing.T) {
 	s, err := Base.Read("nodes=7, zones=3")
 	require.NoError(t, err)
--- a/hollow/slopes.go
+++ b/hollow/slopes.go
@@ -56,6 +56,14 @@
 }
 
 func (p Plan) Run(to io.Writer) error {
+	faults := p.From.Faults()
+	fmt.Fprintf(to, "from %v: desired state %.1f kB, a backend must accept %d connections, %d faults found by the check\n", p.From, float64(len(p.From.Doc()))/1e3, p.From.Peak(0), len(faults))
+	for _, f := range faults[:min(5, len(faults))] {
+		fmt.Fprintf(to, "  %s %s\n", f.Path, f.Text)
+	}
+	if len(faults) > 0 {
+		return merry.Wrap(ErrSize, merry.AppendMessage("the desired state of this size is not taken"))
+	}
 	if p.Live {
 		return p.liveRun(to)
 	}
