--- a/data/state.go
+++ b/data/state.go
@@ -125,6 +125,7 @@
 	Incarnation ident.Incarnation
 	Seeds       []ident.Addr
 	Build       string
+	Decisions   int
 	Tenure      time.Duration
 	Stale       time.Duration
 }
@@ -883,7 +884,9 @@
 			s.Mail.Post(&wire.Change{Body: &wire.Change_Outcome{Outcome: &wire.Outcome{Key: e.Visit.Arrival.Key, Visit: string(e.Visit.Visit), Status: uint32(e.Status)}}}, now.Add(OutcomeWait), otherTag{}, heads, now)
 		case forward.Bar:
 			if e.Ask && s.namedAt(e.Addr) {
-				s.Pass.Unbar(e.Addr)
+				if _, barred := s.bars[e.Addr]; !barred {
+					s.Pass.Unbar(e.Addr)
+				}
 				continue
 			}
 			s.bar(e.Addr, e.Ask)
