What requesters may send and how long they may stay idle is held to on routed visits

Cause: a desired state's limits were read and checked, and only the body's was used. The head's size is refused with 431, its time and the idle time shorten the deadlines that the HTTP server sets on its connections, as they stand at that moment.

--- a/data/front.go
+++ b/data/front.go
@@ -42,6 +42,23 @@
 	duty.JSON(w, a.Status, verdict{Ran: string(a.Ran), Reason: a.Reason, RetryAfterMs: a.RetryAfter.Milliseconds(), Known: a.Known})
 }
 
+func (n *Node) waits() (head, idle time.Duration) {
+	if d := n.view.Load().desired; d != nil && d.Limits != nil {
+		return d.Limits.HeadWait, d.Limits.IdleWait
+	}
+	return 0, 0
+}
+
+func headSize(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for k, list := range r.Header {
+		for _, v := range list {
+			n += len(k) + len(v) + 4
+		}
+	}
+	return int64(n)
+}
+
 func hostOf(r *http.Request) string {
 	h, _, _ := strings.Cut(r.Host, ":")
 	return strings.ToLower(h)
@@ -69,6 +86,10 @@
 		no(503, "no desired state read yet", 500*time.Millisecond)
 		return
 	}
+	if l := view.desired.Limits; l != nil && l.Head > 0 && headSize(r) > l.Head {
+		no(431, "head too large", 0)
+		return
+	}
 	path := r.URL.EscapedPath()
 	route := view.desired.Find(hostOf(r), path)
 	if route == nil {
--- a/data/serve.go
+++ b/data/serve.go
@@ -13,8 +13,9 @@
 )
 
 type Door struct {
-	Addr string
-	Open func(n *Node) http.Handler
+	Addr  string
+	Front bool
+	Open  func(n *Node) http.Handler
 }
 
 func Serve(set *boot.Settings, log *boot.Logger, reload func(), doors ...Door) error {
@@ -30,7 +31,8 @@
 	level.Info(log).Log("part", "main", "msg", "Started.", "build", boot.Build, "address", set.Address, "http", set.HTTP, "operators", set.Operators)
 	app := &duty.App{
 		Log: log, Name: set.Name, Build: boot.Build, Ended: n.Ended(),
-		HTTP: map[string]http.Handler{set.HTTP: n.Handler(), set.Operators: n.Operators()},
+		HTTP:  map[string]http.Handler{set.HTTP: n.Handler(), set.Operators: n.Operators()},
+		Waits: map[string]duty.Waits{},
 		Drain: func() {
 			n.Put(Drain{})
 			time.AfterFunc(set.Drain(), func() {
@@ -42,6 +44,9 @@
 	}
 	for _, d := range doors {
 		app.HTTP[d.Addr] = d.Open(n)
+		if d.Front {
+			app.Waits[d.Addr] = n.waits
+		}
 	}
 	if err := app.Run(); err != nil {
 		return err
--- a/duty/loop.go
+++ b/duty/loop.go
@@ -125,6 +125,7 @@
 	Name   string
 	Build  string
 	HTTP   map[string]http.Handler
+	Waits  map[string]Waits
 	Drain  func()
 	Reload func()
 	Ended  <-chan struct{}
@@ -151,11 +152,14 @@
 		if err != nil {
 			return err
 		}
+		if w := a.Waits[addr]; w != nil {
+			ear = patient{ear, w}
+		}
 		only := func(http.Handler) http.Handler { return h }
 		srv := khttp.NewServer(khttp.Listener(ear), khttp.Endpoint(&url.URL{Scheme: "http", Host: addr}), khttp.Timeout(0), khttp.Filter(only))
 		srv.ConnContext = WithConn
-		srv.ReadHeaderTimeout = 5 * time.Second
-		srv.IdleTimeout = 2 * time.Minute
+		srv.ReadHeaderTimeout = HeadWait
+		srv.IdleTimeout = IdleWait
 		all = append(all, srv)
 	}
 	opts = append(opts, kratos.Server(all...))
