--- a/data/state.go
+++ b/data/state.go
@@ -26,6 +26,7 @@
 	OutcomeWait  = 10 * time.Second
 	AnnounceWait = time.Second
 	DrainGrace   = 2500 * time.Millisecond
+	SignOffWait  = 1500 * time.Millisecond
 	WarmWait     = 6 * time.Second
 	WantEvery    = 500 * time.Millisecond
 )
@@ -187,6 +188,7 @@
 	draining     bool
 	drainAt      ident.Moment
 	signedOff    bool
+	signedAt     ident.Moment
 	freeing      bool
 	gone         bool
 	out          []any
@@ -851,7 +853,7 @@
 		return
 	}
 	if s.Open() == 0 && now.Sub(s.drainAt) > DrainGrace && !s.signedOff {
-		s.signedOff = true
+		s.signedOff, s.signedAt = true, now
 		s.rev = 0
 		s.out = append(s.out, Shed{map[ident.Addr]string{}}, Note{"All visits have ended."})
 		s.refresh(now)
@@ -864,6 +866,10 @@
 			s.Mail.Post(&wire.Change{Body: &wire.Change_SeatFree{SeatFree: &wire.SeatFree{Seat: s.seat.Seat, Member: s.seat.Member, Incarnation: s.seat.Incarnation, Reason: "sign-off"}}}, now.Add(SeatWait), freeTag{}, heads, now)
 		}
 	}
+	if s.signedOff && !s.gone && s.Pass.Held() == 0 && now.Sub(s.signedAt) > SignOffWait {
+		s.gone = true
+		s.out = append(s.out, Note{"Nobody heard the sign-off; the seat stays with this address."})
+	}
 	if s.gone {
 		s.Members.Leave(now)
 		s.out = append(s.out, Note{"Signed off."}, Exit{})
--- a/data/state_test.go
+++ b/data/state_test.go
@@ -29,3 +29,22 @@
 	require.LessOrEqual(t, asks, 4)
 	require.GreaterOrEqual(t, asks, 3)
 }
+
+func TestAStopWaitsForNobodyWhoCannotHearIt(t *testing.T) {
+	now := ident.Moment(1e9)
+	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"10.0.0.2:1"}}, now)
+	s.Relay.TakeCore(&wire.Core{Version: 1, SeatCount: 1, LeaderAddr: "10.0.0.2:1", Seats: []*wire.Seat{{Member: "n", Addr: "10.0.0.1:1", Incarnation: 7}}}, nil, 0, now)
+	s.Step(now, Drain{})
+	from, ended := now, ident.Moment(0)
+	for i := 0; i < 1200 && ended == 0; i++ {
+		now = now.Add(5 * time.Millisecond)
+		s.Step(now, Tick{})
+		for _, e := range s.Take() {
+			if _, ok := e.(Exit); ok {
+				ended = now
+			}
+		}
+	}
+	require.Greater(t, ended.Sub(from), DrainGrace)
+	require.Less(t, ended.Sub(from), DrainGrace+SignOffWait+200*time.Millisecond)
+}
