Places in line are weighed beside shares by cost

Cause: a node whose shares of fast backends were taken went to its slow shares while fast backends had room in line; a short wait at a fast backend ends sooner than work at a slow one (a slot of six frees every 20 ms or so). Ruled out: one round for shares and lines without a price for the line, which overran b0 in the test of equal backends. Conclusion: kept; at equal pace shares still go first (the old test unchanged), a new test shows a fast line before a slow share.

--- a/pass/pace.go
+++ b/pass/pace.go
@@ -16,6 +16,7 @@
 	fullCost   = 0.15
 	farCost    = 0.25
 	freshCost  = 0.03
+	lineCost   = 0.2
 )
 
 type mean struct {
@@ -80,8 +81,8 @@
 
 func (s *State) cost(b *Backend, room int, idle bool) float64 {
 	n := s.pace(b.Addr) * (1 + fullCost*float64(s.load[b.Addr])/float64(room))
-	if over := s.load[b.Addr] + 1 - b.Share; over > 0 && b.Slots > 0 {
-		n *= 1 + float64(over)/float64(b.Slots)
+	if over := s.load[b.Addr] + 1 - b.Share; over > 0 {
+		n *= 1 + lineCost + float64(over)/float64(max(1, b.Slots))
 	}
 	if !b.Near {
 		n *= 1 + farCost
--- a/pass/state.go
+++ b/pass/state.go
@@ -293,15 +293,9 @@
 	why := NoBackend
 	list := s.byName[l.Service]
 	s.turn++
-	for i := range 2 * len(list) {
-		if i == len(list) && best != nil {
-			break
-		}
+	for i := range list {
 		b := list[(i+s.turn)%len(list)]
-		room := b.Share
-		if i >= len(list) {
-			room += b.Line
-		}
+		room := b.Share + b.Line
 		if room == 0 || skip[b.Addr] {
 			continue
 		}
--- a/pass/state_test.go
+++ b/pass/state_test.go
@@ -94,3 +94,17 @@
 	s.Tick(ident.Moment(180 * time.Millisecond))
 	require.Equal(t, []Refusal{{"v2", WaitedOut}}, s.Flush().Refusals)
 }
+
+func TestAPlaceInLineAtAFastBackendGoesBeforeAFreeShareOfASlowOne(t *testing.T) {
+	s := stand(9, 0, Backend{Share: 1, Line: 2, Slots: 6, Near: true}, Backend{Share: 2, Slots: 6, Near: true})
+	for i := range 40 {
+		s.Timed("b0", "x", "k", 60*time.Millisecond, ident.Moment(i+1))
+		s.Timed("b1", "x", "k", 140*time.Millisecond, ident.Moment(i+1))
+	}
+	var took []ident.Addr
+	for i := range 5 {
+		took = append(took, s.ask(i, 1).Grants[0].Backend.Addr)
+	}
+	require.Equal(t, []ident.Addr{"b0", "b0", "b0", "b1", "b1"}, took)
+	require.Equal(t, LaneFull, s.ask(5, 1).Refusals[0].Reason)
+}
