A holder that follows itself starts at once, from copies of the cells kept on disk

Cause: after all were killed each holder waited out its own old tenure (1.2 s), and then its table was blank until beats came (1.5 s). Change: wire.Hold carries the holder's address and `since`, the first epoch of the chain in which this member held the cell on this address. A holder starts at once if it has a copy of a table of that chain (so the chain had begun) and has heard so many other control processes that one of them knows each acknowledged drain. Kept copies go to other control processes marked old, are never served to nodes and never count as fresh. Control processes ask each other every 50 ms in their first 3 s. Ruled out: log stamps as proof that the old wait was over: an entry may be committed long after its stamp. Starting at once without hearing others: a copy 500 ms old may miss a drain that another has.

--- a/cell/state.go
+++ b/cell/state.go
@@ -456,6 +456,9 @@
 	tombs tombs
 	rev   uint64
 	asks  int
+
+	Turns  uint64
+	Leaves uint64
 }
 
 func NewCopy(c ident.Cell) *Copy {
@@ -478,6 +481,7 @@
 		c.Upto, c.tombs, c.Pulse = 0, tombs{from: n.Upto}, 0
 		c.Known = false
 		c.rev++
+		c.Turns++
 		if len(n.Ranges) < Parts {
 			return true
 		}
@@ -495,11 +499,13 @@
 		here := map[string]bool{}
 		for _, b := range r.Backends {
 			here[b.Addr] = true
+			c.turned(c.Table[ident.Addr(b.Addr)], b)
 		}
 		for _, a := range ident.Keys(c.Table) {
 			if Part(string(a)) == int(r.Part) {
 				delete(c.Table, a)
 				if !here[string(a)] {
+					c.Turns++
 					c.tombs.add(string(a), n.Upto)
 				}
 			}
@@ -528,6 +534,7 @@
 			c.sums[Part(g.Addr)] -= Sum(b.Addr, b.Version)
 			delete(c.Table, a)
 			c.rev++
+			c.Turns++
 		}
 		if g.Version > c.Upto {
 			c.tombs.add(g.Addr, g.Version)
@@ -543,11 +550,63 @@
 			c.sums[Part(b.Addr)] -= Sum(b.Addr, old.Version)
 		}
 		c.sums[Part(b.Addr)] += Sum(b.Addr, b.Version)
+		c.turned(old, b)
 		c.Table[a] = b
 		c.rev++
 	}
 }
 
+func (c *Copy) turned(old, b *wire.Backend) {
+	if old != nil && old.Incarnation == b.Incarnation && old.State == b.State {
+		return
+	}
+	c.Turns++
+	if b.State == Leaving {
+		c.Leaves++
+	}
+}
+
+func (c *Copy) Keep() *wire.CellKept {
+	k := &wire.CellKept{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Pulse: c.Pulse, Upto: c.Upto}
+	for _, a := range ident.Keys(c.Table) {
+		if b := c.Table[a]; !strings.HasPrefix(b.Incarnation, Bare) || b.State == Leaving {
+			k.Backends = append(k.Backends, b)
+		}
+	}
+	return k
+}
+
+func Kept(k *wire.CellKept) *Copy {
+	c := NewCopy(ident.Cell(k.Cell))
+	c.Epoch, c.Pulse, c.Upto = ident.Epoch(k.Epoch), k.Pulse, k.Upto
+	c.tombs.from = k.Upto
+	for _, b := range k.Backends {
+		if a := ident.Addr(b.Addr); c.Table[a] == nil {
+			c.Table[a] = b
+			c.sums[Part(b.Addr)] += Sum(b.Addr, b.Version)
+		}
+	}
+	return c
+}
+
+func (c *Copy) Old() *wire.CellNews {
+	return &wire.CellNews{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Pulse: c.Pulse, Upto: c.Upto, Ranges: c.Ranges(nil), Old: true}
+}
+
+func (c *Copy) Remember(n *wire.CellNews) {
+	e := ident.Epoch(n.Epoch)
+	if e < c.Epoch || e == c.Epoch && (c.Known || n.Upto <= c.Upto) {
+		return
+	}
+	k := &wire.CellKept{Cell: string(c.Cell), Epoch: n.Epoch, Pulse: n.Pulse, Upto: n.Upto}
+	for _, r := range n.Ranges {
+		k.Backends = append(k.Backends, r.Backends...)
+	}
+	old := *c
+	*c = *Kept(k)
+	c.rev, c.asks, c.Turns, c.Leaves = old.rev+1, old.asks, old.Turns+1, old.Leaves
+}
+
 const WholeEvery = 16
 
 func (c *Copy) Have() *wire.CellHave {
--- a/control/node.go
+++ b/control/node.go
@@ -48,6 +48,8 @@
 	over   sync.Once
 	diskIn chan struct{}
 	disk   []agreement.Persist
+	shelf  *ringfile.Shelf
+	shelve chan []byte
 	busy   atomic.Int64
 	dead   atomic.Bool
 	Synced atomic.Uint64
@@ -55,7 +57,7 @@
 }
 
 func NewNode(b Boot, d Disks, l log.Logger) (*Node, error) {
-	n := &Node{Log: l, Stream: duty.NewStream(16384, b.Incarnation), asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1)}
+	n := &Node{Log: l, Stream: duty.NewStream(16384, b.Incarnation), asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1), shelve: make(chan []byte, 1)}
 	var got *agreement.Recovered
 	if d.Path != "" {
 		dir, err := ringfile.OpenDir(d.Path)
@@ -71,6 +73,14 @@
 			level.Warn(l).Log("part", "ring", "msg", "The last record was torn and is dropped.")
 		}
 		n.dir, n.ring, got = dir, ring, rec
+		if n.shelf, b.Shelf, err = ringfile.OpenShelf(dir); err != nil {
+			level.Warn(l).Log("part", "shelf", "msg", "Copies of the cells are not kept.", "why", err)
+		} else {
+			b.Shelves = true
+			for _, why := range n.shelf.Passed {
+				level.Warn(l).Log("part", "shelf", "msg", "A file of kept copies is passed over.", "why", why)
+			}
+		}
 		b.Voter = ident.Voter(string(b.Member) + "/" + dir.ID)
 	}
 	s, err := New(b, got, ident.Now())
@@ -94,18 +104,41 @@
 		go n.keep()
 		go n.watch()
 	}
+	if n.shelf != nil {
+		go n.lay()
+	}
 	return nil
 }
 
 func (n *Node) Close() {
 	n.Stop()
 	n.Hub.Close()
+	if n.shelf != nil {
+		n.shelf.Close()
+	}
 	if n.ring != nil {
 		n.ring.Close()
 		n.dir.Close()
 	}
 }
 
+func (n *Node) lay() {
+	for {
+		select {
+		case <-n.ended:
+			return
+		case doc := <-n.shelve:
+			err := n.shelf.Save(doc)
+			if err != nil {
+				level.Warn(n.Log).Log("part", "shelf", "msg", "Copies of the cells could not be kept.", "why", err)
+			}
+			if !n.Put(Shelved{err == nil}) {
+				return
+			}
+		}
+	}
+}
+
 func (n *Node) Ended() <-chan struct{} { return n.ended }
 
 func (n *Node) keep() {
@@ -172,6 +205,8 @@
 			case n.diskIn <- struct{}{}:
 			default:
 			}
+		case Shelve:
+			n.shelve <- e.Doc
 		case Announced:
 			n.tell(e.Token, e)
 		case Changed:
--- /dev/null
+++ b/control/shelf_test.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"sloeturn/agreement"
+	"sloeturn/cell"
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+type desk struct {
+	*State
+	t       *testing.T
+	now     ident.Moment
+	shelf   []byte
+	shelves int
+	hold    bool
+	said    map[uint64]uint32
+	records []*wire.Record
+}
+
+func newDesk(t *testing.T, life ident.Incarnation, shelf []byte, got *agreement.Recovered) *desk {
+	addr := ident.Addr("127.0.0.1:1")
+	s, err := New(Boot{Member: "head", Addr: addr, Cell: "a", Incarnation: life, Seeds: []ident.Addr{addr}, Founders: []ident.Addr{addr}, Voter: "head/d", Shelf: shelf, Shelves: true}, got, ident.Moment(1e12))
+	require.NoError(t, err)
+	return &desk{State: s, t: t, now: ident.Moment(1e12), shelf: shelf, said: map[uint64]uint32{}}
+}
+
+func (d *desk) step(e any) {
+	d.Step(d.now, e)
+	d.Settle(d.now)
+	for _, e := range d.Take() {
+		switch e := e.(type) {
+		case agreement.Persist:
+			d.records = append(d.records, e.Records...)
+			d.step(Synced{Seq: e.Seq})
+		case Shelve:
+			d.shelves++
+			if d.shelf = e.Doc; !d.hold {
+				d.step(Shelved{true})
+			}
+		case Announced:
+			d.said[e.Token] = e.Code
+		}
+	}
+}
+
+func (d *desk) run(span time.Duration) {
+	for end := d.now.Add(span); d.now < end; {
+		d.now = d.now.Add(20 * time.Millisecond)
+		d.step(Tick{})
+	}
+}
+
+func (d *desk) beat(token uint64, n, state int) {
+	d.step(Announce{token, &wire.Announce{Cell: "a", Addr: fmt.Sprint("b", n), Service: "s", Slots: 2, State: uint32(state), Incarnation: fmt.Sprint("life-", n), Stands: true}})
+}
+
+func (d *desk) recovered() *agreement.Recovered {
+	got := &agreement.Recovered{}
+	for _, r := range d.records {
+		switch b := r.Body.(type) {
+		case *wire.Record_Vow:
+			got.Term, got.Voted = b.Vow.Term, b.Vow.Voted
+		case *wire.Record_Snap:
+			got.Snap = b.Snap
+		case *wire.Record_Entry:
+			got.Entries = append(got.Entries, proto.Clone(b.Entry).(*wire.Entry))
+		}
+	}
+	return got
+}
+
+func TestAHolderKilledWithAllStartsAtOnceFromItsKeptCopy(t *testing.T) {
+	d := newDesk(t, 3, nil, nil)
+	d.run(4 * time.Second)
+	require.NotNil(t, d.active("a", d.now))
+	for i := uint64(1); i <= 4; i++ {
+		d.beat(i, int(i), cell.Ready)
+		require.EqualValues(t, 200, d.said[i])
+	}
+	d.run(time.Second)
+	d.beat(9, 2, cell.Leaving)
+	require.EqualValues(t, 200, d.said[9])
+	n := newDesk(t, 4, d.shelf, d.recovered())
+	require.False(t, n.Relay.CellFresh("a", n.now), "an old copy is never fresh")
+	n.run(500 * time.Millisecond)
+	h := n.active("a", n.now)
+	require.NotNil(t, h, "not started at once")
+	states := map[string]int{}
+	for _, b := range h.sound.Lines() {
+		states[b.Life] = b.State
+	}
+	require.Equal(t, map[string]int{"life-1": cell.Ready, "life-2": cell.Leaving, "life-3": cell.Ready, "life-4": cell.Ready}, states)
+	blank := newDesk(t, 5, nil, d.recovered())
+	blank.run(500 * time.Millisecond)
+	require.Nil(t, blank.active("a", blank.now), "nothing proves that the old life had begun")
+	blank.run(1500 * time.Millisecond)
+	require.NotNil(t, blank.active("a", blank.now))
+}
+
+func TestADrainIsAcknowledgedOnceItIsOnDiskOrTheDiskIsSlow(t *testing.T) {
+	d := newDesk(t, 3, nil, nil)
+	d.run(4 * time.Second)
+	d.beat(1, 1, cell.Ready)
+	d.run(time.Second)
+	d.hold = true
+	d.beat(2, 1, cell.Leaving)
+	d.run(60 * time.Millisecond)
+	require.Zero(t, d.said[2])
+	d.step(Shelved{true})
+	require.EqualValues(t, 200, d.said[2])
+	d.beat(3, 1, cell.Gone)
+	require.Zero(t, d.said[3])
+	d.run(ShelveWait + 40*time.Millisecond)
+	require.EqualValues(t, 200, d.said[3])
+}
+
+func TestCopiesAreKeptSeldomAndBounded(t *testing.T) {
+	d := newDesk(t, 3, nil, nil)
+	d.run(4 * time.Second)
+	d.shelves = 0
+	for i := 0; i < 100; i++ {
+		d.beat(uint64(i), i, cell.Ready)
+		d.run(20 * time.Millisecond)
+	}
+	require.InDelta(t, 4, d.shelves, 1)
+	d.run(time.Second)
+	d.shelves = 0
+	for i := 0; i < 100; i++ {
+		d.beat(uint64(i), i, cell.Ready)
+		d.run(20 * time.Millisecond)
+	}
+	require.Zero(t, d.shelves, "beats that change nothing are not kept again")
+	k := &wire.CellKept{Cell: "z", Epoch: 1}
+	for i := 0; i < 20000; i++ {
+		k.Backends = append(k.Backends, &wire.Backend{Addr: fmt.Sprint("10.0.0.1:", i), Service: "service", Incarnation: fmt.Sprint("life-", i)})
+	}
+	d.Relay.Cells["z"] = cell.Kept(k)
+	doc, err := proto.Marshal(d.keep())
+	require.NoError(t, err)
+	d.shelf = doc
+	require.LessOrEqual(t, len(d.shelf), ShelfMost)
+	require.Greater(t, len(d.shelf), ShelfMost/4)
+}
+
+func TestOldCopiesGoToControlProcessesOnly(t *testing.T) {
+	k := &wire.CellKept{Cell: "a", Epoch: 5, Upto: 9, Backends: []*wire.Backend{{Addr: "b1", Incarnation: "life-1", Version: 9}}}
+	doc, err := proto.Marshal(&wire.Shelf{Cells: []*wire.CellKept{k}})
+	require.NoError(t, err)
+	d := newDesk(t, 3, doc, nil)
+	d.Members.Heartbeat(&wire.Heartbeat{Card: &wire.Card{Id: "other", Addr: "127.0.0.1:2", Role: 2}}, d.now)
+	d.Members.Heartbeat(&wire.Heartbeat{Card: &wire.Card{Id: "node", Addr: "127.0.0.1:3", Role: 1}}, d.now)
+	require.Empty(t, d.answer("127.0.0.1:3", &wire.Ask{}, d.now).Cells)
+	got := d.answer("127.0.0.1:2", &wire.Ask{}, d.now).Cells
+	require.Len(t, got, 1)
+	require.True(t, got[0].Old)
+	c := cell.NewCopy("a")
+	c.Remember(got[0])
+	require.False(t, c.Known)
+	require.Len(t, c.Table, 1)
+	require.Empty(t, d.answer("127.0.0.1:2", &wire.Ask{Cells: []*wire.CellHave{c.Have()}}, d.now).Cells)
+	torn := newDesk(t, 3, []byte("\xff\xff\xff"), nil)
+	require.Empty(t, torn.Relay.Cells)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -34,6 +34,9 @@
 	AnnounceWait = time.Second
 	DesiredWait  = 15 * time.Second
 	HopsMost     = 2
+	EagerFor     = 3 * time.Second
+	ShelveEvery  = 500 * time.Millisecond
+	ShelveWait   = 150 * time.Millisecond
 )
 
 type (
@@ -44,6 +47,7 @@
 		Used float64
 	}
 	Disk     struct{ Ailing bool }
+	Shelved  struct{ OK bool }
 	Announce struct {
 		Token    uint64
 		Announce *wire.Announce
@@ -69,8 +73,9 @@
 		Token uint64
 		Reply *wire.ProposeReply
 	}
-	Note struct{ Text string }
-	Exit struct{}
+	Shelve struct{ Doc []byte }
+	Note   struct{ Text string }
+	Exit   struct{}
 )
 
 type Boot struct {
@@ -88,6 +93,8 @@
 	Stale       time.Duration
 	Drain       time.Duration
 	Losses      int
+	Shelf       []byte
+	Shelves     bool
 }
 
 func (b Boot) quorumWait() time.Duration {
@@ -109,6 +116,7 @@
 	turns int
 	dealt ident.Moment
 	vows  []*vow
+	kept  uint64
 }
 
 type seen struct {
@@ -171,16 +179,20 @@
 	drainAt  ident.Moment
 	used     float64
 	role     agreement.Role
+	born     ident.Moment
+	told     map[string]bool
+	shelf    shelf
 	out      []any
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]pending{}}
+	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]pending{}, told: map[string]bool{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
 	s.Relay.Terms(b.Tenure, b.Stale)
 	s.Mail = relay.NewCourier(uint64(b.Incarnation))
+	s.unshelve()
 	if b.Voter != "" {
 		s.Agree = agreement.New(agreement.Self{Voter: b.Voter, Member: b.Member, Addr: b.Addr}, b.Founders, got, b.Seed, now)
 		if b.Losses > 0 {
@@ -257,6 +269,8 @@
 			s.out = append(s.out, Note{map[bool]string{true: "The disk is ailing; leadership is given up.", false: "The disk is well again."}[e.Ailing]})
 		}
 		s.Agree.Disk(e.Ailing, now)
+	case Shelved:
+		s.shelved(e.OK, now)
 	case Announce:
 		s.announce(e.Token, e.Announce, now)
 	case Change:
@@ -291,9 +305,12 @@
 	case *wire.Frame_Ask:
 		s.Relay.Heard(b.Ask)
 		s.witness(f.Addr, b.Ask, now)
-		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_News{News: s.answer(b.Ask, now)}})
+		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_News{News: s.answer(f.Addr, b.Ask, now)}})
 	case *wire.Frame_News:
-		s.Relay.News(b.News, f.Addr, now)
+		if s.Relay.News(b.News, f.Addr, now) {
+			s.told[f.Addr] = true
+			s.shelve(now)
+		}
 	case *wire.Frame_Announce:
 		s.announceFrom(f.Addr, b.Announce, now)
 	case *wire.Frame_Bequest:
@@ -546,7 +563,7 @@
 	return h
 }
 
-func (s *State) answer(a *wire.Ask, now ident.Moment) *wire.News {
+func (s *State) answer(from string, a *wire.Ask, now ident.Moment) *wire.News {
 	n := s.Relay.Answer(a, now)
 	have := map[string]*wire.CellHave{}
 	for _, h := range a.Cells {
@@ -571,6 +588,9 @@
 		}
 		n.Cells = append(n.Cells, h.sound.News(have[c], now))
 	}
+	if s.head(from) {
+		n.Cells = append(n.Cells, s.olds(have)...)
+	}
 	return n
 }
 
@@ -603,11 +623,12 @@
 		}
 		s.moved(h)
 		s.copyCell(c, h, now)
-		if a.State == cell.Ready || s.witnesses() == 0 {
+		if a.State == cell.Ready || s.witnesses() == 0 && !s.Shelves {
 			s.announced(p, 200, "")
 			return
 		}
 		h.vows = append(h.vows, &vow{p, h.sound.Upto(), map[string]bool{}})
+		s.shelve(now)
 		return
 	}
 	if h := s.holds[c]; h != nil && h.heir != nil {
@@ -647,11 +668,7 @@
 }
 
 func (s *State) witness(from string, a *wire.Ask, now ident.Moment) {
-	head := false
-	for _, c := range s.Members.Ring() {
-		head = head || c.Addr == from && c.Role == member.Control
-	}
-	if !head {
+	if !slices.Contains(s.heads(), from) {
 		return
 	}
 	for _, c := range a.Cells {
@@ -673,7 +690,7 @@
 	keep := h.vows[:0]
 	for _, v := range h.vows {
 		switch {
-		case len(v.has) >= need:
+		case len(v.has) >= need && (!s.Shelves || h.kept >= v.upto || now.Sub(v.at) > ShelveWait):
 			s.announced(v.pending, 200, "")
 		case now.Sub(v.at) > HeldMost:
 			s.announced(v.pending, 503, "heard, but not yet by those that must not forget it; say it again")
@@ -751,7 +768,7 @@
 	}
 	s.wills[c] = q
 	s.Mail.Hint(s.leaderAddr())
-	s.Mail.Post(&wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: q.Cell, Holder: string(s.Member), Incarnation: uint64(s.Incarnation), Basis: q.Epoch}}}, now.Add(CedeEvery), nil, s.heads(), now)
+	s.Mail.Post(&wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: q.Cell, Holder: string(s.Member), Incarnation: uint64(s.Incarnation), Basis: q.Epoch, Addr: string(s.Addr)}}}, now.Add(CedeEvery), nil, s.heads(), now)
 }
 
 func (s *State) copyCell(c ident.Cell, h *hold, now ident.Moment) {
@@ -781,12 +798,7 @@
 	if s.Agree != nil {
 		s.Agree.Tick(now)
 	}
-	var targets []string
-	for _, a := range heads {
-		if a != string(s.Addr) {
-			targets = append(targets, a)
-		}
-	}
+	targets := s.others()
 	if len(targets) == 0 {
 		for _, a := range s.Seeds {
 			if a != s.Addr {
@@ -794,6 +806,7 @@
 			}
 		}
 	}
+	s.Relay.Eager = now.Sub(s.born) < EagerFor
 	s.Relay.Tick(s.Members.Ring(), 0, targets, now)
 	s.look(now)
 	s.cells(now)
@@ -806,6 +819,7 @@
 		c.Ready = s.Relay.CoreFresh(now)
 	}, now)
 	s.Members.Tick(now)
+	s.shelve(now)
 	if s.draining {
 		s.finish(now)
 	}
@@ -979,11 +993,14 @@
 			s.holds[c] = h
 			s.out = append(s.out, Note{"Holds cell " + string(c) + " soon."})
 		}
+		if now.Before(h.start) && s.follows(m) {
+			h.start = now
+		}
 		s.cede(c, h, now)
 		if s.active(c, now) == nil {
 			continue
 		}
-		if k := s.Relay.Cells[c]; !h.begun && k != nil && k.Epoch < h.epoch {
+		if k := s.Relay.Cells[c]; !h.begun && k != nil && k.Epoch < h.epoch && (k.Known || uint64(k.Epoch) >= min(m.Since, m.Before)) {
 			h.sound.Recall(k, now)
 		}
 		h.begun = true
@@ -1056,7 +1073,7 @@
 			basis = h.Epoch
 		}
 		s.holdAt[c] = now
-		s.Agree.Propose(&wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: name, Holder: pick.Id, Incarnation: pick.Incarnation, Basis: basis}}}, now)
+		s.Agree.Propose(&wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: name, Holder: pick.Id, Incarnation: pick.Incarnation, Basis: basis, Addr: pick.Addr}}}, now)
 	}
 }
 
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -310,7 +310,11 @@
 		return Result{Code: Stale}
 	}
 	b.Epoch++
-	b.Holds[ident.Cell(c.Cell)] = &wire.Hold{Cell: c.Cell, Holder: c.Holder, Incarnation: c.Incarnation, Epoch: uint64(b.Epoch), Before: c.Basis}
+	n := &wire.Hold{Cell: c.Cell, Holder: c.Holder, Incarnation: c.Incarnation, Epoch: uint64(b.Epoch), Before: c.Basis, Addr: c.Addr, Since: uint64(b.Epoch)}
+	if h != nil && h.Since != 0 && h.Holder == c.Holder && h.Addr == c.Addr {
+		n.Since = h.Since
+	}
+	b.Holds[ident.Cell(c.Cell)] = n
 	b.turn()
 	return Result{}
 }
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -119,3 +119,21 @@
 	h.Apply(&wire.Entry{Index: 99, Stamp: h.Stamp + ClaimLifeMs + 1, Change: &wire.Change{Body: &wire.Change_Noop{Noop: &wire.Noop{}}}})
 	require.Empty(t, h.Claims)
 }
+
+func TestAHolderThatFollowsItselfKeepsItsChain(t *testing.T) {
+	b := NewBook()
+	i := uint64(0)
+	hold := func(who, addr string, life, basis uint64) *wire.Hold {
+		i++
+		b.Apply(&wire.Entry{Index: i, Change: &wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: "a", Holder: who, Addr: addr, Incarnation: life, Basis: basis}}}})
+		return b.Holds["a"]
+	}
+	require.EqualValues(t, 1, hold("one", "x", 1, 0).Since)
+	require.EqualValues(t, 1, hold("one", "x", 2, 1).Since)
+	require.EqualValues(t, 1, hold("one", "x", 3, 2).Since)
+	require.EqualValues(t, 4, hold("one", "y", 4, 3).Since, "another address proves nothing of the old one")
+	require.EqualValues(t, 5, hold("two", "x", 5, 4).Since)
+	require.EqualValues(t, 6, hold("one", "y", 6, 5).Since)
+	b.Holds["a"] = &wire.Hold{Cell: "a", Holder: "one", Epoch: 6}
+	require.EqualValues(t, 7, hold("one", "", 7, 6).Since, "a hold of older books says nothing")
+}
--- a/relay/state.go
+++ b/relay/state.go
@@ -21,6 +21,7 @@
 	CoreTenure = 5 * time.Second
 	CellTenure = 1200 * time.Millisecond
 	CellFresh  = 1500 * time.Millisecond
+	EagerEvery = 50 * time.Millisecond
 	Asleep     = 400 * time.Millisecond
 	Daze       = time.Second
 )
@@ -30,6 +31,7 @@
 	Control bool
 	Tenure  time.Duration
 	Stale   time.Duration
+	Eager   bool
 
 	Core      *wire.Core
 	CoreAsOf  ident.Moment
@@ -219,10 +221,10 @@
 	return true
 }
 
-func (s *State) News(n *wire.News, from string, now ident.Moment) {
+func (s *State) News(n *wire.News, from string, now ident.Moment) bool {
 	a, ok := s.asks[n.Token]
 	if !ok || a.to != from {
-		return
+		return false
 	}
 	delete(s.asks, n.Token)
 	s.poor = true
@@ -241,8 +243,13 @@
 			k = cell.NewCopy(ident.Cell(c.Cell))
 			s.Cells[k.Cell] = k
 		}
+		if c.Old {
+			k.Remember(c)
+			continue
+		}
 		k.Take(c, a.at.Add(-time.Duration(max(0, c.AgeNs))))
 	}
+	return true
 }
 
 func (s *State) Answer(a *wire.Ask, now ident.Moment) *wire.News {
@@ -310,7 +317,11 @@
 			}
 		}
 	}
-	if now.Sub(s.askAt) < AskEvery {
+	every := AskEvery
+	if s.Eager {
+		every = EagerEvery
+	}
+	if now.Sub(s.askAt) < every {
 		return
 	}
 	s.askAt = now
--- a/simulate/scene.go
+++ b/simulate/scene.go
@@ -174,6 +174,50 @@
 			w.Break("a planned hand-over left a gap", "a node had no fresh news of a cell for %v", r.Blind)
 		}
 	}},
+	{Name: "all-killed", Text: "every process is killed at once while backends drain, and all are back within a second", config: func(c *Config) { c.Nodes, c.Backends = 8, 12 }, play: func(w *World, r *Result, gen *uint64) {
+		for _, b := range w.Backends {
+			b.names = true
+		}
+		w.Run(6 * time.Second)
+		for i := 0; i < 4; i++ {
+			w.Run(time.Duration(5000+w.Rand.Intn(3000)) * ms)
+			for _, b := range w.Backends {
+				if b.up && b.state == cell.Ready && w.Rand.Intn(4) == 0 {
+					w.at(time.Duration(w.Rand.Intn(600))*ms, func() {
+						if b.up && b.state == cell.Ready {
+							b.Drain()
+							w.at(4*time.Second, func() { b.replace(time.Second) })
+						}
+					})
+				}
+			}
+			w.Run(700 * ms)
+			for _, p := range w.Procs {
+				w.Kill(p)
+			}
+			w.Run(time.Duration(300+w.Rand.Intn(700)) * ms)
+			for _, p := range w.Procs {
+				w.Start(p)
+			}
+			usual, from, n := w.ready, w.Now, len(w.Served)
+			w.ready = func() (out []*Proc) {
+				for _, p := range w.Procs {
+					if p.node != nil && p.node.state.Ready() {
+						out = append(out, p)
+					}
+				}
+				return out
+			}
+			for len(w.Served) < n+30 && w.Now.Sub(from) < 15*time.Second {
+				w.Run(20 * ms)
+			}
+			w.ready = usual
+			r.Back = max(r.Back, w.Now.Sub(from))
+		}
+		if r.Back > 1800*ms {
+			w.Break("service not back soon after all were killed", "30 visits served only %v after the start", r.Back)
+		}
+	}},
 	{Name: "swap", Text: "disk holders are swapped one after another until no founder is left, then all are killed", config: func(c *Config) { c.Spares = 4 }, play: func(w *World, r *Result, gen *uint64) {
 		all := w.Procs[len(w.Procs)-w.Spares:]
 		for i := 0; i < w.Controls; i++ {
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -93,6 +93,7 @@
 	full    bool
 	queue   []agreement.Persist
 	busy    bool
+	shelf   []byte
 }
 
 type Proc struct {
@@ -248,7 +249,7 @@
 	w.lives[uint64(inc)] = len(w.lives)
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
-		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63()}
+		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Shelf: p.disk.shelf, Shelves: true}
 		s, err := control.New(b, p.disk.recover(), p.clock())
 		if err != nil {
 			w.Break("disk unreadable", "%s: %v", p.Name, err)
@@ -363,6 +364,8 @@
 		case agreement.Persist:
 			p.disk.queue = append(p.disk.queue, e)
 			p.writeDisk()
+		case control.Shelve:
+			p.shelve(p.disk, e.Doc)
 		case control.Announced:
 			p.w.announced(e.Token, e.Code)
 		case control.Changed:
@@ -418,6 +421,24 @@
 	p.w.at(d.delay/2+time.Duration(p.w.Rand.Int63n(int64(d.delay))), done)
 }
 
+func (p *Proc) shelve(d *disk, doc []byte) {
+	life := p.life
+	var done func()
+	done = func() {
+		switch {
+		case p.disk != d || !p.up || p.life != life:
+		case d.stuck:
+			p.w.at(20*ms, done)
+		case d.full:
+			p.step(control.Shelved{})
+		default:
+			d.shelf = doc
+			p.step(control.Shelved{OK: true})
+		}
+	}
+	p.w.at(d.delay/2+time.Duration(p.w.Rand.Int63n(int64(d.delay))), done)
+}
+
 func (p *Proc) pretend() {
 	d, life := p.disk, p.life
 	for _, q := range d.queue {
