News goes down a tree of the node's own cell, from its own control process

The tree of asks was laid over all nodes blind to their cells, so three of four asks crossed one. Now a node's tree is of its own cell, its roots ask the cell's own control processes first and those of other cells after them. Ruled out: every node asking its cell's control process at once (a cell of 25 would ask it 170 times a second).

--- a/relay/state.go
+++ b/relay/state.go
@@ -275,30 +275,41 @@
 }
 
 func Path(ring []*wire.Card, self ident.Member) []string {
-	var nodes, heads []*wire.Card
-	at := -1
+	home := ""
 	for _, c := range ring {
-		if c.Role == member.Control {
-			heads = append(heads, c)
-			continue
-		}
 		if c.Id == string(self) {
-			at = len(nodes)
+			home = c.Cell
+		}
+	}
+	var nodes, near, far []string
+	at := -1
+	for _, c := range ring {
+		switch {
+		case c.Role == member.Control && c.Cell == home:
+			near = append(near, c.Addr)
+		case c.Role == member.Control:
+			far = append(far, c.Addr)
+		case c.Cell == home:
+			if c.Id == string(self) {
+				at = len(nodes)
+			}
+			nodes = append(nodes, c.Addr)
 		}
-		nodes = append(nodes, c)
 	}
 	var out []string
 	for i := at; i >= Roots; {
 		i = (i - Roots) / Fan
-		out = append(out, nodes[i].Addr)
+		out = append(out, nodes[i])
 	}
-	if len(heads) > 0 {
-		k := int(ident.Hash(string(self)) % uint64(len(heads)))
-		for i := range heads {
-			out = append(out, heads[(k+i)%len(heads)].Addr)
-		}
+	return append(append(out, turned(near, self)...), turned(far, self)...)
+}
+
+func turned(heads []string, self ident.Member) []string {
+	if len(heads) == 0 {
+		return nil
 	}
-	return out
+	k := int(ident.Hash(string(self)) % uint64(len(heads)))
+	return append(append([]string(nil), heads[k:]...), heads[:k]...)
 }
 
 func (s *State) Tick(ring []*wire.Card, rev uint64, targets []string, now ident.Moment) {
