An ask tells only the confirmations the other has not heard

Cause: every ask carried all confirmations its sender knew, and each node's changed with every tick by its turn alone. A confirmation's turn now grows only with its wants; an ask to a process tells what changed since the last ask it answered. All is told again at every eighth ask, when seats or the core change, and when the other says it has heard of fewer than were told (it began anew). Ruled out: going by the other's incarnation, which says nothing of what it has dropped. Test seen failing with the filter taken out.

--- a/data/state.go
+++ b/data/state.go
@@ -668,13 +668,11 @@
 }
 
 func (s *State) confirm() {
-	c := &wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: uint64(s.Relay.DocGen)}
+	c := wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: uint64(s.Relay.DocGen), Turn: s.turn, Wants: s.wants}
 	if s.Relay.Core.Generation == uint64(s.Relay.DocGen) && s.Pass.Within() {
 		c.Shrunk = uint64(s.Relay.DocGen)
 	}
-	s.turn++
-	c.Turn, c.Wants = s.turn, s.wants
-	s.Relay.Confirm(c)
+	s.Relay.Confirm(&c)
 }
 
 func (s *State) want(now ident.Moment) {
@@ -682,14 +680,19 @@
 		return
 	}
 	s.wantAt = now
-	s.wants = nil
-	for _, v := range ident.Keys(s.Desired().Services) {
+	var wants []*wire.Want
+	for _, v := range s.Desired().ServiceNames() {
 		w := 0.7*s.wanted[v] + 0.3*s.Pass.Wanted(v)
 		s.wanted[v] = w
 		if k := uint32(4 * w); k > 0 {
-			s.wants = append(s.wants, &wire.Want{Service: string(v), Slots: k})
+			wants = append(wants, &wire.Want{Service: string(v), Slots: k})
 		}
 	}
+	same := func(a, b *wire.Want) bool { return a.Service == b.Service && a.Slots == b.Slots }
+	if !slices.EqualFunc(wants, s.wants, same) {
+		s.turn++
+		s.wants = wants
+	}
 	s.confirm()
 }
 
--- a/relay/state.go
+++ b/relay/state.go
@@ -21,6 +21,7 @@
 	CoreTenure = 5 * time.Second
 	CellTenure = 1200 * time.Millisecond
 	CellFresh  = 1500 * time.Millisecond
+	WholeEvery = 8
 	Asleep     = 400 * time.Millisecond
 	Daze       = time.Second
 )
@@ -41,6 +42,9 @@
 	Cells     map[ident.Cell]*cell.Copy
 
 	confirms map[string]*wire.Confirm
+	changes  uint64
+	changed  map[string]uint64
+	told     map[string]*told
 	asks     map[uint64]ask
 	token    uint64
 	askAt    ident.Moment
@@ -56,12 +60,19 @@
 }
 
 type ask struct {
-	at ident.Moment
-	to string
+	at   ident.Moment
+	to   string
+	upto uint64
+	all  int
+}
+
+type told struct {
+	upto uint64
+	asks int
 }
 
 func New(self ident.Member, control bool) *State {
-	return &State{Self: self, Control: control, Tenure: CoreTenure, Stale: CoreTenure, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, asks: map[uint64]ask{}}
+	return &State{Self: self, Control: control, Tenure: CoreTenure, Stale: CoreTenure, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}}
 }
 
 func (s *State) Revision() uint64 {
@@ -141,36 +152,52 @@
 		if old.Turn > c.Turn {
 			last = old
 		}
+		if c.Staged <= old.Staged && c.Shrunk <= old.Shrunk && last.Turn == old.Turn {
+			return
+		}
 		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk), Turn: last.Turn, Wants: last.Wants}
 	}
 	s.confirms[c.Member] = c
+	s.changes++
+	s.changed[c.Member] = s.changes
 }
 
 func (s *State) ConfirmOf(m string) *wire.Confirm { return s.confirms[m] }
 
-func (s *State) list() []*wire.Confirm {
+func (s *State) list(from uint64) (out []*wire.Confirm, all int) {
 	held := map[string]uint64{}
 	for _, v := range s.Core.GetSeats() {
 		held[v.Member] = v.Incarnation
 	}
-	out := make([]*wire.Confirm, 0, len(s.confirms))
 	for m, c := range s.confirms {
 		if s.CoreKnown && held[m] != c.Incarnation && m != string(s.Self) {
 			if held[m] != 0 {
 				delete(s.confirms, m)
+				delete(s.changed, m)
 			}
 			continue
 		}
-		out = append(out, c)
+		if all++; s.changed[m] > from {
+			out = append(out, c)
+		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Member < out[j].Member })
-	return out
+	return out, all
 }
 
 func (s *State) AskTo(to string, now ident.Moment) {
 	s.token++
-	s.asks[s.token] = ask{now, to}
-	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: s.list()}
+	t := s.told[to]
+	if t == nil {
+		t = &told{}
+		s.told[to] = t
+	}
+	if t.asks++; t.asks%WholeEvery == 0 {
+		t.upto = 0
+	}
+	confirms, all := s.list(t.upto)
+	s.asks[s.token] = ask{now, to, s.changes, all}
+	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: confirms}
 	if s.CoreKnown {
 		a.Core = s.Core.Version
 	}
@@ -208,6 +235,7 @@
 	}
 	if !s.CoreKnown || core.Version > s.Core.Version {
 		s.Core = core
+		s.told = map[string]*told{}
 		s.rev++
 	} else if core.LeaderAddr != s.Core.LeaderAddr || core.Term > s.Core.Term {
 		s.Core = core
@@ -225,6 +253,11 @@
 		return
 	}
 	delete(s.asks, n.Token)
+	if t := s.told[from]; t != nil {
+		if t.upto = max(t.upto, a.upto); int(n.Heard) < a.all {
+			t.upto = 0
+		}
+	}
 	s.poor = true
 	if n.HasCore {
 		at := a.at.Add(-time.Duration(max(0, n.CoreAgeNs)))
@@ -246,7 +279,7 @@
 }
 
 func (s *State) Answer(a *wire.Ask, now ident.Moment) *wire.News {
-	n := &wire.News{Token: a.Token}
+	n := &wire.News{Token: a.Token, Heard: uint32(len(s.confirms))}
 	if s.CoreKnown {
 		n.HasCore = true
 		n.CoreAgeNs = int64(now.Sub(s.CoreAsOf))
--- a/relay/state_test.go
+++ b/relay/state_test.go
@@ -51,3 +51,45 @@
 	require.Len(t, Path(ring, "unknown"), 4)
 	require.Empty(t, Path(nil, "unknown"))
 }
+
+func TestAnAskTellsOnlyWhatTheOtherHasNotHeard(t *testing.T) {
+	a, b := New("a", false), New("b", false)
+	now := ident.Moment(1e9)
+	round := func(lost bool) []string {
+		now = now.Add(AskEvery)
+		a.AskTo("b:1", now)
+		q := a.Flush()[0].Frame.GetAsk()
+		var told []string
+		for _, c := range q.Confirms {
+			told = append(told, c.Member)
+		}
+		if !lost {
+			b.Heard(q)
+			a.News(b.Answer(q, now), "b:1", now)
+		}
+		return told
+	}
+	a.Confirm(&wire.Confirm{Member: "a", Incarnation: 1})
+	a.Confirm(&wire.Confirm{Member: "c", Incarnation: 1})
+	require.Equal(t, []string{"a", "c"}, round(true))
+	require.Equal(t, []string{"a", "c"}, round(false))
+	require.Empty(t, round(false))
+	a.Confirm(&wire.Confirm{Member: "c", Incarnation: 1})
+	require.Empty(t, round(false))
+	a.Confirm(&wire.Confirm{Member: "c", Incarnation: 1, Staged: 4})
+	require.Equal(t, []string{"c"}, round(true))
+	require.Equal(t, []string{"c"}, round(false))
+	require.EqualValues(t, 4, b.ConfirmOf("c").Staged)
+	b = New("b", false)
+	require.Empty(t, round(false))
+	require.Equal(t, []string{"a", "c"}, round(false), "the other began anew")
+	n := 0
+	for range 4 * WholeEvery {
+		n += len(round(false))
+	}
+	require.Equal(t, 8, n)
+	a.Confirm(&wire.Confirm{Member: "c", Incarnation: 2, Turn: 1})
+	require.Equal(t, []string{"c"}, round(false))
+	a.TakeCore(&wire.Core{Version: 1, Seats: []*wire.Seat{{Member: "a", Incarnation: 1}, {Member: "c", Incarnation: 2}}}, nil, 0, now)
+	require.Equal(t, []string{"a", "c"}, round(false), "seats changed hands")
+}
