A link says once who speaks; its buffers are 4 kB, not 64

Cause: each frame bore its sender's name, address and incarnation, some 45 bytes of frames that are often shorter, and each link held 64 kB to read and 64 kB to write. A hello says terse when its build takes the sender from the hello; to others every frame is stamped as before. Large frames pass a small writer by, so nothing needs 64 kB.

--- a/wire/link.go
+++ b/wire/link.go
@@ -20,6 +20,7 @@
 const (
 	frameLimit  = 64 << 20
 	ringSize    = 512
+	bufferSize  = 4 << 10
 	connectWait = 300 * time.Millisecond
 	writeWait   = 2 * time.Second
 	redialPause = 100 * time.Millisecond
@@ -119,13 +120,13 @@
 	if err := WriteFrame(c, h.stamp(h.greet())); err != nil {
 		return
 	}
-	b := bufio.NewReaderSize(c, 64<<10)
-	f, err := ReadFrame(b)
-	if err != nil || f.GetHello() == nil {
+	b := bufio.NewReaderSize(c, bufferSize)
+	g, err := ReadFrame(b)
+	if err != nil || g.GetHello() == nil {
 		return
 	}
-	if err := agree(f); err != nil {
-		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "from", f.From, "why", err)
+	if err := agree(g); err != nil {
+		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "from", g.From, "why", err)
 		return
 	}
 	for {
@@ -136,6 +137,9 @@
 		if f.Body == nil {
 			continue
 		}
+		if f.Addr == "" {
+			f.From, f.Addr, f.Incarnation = g.From, g.Addr, g.Incarnation
+		}
 		h.Take(f)
 	}
 }
@@ -149,7 +153,7 @@
 
 func (h *Hub) greet() *Frame {
 	least, most := spoken()
-	return &Frame{Body: &Frame_Hello{Hello: &Hello{Least: least, Most: most, Build: h.Build}}}
+	return &Frame{Body: &Frame_Hello{Hello: &Hello{Least: least, Most: most, Build: h.Build, Terse: true}}}
 }
 
 func agree(f *Frame) error {
@@ -232,9 +236,12 @@
 		c.Read(b[:])
 		close(gone)
 	}()
-	out := bufio.NewWriterSize(c, 64<<10)
+	out := bufio.NewWriterSize(c, bufferSize)
 	for {
 		c.SetWriteDeadline(time.Now().Add(writeWait))
+		if g.GetHello().Terse {
+			f = &Frame{Body: f.Body}
+		}
 		n, err := writeTo(out, f)
 		if err == nil && len(l.ring) == 0 {
 			err = out.Flush()
--- a/wire/link_test.go
+++ b/wire/link_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"net"
 	"testing"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 )
@@ -36,3 +38,37 @@
 	_, err = ReadFrame(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff, 0}))
 	require.ErrorIs(t, err, ErrFrame)
 }
+
+func TestATerseLinkSaysWhoSpeaksOnce(t *testing.T) {
+	took := make(chan *Frame, 8)
+	hub := func(name string) *Hub {
+		ear, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		h := &Hub{Name: name, Addr: ear.Addr().String(), Incarnation: 7, Log: log.NewNopLogger(), Take: func(f *Frame) { took <- f }}
+		ear.Close()
+		require.NoError(t, h.Open())
+		t.Cleanup(h.Close)
+		return h
+	}
+	a, b := hub("a"), hub("b")
+	for token := range uint64(2) {
+		a.Send(b.Addr, &Frame{Body: &Frame_Ask{Ask: &Ask{Token: token}}})
+		f := <-took
+		require.Equal(t, []any{"a", a.Addr, uint64(7), token}, []any{f.From, f.Addr, f.Incarnation, f.GetAsk().Token})
+	}
+	require.Less(t, a.Bytes.Load(), uint64(30), "two frames without a stamp")
+
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ear.Close()
+	a.Send(ear.Addr().String(), &Frame{Body: &Frame_Ask{Ask: &Ask{Token: 9}}})
+	c, err := ear.Accept()
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, WriteFrame(c, &Frame{From: "old", Body: &Frame_Hello{Hello: &Hello{Least: 2, Most: 2}}}))
+	for range 2 {
+		f, err := ReadFrame(c)
+		require.NoError(t, err)
+		require.Equal(t, "a", f.From, "an older build is told with each frame")
+	}
+}
