--- a/hollow/live.go
+++ b/hollow/live.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -45,6 +46,7 @@
 	beats  [2]atomic.Uint64
 	probes atomic.Uint64
 	stop   context.CancelFunc
+	ended  sync.WaitGroup
 }
 
 type proc struct {
@@ -131,7 +133,11 @@
 		return err
 	}
 	l.nodes = append(l.nodes, s)
-	go s.run(done)
+	l.ended.Add(1)
+	go func() {
+		defer l.ended.Done()
+		s.run(done)
+	}()
 	return nil
 }
 
@@ -183,7 +189,11 @@
 		fmt.Fprintf(w, `{"service":%q}`, name)
 	})}
 	go srv.Serve(ear)
-	context.AfterFunc(done, func() { srv.Close() })
+	l.ended.Add(1)
+	context.AfterFunc(done, func() {
+		srv.Close()
+		l.ended.Done()
+	})
 	body := fmt.Sprintf(`{"service":%q,"address":%q,"slotCount":8,"cell":%q}`, name, at, l.zone(i))
 	go func() {
 		every := time.Duration(l.Beat) * time.Millisecond
@@ -213,6 +223,7 @@
 		p.cmd.Process.Kill()
 	}
 	l.stop()
+	l.ended.Wait()
 	for _, p := range l.procs {
 		p.cmd.Wait()
 	}
