A node waits for a slow answer instead of asking for the whole news again

An ask to one place is now the only one until it is overdue (four times what answers took lately, 0.3 to 2 s); an overdue answer that comes within 5 s still counts, with its age from the ask, and meanwhile the node climbs as before. The test fails without it (a second ask at once; the late answer dropped).

--- a/relay/state.go
+++ b/relay/state.go
@@ -12,19 +12,22 @@
 )
 
 const (
-	AskEvery   = 150 * time.Millisecond
-	AskWait    = 300 * time.Millisecond
-	Roots      = 2
-	Fan        = 4
-	ClimbFor   = 5 * time.Second
-	PoorAge    = time.Second
-	CoreTenure = 5 * time.Second
-	CellTenure = 1200 * time.Millisecond
-	CellFresh  = 1500 * time.Millisecond
-	EagerEvery = 50 * time.Millisecond
-	WholeEvery = 8
-	Asleep     = 400 * time.Millisecond
-	Daze       = time.Second
+	AskEvery    = 150 * time.Millisecond
+	AskWait     = 300 * time.Millisecond
+	AskPatience = 2 * time.Second
+	AskKept     = 5 * time.Second
+	FirstTook   = 150 * time.Millisecond
+	Roots       = 2
+	Fan         = 4
+	ClimbFor    = 5 * time.Second
+	PoorAge     = time.Second
+	CoreTenure  = 5 * time.Second
+	CellTenure  = 1200 * time.Millisecond
+	CellFresh   = 1500 * time.Millisecond
+	EagerEvery  = 50 * time.Millisecond
+	WholeEvery  = 8
+	Asleep      = 400 * time.Millisecond
+	Daze        = time.Second
 )
 
 type State struct {
@@ -49,6 +52,7 @@
 	told     map[string]*told
 	asks     map[uint64]ask
 	token    uint64
+	took     time.Duration
 	askAt    ident.Moment
 	climb    int
 	climbAt  ident.Moment
@@ -66,6 +70,7 @@
 	to   string
 	upto uint64
 	all  int
+	late bool
 }
 
 type told struct {
@@ -74,7 +79,7 @@
 }
 
 func New(self ident.Member, control bool) *State {
-	return &State{Self: self, Control: control, Tenure: CoreTenure, Stale: CoreTenure, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}}
+	return &State{Self: self, Control: control, Tenure: CoreTenure, Stale: CoreTenure, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, took: FirstTook}
 }
 
 func (s *State) Revision() uint64 {
@@ -198,7 +203,7 @@
 		t.upto = 0
 	}
 	confirms, all := s.list(t.upto)
-	s.asks[s.token] = ask{now, to, s.changes, all}
+	s.asks[s.token] = ask{at: now, to: to, upto: s.changes, all: all}
 	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: confirms}
 	if s.CoreKnown {
 		a.Core = s.Core.Version
@@ -255,6 +260,7 @@
 		return false
 	}
 	delete(s.asks, n.Token)
+	s.took += (now.Sub(a.at) - s.took) / 4
 	if t := s.told[from]; t != nil {
 		if t.upto = max(t.upto, a.upto); int(n.Heard) < a.all {
 			t.upto = 0
@@ -353,14 +359,7 @@
 }
 
 func (s *State) Tick(ring []*wire.Card, rev uint64, targets []string, now ident.Moment) {
-	for t, a := range s.asks {
-		if now.Sub(a.at) > AskWait {
-			delete(s.asks, t)
-			if a.to == s.parent {
-				s.poor = true
-			}
-		}
-	}
+	s.overdue(now)
 	every := AskEvery
 	if s.Eager {
 		every = EagerEvery
@@ -371,7 +370,9 @@
 	s.askAt = now
 	if s.Control {
 		for _, t := range targets {
-			s.AskTo(t, now)
+			if !s.waits(t) {
+				s.AskTo(t, now)
+			}
 		}
 		return
 	}
@@ -392,8 +393,34 @@
 	if len(path) == 0 {
 		return
 	}
-	s.parent = path[s.climb%len(path)]
-	s.AskTo(s.parent, now)
+	if s.parent = path[s.climb%len(path)]; !s.waits(s.parent) {
+		s.AskTo(s.parent, now)
+	}
+}
+
+func (s *State) overdue(now ident.Moment) {
+	wait := min(max(AskWait, 4*s.took), AskPatience)
+	for t, a := range s.asks {
+		switch {
+		case now.Sub(a.at) > AskKept:
+			delete(s.asks, t)
+		case !a.late && now.Sub(a.at) > wait:
+			a.late = true
+			s.asks[t] = a
+			if a.to == s.parent {
+				s.poor = true
+			}
+		}
+	}
+}
+
+func (s *State) waits(to string) bool {
+	for _, a := range s.asks {
+		if a.to == to && !a.late {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *State) Flush() []wire.Send {
--- a/relay/state_test.go
+++ b/relay/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -93,3 +94,28 @@
 	a.TakeCore(&wire.Core{Version: 1, Seats: []*wire.Seat{{Member: "a", Incarnation: 1}, {Member: "c", Incarnation: 2}}}, nil, 0, now)
 	require.Equal(t, []string{"a", "c"}, round(false), "seats changed hands")
 }
+
+func TestAnAskIsWaitedForAndItsSlowAnswerStillCounts(t *testing.T) {
+	now := ident.Moment(1e9)
+	s := New("n", false)
+	asked := func() (out []*wire.Ask) {
+		for _, m := range s.Flush() {
+			out = append(out, m.Frame.GetAsk())
+		}
+		return out
+	}
+	s.Tick(nil, 1, []string{"p"}, now)
+	first := asked()[0]
+	for range 3 {
+		now = now.Add(AskEvery)
+		s.Tick(nil, 1, []string{"p"}, now)
+	}
+	require.Empty(t, asked(), "a second whole answer is asked for while the first is on its way")
+	now = now.Add(2 * time.Second)
+	s.Tick(nil, 1, []string{"p"}, now)
+	require.Len(t, asked(), 1)
+	s.News(&wire.News{Token: first.Token, HasCore: true, Core: &wire.Core{Version: 3}}, "p", now)
+	require.True(t, s.CoreKnown)
+	require.Equal(t, uint64(3), s.Core.Version)
+	require.Equal(t, ident.Moment(1e9), s.CoreAsOf)
+}
