Data nodes that start ask all control processes at once, and say when to come back

Cause: a node that starts asked one parent every 150 ms, often one that knew nothing itself; a lost dial paused 100 ms; refusals while it started said 75 to 500 ms to all alike, so that those refused came back too early or all at once. Change: while it has no core a node asks all control processes it knows and the seeds every 50 ms, then one of them every 50 ms until it is ready and knows each cell (5 s at most); it asks at once after its seat is answered; it is not ready while cells have holders and none is known. A failed dial pauses 10 ms, doubling to 100. A node that starts or cannot serve says to come back when it should be ready, spread over 250 ms. Tests: a node without news asks all seeds at once and every 50 ms, haste ends, come-backs are spread.

--- a/data/front.go
+++ b/data/front.go
@@ -66,7 +66,7 @@
 		n.decline(w, forward.Answer{Status: status, Ran: forward.RanNo, Reason: why, RetryAfter: back})
 	}
 	if view.desired == nil {
-		no(503, "no desired state read yet", 500*time.Millisecond)
+		no(503, "no desired state read yet", n.early(start))
 		return
 	}
 	path := r.URL.EscapedPath()
@@ -110,6 +110,10 @@
 	n.take(w, k, forward.Arrival{Visit: id, Lane: lane.Name, Rule: lane, Arrived: ident.Now(), Expiry: start.Add(left)}, view.gen)
 }
 
+func (n *Node) early(now ident.Moment) time.Duration {
+	return ComeBack(strconv.FormatUint(n.dice(), 10), now.Sub(n.State.born))
+}
+
 func (n *Node) dice() uint64 {
 	return ident.Hash(string(n.State.Member), strconv.FormatUint(n.count.Add(1), 10))
 }
--- a/data/http.go
+++ b/data/http.go
@@ -161,7 +161,7 @@
 	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), lanePath), "/")
 	if view.desired == nil {
-		no(503, "no desired state read yet", 2*time.Second)
+		no(503, "no desired state read yet", n.early(start))
 		return
 	}
 	lane := view.desired.Lanes[ident.Lane(name)]
--- a/data/node.go
+++ b/data/node.go
@@ -111,7 +111,7 @@
 }
 
 func (n *Node) pause() time.Duration {
-	if n.State.Pressing() {
+	if n.State.Pressing() || n.State.Eager(ident.Now()) {
 		return duty.TickEvery
 	}
 	return calmPause
--- /dev/null
+++ b/data/start_test.go
@@ -0,0 +1,63 @@
+package data
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+func asked(list []any) (to []string) {
+	for _, e := range list {
+		if m, ok := e.(wire.Send); ok && m.Frame.GetAsk() != nil {
+			to = append(to, m.To)
+		}
+	}
+	return to
+}
+
+func TestANodeWithoutNewsAsksAllSeedsAtOnceAndSoonAgain(t *testing.T) {
+	now := ident.Moment(1e12)
+	s := New(Boot{Member: "node", Addr: "10.0.0.9:1", Cell: "a", Incarnation: 4, Seeds: []ident.Addr{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}}, now)
+	s.Step(now, Tick{})
+	require.ElementsMatch(t, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, asked(s.Take()))
+	n := 0
+	for i := 0; i < 60; i++ {
+		now = now.Add(5 * time.Millisecond)
+		s.Step(now, Tick{})
+		n += len(asked(s.Take()))
+	}
+	require.Equal(t, 18, n)
+	s.Relay.TakeCore(&wire.Core{Version: 1, Holds: []*wire.Hold{{Cell: "a"}}}, nil, 0, now)
+	require.NotEmpty(t, s.Unready(now))
+	n = 0
+	for i := 0; i < 60; i++ {
+		now = now.Add(5 * time.Millisecond)
+		s.Step(now, Tick{})
+		n += len(asked(s.Take()))
+	}
+	require.Equal(t, 6, n, "one at a time once the core is known")
+	for i := 0; i < 2000; i++ {
+		now = now.Add(5 * time.Millisecond)
+		s.Step(now, Tick{})
+		s.Take()
+	}
+	require.False(t, s.Eager(now), "haste ends")
+}
+
+func TestANodeThatStartsSaysWhenToComeBack(t *testing.T) {
+	now := ident.Moment(1e12)
+	s := New(Boot{Member: "node", Addr: "10.0.0.9:1", Cell: "a", Incarnation: 4}, now)
+	seen := map[time.Duration]bool{}
+	for _, v := range []string{"a", "b", "c", "d", "e", "f"} {
+		d := s.back(v, now)
+		require.GreaterOrEqual(t, d, StartFor)
+		require.LessOrEqual(t, d, StartFor+BackSpread)
+		seen[d] = true
+		require.LessOrEqual(t, s.back(v, now.Add(2*time.Second)), BackLeast+BackSpread)
+	}
+	require.Len(t, seen, 6, "not all at once")
+}
--- a/data/state.go
+++ b/data/state.go
@@ -28,6 +28,11 @@
 	DrainGrace   = 2500 * time.Millisecond
 	WarmWait     = 6 * time.Second
 	WantEvery    = 500 * time.Millisecond
+	EagerFor     = 5 * time.Second
+	StartFor     = 400 * time.Millisecond
+	YoungFor     = 1500 * time.Millisecond
+	BackLeast    = 100 * time.Millisecond
+	BackSpread   = 250 * time.Millisecond
 )
 
 type (
@@ -188,15 +193,17 @@
 	signedOff    bool
 	freeing      bool
 	gone         bool
+	born         ident.Moment
 	out          []any
 	now          ident.Moment
 }
 
 func New(b Boot, now ident.Moment) *State {
-	s := &State{Boot: b, bars: map[ident.Addr]bar{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}}
+	s := &State{Boot: b, bars: map[ident.Addr]bar{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}, born: now}
 	s.Pass = pass.New()
 	s.Pass.Salt = string(b.Member)
 	s.State = forward.New(s.Pass, s.gate)
+	s.Back = func(visit string) time.Duration { return s.back(visit, s.now) }
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Data, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, false)
 	s.Relay.Terms(b.Tenure, b.Stale)
@@ -248,9 +255,36 @@
 	if len(s.Relay.Cells) > 0 {
 		return "all cells' news stale"
 	}
+	if len(s.Relay.Core.Holds) > 0 {
+		return "no cell's news read yet"
+	}
 	return ""
 }
 
+func (s *State) back(visit string, now ident.Moment) time.Duration {
+	if why := s.Unready(now); now.Sub(s.born) > YoungFor && (why == "" || why == "draining") {
+		return 0
+	}
+	return ComeBack(visit, now.Sub(s.born))
+}
+
+func ComeBack(visit string, age time.Duration) time.Duration {
+	return max(BackLeast, StartFor-age) + time.Duration(ident.Hash(visit)%uint64(BackSpread))
+}
+
+func (s *State) Eager(now ident.Moment) bool {
+	return now.Sub(s.born) < EagerFor && !s.draining && !s.whole(now)
+}
+
+func (s *State) whole(now ident.Moment) bool {
+	for _, h := range s.Relay.Core.GetHolds() {
+		if !s.Relay.CellFresh(ident.Cell(h.Cell), now) {
+			return false
+		}
+	}
+	return s.ready
+}
+
 func (s *State) Why(now ident.Moment) string {
 	if why := s.Unready(now); why != "" || s.warm {
 		return why
@@ -424,6 +458,7 @@
 	switch t := tag.(type) {
 	case seatTag:
 		s.asking = false
+		s.Relay.Hasten()
 	case claimTag:
 		s.Claimed(t.visit, ledger.Code(r.Code), r.Status, now)
 	case freeTag:
@@ -483,11 +518,14 @@
 		}
 	}
 	targets := heads
-	if len(targets) == 0 {
+	if len(targets) == 0 || !s.Relay.CoreKnown {
 		for _, a := range s.Seeds {
-			targets = append(targets, string(a))
+			if !slices.Contains(targets, string(a)) {
+				targets = append(targets, string(a))
+			}
 		}
 	}
+	s.Relay.Eager = s.Eager(now)
 	s.Relay.Tick(s.Members.Ring(), s.ringKey(), targets, now)
 	s.refresh(now)
 	s.takeSeat(heads, now)
--- a/forward/state.go
+++ b/forward/state.go
@@ -137,6 +137,7 @@
 type State struct {
 	*pass.State
 	Gate    Gate
+	Back    func(visit string) time.Duration
 	visits  map[ident.Visit]*Visit
 	budgets map[ident.Service]*bucket
 	out     []any
@@ -272,6 +273,11 @@
 }
 
 func (s *State) comeBack(v *Visit, why string) time.Duration {
+	if s.Back != nil {
+		if d := s.Back(string(v.Visit)); d > 0 {
+			return d
+		}
+	}
 	if v.Rule.Aim > 0 {
 		return v.Rule.Aim / 8
 	}
--- a/relay/state.go
+++ b/relay/state.go
@@ -46,6 +46,7 @@
 	asks     map[uint64]ask
 	token    uint64
 	askAt    ident.Moment
+	turn     int
 	climb    int
 	climbAt  ident.Moment
 	ringRev  uint64
@@ -182,6 +183,8 @@
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: a}}})
 }
 
+func (s *State) Hasten() { s.askAt = 0 }
+
 func (s *State) cellNames() []ident.Cell {
 	return ident.Keys(s.Cells)
 }
@@ -331,6 +334,16 @@
 		}
 		return
 	}
+	if s.Eager && len(targets) > 0 {
+		if s.CoreKnown {
+			s.turn++
+			targets = targets[s.turn%len(targets):][:1]
+		}
+		for _, t := range targets {
+			s.AskTo(t, now)
+		}
+		return
+	}
 	path := Path(ring, s.Self)
 	if rev != s.ringRev || now.Sub(s.climbAt) > ClimbFor {
 		s.ringRev = rev
--- a/wire/link.go
+++ b/wire/link.go
@@ -23,6 +23,7 @@
 	connectWait = 300 * time.Millisecond
 	writeWait   = 2 * time.Second
 	redialPause = 100 * time.Millisecond
+	redialLeast = 10 * time.Millisecond
 )
 
 var Speaks = "2-2"
@@ -187,6 +188,7 @@
 
 func (l *link) run() {
 	h := l.hub
+	pause := redialLeast
 	for {
 		var f *Frame
 		select {
@@ -194,36 +196,38 @@
 			return
 		case f = <-l.ring:
 		}
-		l.serve(f)
+		if pause = min(2*pause, redialPause); l.serve(f) {
+			pause = redialLeast
+		}
 		select {
 		case <-h.done.Done():
 			return
-		case <-time.After(redialPause):
+		case <-time.After(pause):
 		}
 	}
 }
 
-func (l *link) serve(f *Frame) {
+func (l *link) serve(f *Frame) (stood bool) {
 	h := l.hub
 	dial := net.Dialer{Timeout: connectWait}
 	c, err := dial.DialContext(h.done, "tcp", l.to)
 	if err != nil {
 		h.Lost.Add(1 + uint64(l.flush()))
-		return
+		return false
 	}
 	h.keep(c)
 	defer h.drop(c)
 	c.SetDeadline(time.Now().Add(writeWait))
 	if WriteFrame(c, h.stamp(h.greet())) != nil {
-		return
+		return false
 	}
 	g, err := ReadFrame(c)
 	if err != nil || g.GetHello() == nil {
-		return
+		return false
 	}
 	if err := agree(g); err != nil {
 		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "to", l.to, "why", err)
-		return
+		return false
 	}
 	c.SetDeadline(time.Time{})
 	gone := make(chan struct{})
@@ -241,15 +245,15 @@
 		}
 		if err != nil {
 			h.Lost.Add(1)
-			return
+			return true
 		}
 		h.Sent.Add(1)
 		h.Bytes.Add(uint64(n))
 		select {
 		case <-h.done.Done():
-			return
+			return true
 		case <-gone:
-			return
+			return true
 		case f = <-l.ring:
 		}
 	}
