--- a/data/state.go
+++ b/data/state.go
@@ -26,6 +26,7 @@
 	OutcomeWait  = 10 * time.Second
 	AnnounceWait = time.Second
 	DrainGrace   = 2500 * time.Millisecond
+	SignOffWait  = 1500 * time.Millisecond
 	WarmWait     = 6 * time.Second
 	WantEvery    = 500 * time.Millisecond
 	EagerFor     = 5 * time.Second
@@ -130,6 +131,7 @@
 	Incarnation ident.Incarnation
 	Seeds       []ident.Addr
 	Build       string
+	Decisions   int
 	Tenure      time.Duration
 	Stale       time.Duration
 }
@@ -191,6 +193,7 @@
 	draining     bool
 	drainAt      ident.Moment
 	signedOff    bool
+	signedAt     ident.Moment
 	freeing      bool
 	gone         bool
 	born         ident.Moment
@@ -705,13 +708,11 @@
 }
 
 func (s *State) confirm() {
-	c := &wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: uint64(s.Relay.DocGen)}
+	c := wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: uint64(s.Relay.DocGen), Turn: s.turn, Wants: s.wants}
 	if s.Relay.Core.Generation == uint64(s.Relay.DocGen) && s.Pass.Within() {
 		c.Shrunk = uint64(s.Relay.DocGen)
 	}
-	s.turn++
-	c.Turn, c.Wants = s.turn, s.wants
-	s.Relay.Confirm(c)
+	s.Relay.Confirm(&c)
 }
 
 func (s *State) want(now ident.Moment) {
@@ -719,14 +720,19 @@
 		return
 	}
 	s.wantAt = now
-	s.wants = nil
-	for _, v := range ident.Keys(s.Desired().Services) {
+	var wants []*wire.Want
+	for _, v := range s.Desired().ServiceNames() {
 		w := 0.7*s.wanted[v] + 0.3*s.Pass.Wanted(v)
 		s.wanted[v] = w
 		if k := uint32(4 * w); k > 0 {
-			s.wants = append(s.wants, &wire.Want{Service: string(v), Slots: k})
+			wants = append(wants, &wire.Want{Service: string(v), Slots: k})
 		}
 	}
+	same := func(a, b *wire.Want) bool { return a.Service == b.Service && a.Slots == b.Slots }
+	if !slices.EqualFunc(wants, s.wants, same) {
+		s.turn++
+		s.wants = wants
+	}
 	s.confirm()
 }
 
@@ -767,7 +773,7 @@
 		}
 		g := s.guards[a]
 		_, barred := s.bars[a]
-		list = append(list, pass.Backend{Addr: a, Service: ident.Service(e.Service), Life: e.Incarnation, Cell: e.cell.Cell, Near: e.cell.Cell == s.Cell, Barred: barred || !s.named(ident.Service(e.Service)) && (g == nil || !g.up || g.life != e.Incarnation)})
+		list = append(list, pass.Backend{Addr: a, Service: ident.Service(e.Service), Life: e.Incarnation, Cell: e.cell.Cell, Slots: int(e.Slots), Near: e.cell.Cell == s.Cell, Barred: barred || !s.named(ident.Service(e.Service)) && (g == nil || !g.up || g.life != e.Incarnation)})
 		key := string(e.cell.Cell) + " " + e.Service
 		work := int(min(e.Work, cell.SlotLimit))
 		groups[key] = append(groups[key], cell.Share{Addr: a, Work: work})
@@ -888,7 +894,7 @@
 		return
 	}
 	if s.Open() == 0 && now.Sub(s.drainAt) > DrainGrace && !s.signedOff {
-		s.signedOff = true
+		s.signedOff, s.signedAt = true, now
 		s.rev = 0
 		s.out = append(s.out, Shed{map[ident.Addr]string{}}, Note{"All visits have ended."})
 		s.refresh(now)
@@ -901,6 +907,10 @@
 			s.Mail.Post(&wire.Change{Body: &wire.Change_SeatFree{SeatFree: &wire.SeatFree{Seat: s.seat.Seat, Member: s.seat.Member, Incarnation: s.seat.Incarnation, Reason: "sign-off"}}}, now.Add(SeatWait), freeTag{}, heads, now)
 		}
 	}
+	if s.signedOff && !s.gone && s.Pass.Held() == 0 && now.Sub(s.signedAt) > SignOffWait {
+		s.gone = true
+		s.out = append(s.out, Note{"Nobody heard the sign-off; the seat stays with this address."})
+	}
 	if s.gone {
 		s.Members.Leave(now)
 		s.out = append(s.out, Note{"Signed off."}, Exit{})
@@ -921,7 +931,9 @@
 			s.Mail.Post(&wire.Change{Body: &wire.Change_Outcome{Outcome: &wire.Outcome{Key: e.Visit.Arrival.Key, Visit: string(e.Visit.Visit), Status: uint32(e.Status)}}}, now.Add(OutcomeWait), otherTag{}, heads, now)
 		case forward.Bar:
 			if e.Ask && s.namedAt(e.Addr) {
-				s.Pass.Unbar(e.Addr)
+				if _, barred := s.bars[e.Addr]; !barred {
+					s.Pass.Unbar(e.Addr)
+				}
 				continue
 			}
 			s.bar(e.Addr, e.Ask)
--- a/forward/state.go
+++ b/forward/state.go
@@ -73,8 +73,11 @@
 	Told     bool
 	Left     bool
 	Unsure   bool
-	Kept     bool
+	Kept     int
+	Holds    bool
 	asked    ident.Moment
+	sent     ident.Moment
+	late     bool
 	skip     map[ident.Addr]bool
 }
 
@@ -97,8 +100,11 @@
 	}
 	Drop    struct{ Visit ident.Visit }
 	Cut     struct{ Visit ident.Visit }
-	Deliver struct{ Visit ident.Visit }
-	Answer  struct {
+	Deliver struct {
+		Visit ident.Visit
+		Shot  int
+	}
+	Answer struct {
 		Visit      ident.Visit
 		Status     int
 		Ran        Ran
@@ -186,7 +192,7 @@
 
 func (s *State) Arrive(a Arrival, now ident.Moment) {
 	v := &Visit{Arrival: a, skip: map[ident.Addr]bool{}}
-	v.GiveUpAt, v.asked = a.Arrived.Add(GiveUp), a.Arrived
+	v.GiveUpAt, v.asked = a.Arrived.Add(Patience(v.Rule)), a.Arrived
 	s.visits[v.Visit] = v
 	if !a.Expiry.After(now) {
 		s.end(v, Answer{Status: 504, Ran: RanNo, Reason: "expiry passed"})
@@ -199,6 +205,13 @@
 	s.ask(v, now)
 }
 
+func Patience(l *desired.Lane) time.Duration {
+	if l.Aim > 0 && l.Wait > 0 {
+		return min(GiveUp, l.Wait)
+	}
+	return GiveUp
+}
+
 func (s *State) first(n ident.Service) {
 	if b := s.budgets[n]; b != nil {
 		s.Credit(n, b.share)
@@ -215,6 +228,13 @@
 	return true
 }
 
+func (s *State) unspend(n ident.Service) {
+	if b := s.budgets[n]; b != nil {
+		b.tokens = min(b.most, b.tokens+1)
+		s.Counts["further"]--
+	}
+}
+
 func (s *State) ask(v *Visit, now ident.Moment) {
 	v.Phase = Waiting
 	v.Shot++
@@ -260,9 +280,15 @@
 }
 
 func (s *State) giveUp(v *Visit, why string) {
+	if v.Holds {
+		s.release(v)
+	}
+	if v.Phase == Waiting && v.Shot > 1 {
+		s.unspend(v.Rule.Service)
+	}
 	switch {
-	case v.Kept:
-		s.deliver(v)
+	case v.Kept > 0:
+		s.deliver(v, v.Kept)
 		return
 	case v.Unsure:
 		s.end(v, Answer{Status: 502, Ran: RanUnknown, Reason: "an earlier shot may have run; no further one: " + why})
@@ -272,6 +298,11 @@
 	s.end(v, Answer{Status: 503, Ran: RanNo, Reason: why, RetryAfter: s.comeBack(v, why)})
 }
 
+func (s *State) release(v *Visit) {
+	v.Holds = false
+	s.emit(Release{v})
+}
+
 func (s *State) comeBack(v *Visit, why string) time.Duration {
 	if s.Back != nil {
 		if d := s.Back(string(v.Visit)); d > 0 {
@@ -310,8 +341,8 @@
 	case Waiting:
 		s.State.Leave(v.Visit, v.Lane)
 	case Admitted, Connected, Claimed:
-		if len(v.Arrival.Key) > 0 && v.Phase != Admitted {
-			s.emit(Release{v})
+		if len(v.Arrival.Key) > 0 && v.Phase == Connected {
+			v.Holds = true
 		}
 		if held {
 			s.emit(Drop{v.Visit})
@@ -326,7 +357,7 @@
 		return false
 	}
 	s.move(v, Connected, "")
-	if len(v.Arrival.Key) > 0 {
+	if len(v.Arrival.Key) > 0 && !v.Holds {
 		s.emit(Claim{v})
 		return true
 	}
@@ -344,7 +375,7 @@
 	v := s.visits[id]
 	if v != nil && v.Phase == Admitted && v.Shot == shot {
 		v.skip[key.Addr] = true
-		if v.Shot < v.Rule.Shots && v.GiveUpAt.After(now) && s.further(v.Rule.Service) {
+		if v.Shot < v.Rule.Shots && v.GiveUpAt.After(now) && v.Expiry.After(now) && s.further(v.Rule.Service) {
 			s.move(v, Waiting, "further shot")
 			s.ask(v, now)
 		} else {
@@ -366,6 +397,7 @@
 			s.end(v, Answer{Status: 409, Ran: RanUnknown, Reason: "key claimed by this visit before"})
 			return
 		}
+		v.Holds = true
 		s.move(v, Claimed, "")
 		s.write(v, now)
 	case ledger.Claimed:
@@ -397,6 +429,7 @@
 		v.AnswerBy = min(v.Expiry, v.Arrived.Add(v.Rule.Work))
 	}
 	v.Reclaim = now.Add(2 * v.Rule.Whole)
+	v.sent, v.late = now, false
 	s.move(v, Sent, "")
 	s.emit(Write{v.Visit, v.Shot, min(at, v.Expiry), v.Reclaim})
 }
@@ -407,10 +440,10 @@
 		return
 	}
 	s.move(v, Claimed, "not written")
-	if len(v.Arrival.Key) > 0 {
-		s.emit(Release{v})
-	}
 	if v.Told {
+		if v.Holds {
+			s.release(v)
+		}
 		delete(s.visits, id)
 		return
 	}
@@ -421,22 +454,40 @@
 	s.giveUp(v, why)
 }
 
+func (v *Visit) kind() string {
+	if v.Rule.Route != "" {
+		return v.Rule.Route
+	}
+	return string(v.Lane)
+}
+
+func (s *State) timed(v *Visit, e Ending, status int, now ident.Moment) {
+	b := v.Backend
+	switch {
+	case v.late:
+	case e == Whole && status < 500:
+		s.State.Timed(b.Addr, b.Life, v.kind(), now.Sub(v.sent), now)
+	case e != Moved:
+		s.State.Failed(b.Addr, b.Life, now)
+	}
+}
+
 func (s *State) again(v *Visit, now ident.Moment) bool {
-	if v.Told || v.Left || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || !s.further(v.Rule.Service) {
+	if v.Told || v.Left || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || v.Rule.Route != "" && !v.Arrived.Add(v.Rule.Work).After(now) || !s.further(v.Rule.Service) {
 		return false
 	}
 	v.skip[v.Backend.Addr] = true
 	v.asked = now
-	v.GiveUpAt = now.Add(GiveUp)
+	v.GiveUpAt = now.Add(Patience(v.Rule))
 	s.move(v, Waiting, "further shot")
 	s.ask(v, now)
 	return true
 }
 
-func (s *State) deliver(v *Visit) {
+func (s *State) deliver(v *Visit, shot int) {
 	if !v.Told && !v.Left {
 		v.Told = true
-		s.emit(Deliver{v.Visit})
+		s.emit(Deliver{v.Visit, shot})
 	}
 	s.end(v, Answer{Reason: "whole"})
 }
@@ -447,32 +498,36 @@
 		return
 	}
 	s.Counts["ended "+e.String()]++
+	s.timed(v, e, status, now)
 	switch e {
 	case Whole:
 		if len(v.Arrival.Key) > 0 {
 			s.emit(Outcome{v, status})
 		}
+		v.Holds = false
+		own := !v.gateway(status)
 		if v.Rule.Again && status >= 500 && status < 504 {
-			v.Kept, v.Unsure = true, true
+			if v.Unsure = true; own {
+				v.Kept = v.Shot
+			}
 			if s.again(v, now) {
 				return
 			}
 		}
-		if status >= 502 && status <= 504 && v.Rule.Route == "" || v.Rule.Route != "" && (status == 408 || status == 429 || status == 503) {
-			s.end(v, Answer{Status: 502, Ran: RanUnknown, Reason: "backend answered as a gateway would", Known: uint32(status)})
+		if own {
+			s.deliver(v, v.Shot)
 			return
 		}
-		s.deliver(v)
+		s.failed(v, Answer{Status: 502, Ran: RanUnknown, Reason: "backend answered as a gateway would", Known: uint32(status)})
 	case Turned, Moved:
 		if e == Moved {
 			s.State.Bar(v.Backend.Addr)
 			s.emit(Bar{v.Backend.Addr, false})
 		}
-		if len(v.Arrival.Key) > 0 {
-			s.emit(Release{v})
-		}
 		kept := v.Kept
-		v.Kept = v.Kept || !v.Unsure
+		if e == Turned && !v.Unsure {
+			v.Kept = v.Shot
+		}
 		if s.again(v, now) {
 			v.Kept = kept
 			return
@@ -484,15 +539,30 @@
 		if v.Unsure = true; v.Rule.Again && s.again(v, now) {
 			return
 		}
-		s.end(v, Answer{Status: 502, Ran: RanUnknown, Reason: "the backend's answer was garbled"})
+		s.failed(v, Answer{Status: 502, Ran: RanUnknown, Reason: "the backend's answer was garbled"})
 	default:
 		if v.Unsure = true; v.Rule.Again && s.again(v, now) {
 			return
 		}
-		s.end(v, Answer{Status: 502, Ran: RanUnknown, Reason: "connection broke after sending"})
+		s.failed(v, Answer{Status: 502, Ran: RanUnknown, Reason: "connection broke after sending"})
 	}
 }
 
+func (v *Visit) gateway(status int) bool {
+	if v.Rule.Route == "" {
+		return status >= 502 && status <= 504
+	}
+	return status == 408 || status == 429 || status == 503
+}
+
+func (s *State) failed(v *Visit, a Answer) {
+	if v.Kept > 0 {
+		s.deliver(v, v.Kept)
+		return
+	}
+	s.end(v, a)
+}
+
 func (s *State) Freed(key pass.Key, keep, bar bool, now ident.Moment) {
 	if bar {
 		s.State.Bar(key.Addr)
@@ -543,6 +613,10 @@
 			}
 		case v.Phase == Sent:
 			if !v.AnswerBy.After(now) {
+				if !v.late {
+					s.timed(v, Late, 0, now)
+					v.late = true
+				}
 				s.tell(v, Answer{Status: 504, Ran: RanUnknown, Reason: "no answer in time"})
 			}
 			if !v.Reclaim.After(now) {
--- a/pass/state.go
+++ b/pass/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -31,6 +32,7 @@
 	Cell    ident.Cell
 	Share   int
 	Line    int
+	Slots   int
 	Near    bool
 	Barred  bool
 }
@@ -106,13 +108,15 @@
 	peak     map[ident.Service]int
 	missed   map[ident.Service]int
 	turn     int
+	paces    map[ident.Addr]*pace
+	usual    map[string]*mean
 	out      Out
 	Admitted uint64
 	Refused  uint64
 }
 
 func New() *State {
-	return &State{pools: map[Key]*Pool{}, lanes: map[ident.Lane]*lane{}, floors: map[ledger.Lot]int{}, backends: map[ident.Addr]*Backend{}, byName: map[ident.Service][]*Backend{}, load: map[ident.Addr]int{}, peak: map[ident.Service]int{}, missed: map[ident.Service]int{}}
+	return &State{pools: map[Key]*Pool{}, lanes: map[ident.Lane]*lane{}, floors: map[ledger.Lot]int{}, backends: map[ident.Addr]*Backend{}, byName: map[ident.Service][]*Backend{}, load: map[ident.Addr]int{}, peak: map[ident.Service]int{}, missed: map[ident.Service]int{}, paces: map[ident.Addr]*pace{}, usual: map[string]*mean{}}
 }
 
 func (s *State) Rules(rules []LaneRule, floors map[ledger.Lot]int) {
@@ -187,6 +191,11 @@
 		s.backends[b.Addr] = &b
 		s.byName[b.Service] = append(s.byName[b.Service], &b)
 	}
+	for a, p := range s.paces {
+		if b := s.backends[a]; b == nil || b.Life != p.life {
+			delete(s.paces, a)
+		}
+	}
 	for _, k := range s.keys() {
 		s.trim(k, s.pools[k])
 	}
@@ -273,26 +282,20 @@
 	if s.cap(l.Lane, l.Service) == 0 {
 		return nil, NoFence
 	}
-	if len(s.byName[l.Service]) == 0 {
+	if !slices.ContainsFunc(s.byName[l.Service], func(b *Backend) bool { return !skip[b.Addr] }) {
 		return nil, NoBackend
 	}
 	if l.busy >= l.most && !s.spare(l) {
 		return nil, LaneFull
 	}
 	var best *Backend
-	score := 0.0
+	least := 0.0
 	why := NoBackend
 	list := s.byName[l.Service]
 	s.turn++
-	for i := range 2 * len(list) {
-		if i == len(list) && best != nil {
-			break
-		}
+	for i := range list {
 		b := list[(i+s.turn)%len(list)]
-		room := b.Share
-		if i >= len(list) {
-			room += b.Line
-		}
+		room := b.Share + b.Line
 		if room == 0 || skip[b.Addr] {
 			continue
 		}
@@ -311,15 +314,9 @@
 		if s.load[b.Addr] >= room || idle == 0 && busy >= s.cap(l.Lane, l.Service) {
 			continue
 		}
-		n := float64(room-s.load[b.Addr]) / float64(room)
-		if idle > 0 {
-			n += 0.1
-		}
-		if b.Near {
-			n += 0.2
-		}
-		if best == nil || n > score {
-			best, score = b, n
+		n := s.cost(b, room, idle > 0)
+		if best == nil || n < least {
+			best, least = b, n
 		}
 	}
 	return best, why
@@ -399,18 +396,21 @@
 func (s *State) serve() {
 	for _, n := range s.names() {
 		l := s.lanes[n]
-		for l.queue.Len() > 0 {
-			w := l.queue.Front()
+		for i := 0; i < l.queue.Len(); {
+			w := l.queue.At(i)
 			b, why := s.pick(l, w.skip)
-			if b == nil && why == LaneFull {
-				break
-			}
-			l.queue.PopFront()
-			if b == nil {
+			switch {
+			case b != nil:
+				l.queue.Remove(i)
+				s.grant(l, w.visit, b)
+			case why != LaneFull:
+				l.queue.Remove(i)
 				s.refuse(w.visit, l, why)
-				continue
+			case len(w.skip) == 0:
+				i = l.queue.Len()
+			default:
+				i++
 			}
-			s.grant(l, w.visit, b)
 		}
 	}
 }
@@ -473,8 +473,13 @@
 func (s *State) Tick(now ident.Moment) {
 	for _, n := range s.names() {
 		l := s.lanes[n]
-		for l.queue.Len() > 0 && !l.queue.Front().until.After(now) {
-			s.refuse(l.queue.PopFront().visit, l, WaitedOut)
+		for i := 0; i < l.queue.Len(); {
+			if w := l.queue.At(i); w.until.After(now) {
+				i++
+			} else {
+				l.queue.Remove(i)
+				s.refuse(w.visit, l, WaitedOut)
+			}
 		}
 	}
 }
