A node out of touch longer than the tenure serves on, but says that it is not ready

Cause: with a stale bound above the tenure a node cut from the core called itself ready for 20 s on old news, so new connections went on coming to it. It now answers what reaches it and asks to be passed by. Test: ready until the tenure, serving until the stale bound.

--- a/data/state.go
+++ b/data/state.go
@@ -289,9 +289,15 @@
 }
 
 func (s *State) Why(now ident.Moment) string {
-	if why := s.Unready(now); why != "" || s.warm {
+	if why := s.Unready(now); why != "" {
 		return why
 	}
+	if now.Sub(s.Relay.CoreAsOf) >= s.Relay.Tenure {
+		return "out of touch; serves on old news"
+	}
+	if s.warm {
+		return ""
+	}
 	return "no backend proven yet"
 }
 
