--- a/hollow/report.go
+++ b/hollow/report.go
@@ -13,6 +13,9 @@
 	"sloeturn/relay"
 )
 
+// Settle is longer than relay.ClimbFor: nodes that climbed while there was no leader ask their parents again.
+const Settle = 8 * time.Second
+
 type Role struct {
 	Name     string
 	Members  int
@@ -138,7 +141,7 @@
 	if r.Up, err = w.Up(60 * time.Second); err != nil {
 		return r, err
 	}
-	if err := w.Run(3 * time.Second); err != nil {
+	if err := w.Run(Settle); err != nil {
 		return r, err
 	}
 	for _, m := range w.all[w.Controls:] {
@@ -211,7 +214,7 @@
 	say := func(form string, args ...any) { fmt.Fprintf(to, form+"\n", args...) }
 	say("hollow %v", r.Size)
 	say("  %v measured, %.1f s of the machine's; all ready after %v; change acknowledged after %v, at all nodes after %v (most)", r.Window, r.Took.Seconds(), r.Up, most(r.Acked), most(r.Every))
-	say("  from start to ready and 3 s on, the busiest node spends %.2f s of a core; it makes %d guards, the dearest costs %v", r.Start.Seconds(), r.Guards, r.Guard)
+	say("  from start to 8 s after all are ready, the busiest node spends %.2f s of a core; it makes %d guards, the dearest costs %v", r.Start.Seconds(), r.Guards, r.Guard)
 	say("  age of cells' news p50 %v worst %v, of the leader's word p50 %v worst %v", r.Age[0], r.Age[1], r.CoreAge[0], r.CoreAge[1])
 	say("  beats a second %.0f heard %.0f not; visits a second %.0f served %.0f refused; a backend must accept %d connections", r.Beats[0], r.Beats[1], r.Served, r.Refused, r.Peak)
 	say("  a node holds %d cards, %d backends, %d pools; desired state %.1f kB, image of the book %.1f kB; heap of all %.0f MB", r.Cards, r.Lines, r.Pools, r.DocKB, r.Image, r.Heap)
