Routed visits proved against scripted backends; the request line goes out as it came

Fault found: a path with bytes that Go thinks need escaping (| " < > ^ ` { } #, bytes over 127) went out escaped anew: /a/a|b as /a/a%7Cb. The request line now goes out as it came, and the route is looked up by the same bytes. Tests (data/front_test.go, raw sockets on both sides): longest prefix, 404, host's case and port; method, path, query and body byte for byte in 8 methods, length or chunks, HEAD; headers out and back, hop headers and our own dropped, time left, life meant; 16 bad answers on three kinds of routes; surplus answers before and after; turned away passed on or shot elsewhere; 421 bars and never goes out; a kept failure; Connection: close while not ready; refusal and Retry-After in min(200 ms, aim/4), with the loop stalled too; bytes beyond limits. Guards taken out by hand, each seen by a test: raw line, raw place, host folded, port cut, life, left, name of another, seal, name of the answer, encoding, turned, moved, most surplus, surplus after, answer too long, open end, 101, cut, answers by shot, bar kept, closed while not ready, handler's patience, body in chunks, body's patience, Retry-After, hop headers, our own headers, Accept-Encoding, 408/429/503. Not seen, since a second guard stands behind: closing after surplus bytes (the look at the kept connection), the length before the body (the reader's bound), the life of a kept connection (shed).

--- a/data/front.go
+++ b/data/front.go
@@ -1,6 +1,7 @@
 package data
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -47,6 +48,23 @@
 	return strings.ToLower(h)
 }
 
+func placeOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		path, _, _ := strings.Cut(r.RequestURI, "?")
+		return path
+	}
+	return r.URL.EscapedPath()
+}
+
+func (k *call) words(req *http.Request) ([]byte, error) {
+	var b bytes.Buffer
+	if err := req.Write(&b); err != nil || k.Dialect == nil || !strings.HasPrefix(k.req.RequestURI, "/") {
+		return b.Bytes(), err
+	}
+	_, rest, _ := bytes.Cut(b.Bytes(), []byte("\r\n"))
+	return append([]byte(req.Method+" "+k.req.RequestURI+" HTTP/1.1\r\n"), rest...), nil
+}
+
 func (d *Dialect) left(r *http.Request, most time.Duration) (time.Duration, bool) {
 	s := r.Header.Get(d.Left)
 	if s == "" {
@@ -69,7 +87,7 @@
 		no(503, "no desired state read yet", 500*time.Millisecond)
 		return
 	}
-	path := r.URL.EscapedPath()
+	path := placeOf(r)
 	route := view.desired.Find(hostOf(r), path)
 	if route == nil {
 		no(404, "no route to this place", 0)
--- /dev/null
+++ b/data/front_test.go
@@ -0,0 +1,556 @@
+package data
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/cell"
+	"sloeturn/desired"
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/pass"
+	"sloeturn/wire"
+)
+
+const frontDoc = `{"fleet":{"nodes":1},"services":{"s":{"maxConnections":40,"named":true,"furtherShots":100},"u":{"maxConnections":40,"named":true}},"tenants":{"t":{}},
+"lanes":{"s":{"tenant":"t","service":"s","slots":4,"waiters":4,"answerBytes":4096,"bodyBytes":4096},"u":{"tenant":"t","service":"u","slots":4,"waiters":4}},
+"routes":{"a":{"host":"h.example","prefix":"/a/","wholeMs":900,"shots":3,"lanes":{"s":1}},
+"ab":{"host":"h.example","prefix":"/a/b/","wholeMs":900,"shots":3,"lanes":{"u":1}},
+"r":{"host":"h.example","prefix":"/r/","repeatable":true,"wholeMs":900,"shots":3,"lanes":{"s":1}},
+"one":{"host":"h.example","prefix":"/one/","wholeMs":900,"shots":1,"lanes":{"s":1}},
+"odd":{"host":"h.example","prefix":"/o|d/","wholeMs":900,"shots":1,"lanes":{"s":1}},
+"aim":{"host":"h.example","prefix":"/aim/","wholeMs":900,"aimMs":240,"shots":3,"lanes":{"s":1}}}}`
+
+var tongue = Dialect{Visit: "Visit-Name", Left: "Left-Ms", Life: "Meant-For", Seal: "Sealed", Turned: "Turned-Away"}
+
+type asked struct {
+	line string
+	head http.Header
+	body string
+	by   int
+}
+
+// crowd answers as its script says: one saying for each arrival on a path, the last one for all after it.
+type crowd struct {
+	ears   []net.Listener
+	lock   sync.Mutex
+	script map[string][]string
+	seen   []asked
+	ended  chan struct{}
+}
+
+func (c *crowd) talk(at int, con net.Conn) {
+	defer con.Close()
+	b := bufio.NewReader(con)
+	for {
+		line, err := b.ReadString('\n')
+		if err != nil {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(io.MultiReader(strings.NewReader("GET / HTTP/1.1\r\n"), headOf(b))))
+		if err != nil {
+			return
+		}
+		n, _ := strconv.Atoi(r.Header.Get("Content-Length"))
+		body := make([]byte, n)
+		io.ReadFull(b, body)
+		line = strings.TrimSuffix(line, "\r\n")
+		_, path, _ := strings.Cut(line, " ")
+		path, _, _ = strings.Cut(path, " ")
+		head := r.Header.Clone()
+		head.Set("Host", r.Host)
+		c.lock.Lock()
+		c.seen = append(c.seen, asked{line, head, string(body), at})
+		say := c.sound("200 OK", "whole")
+		if l := c.script[path]; len(l) > 0 {
+			if say = l[0]; len(l) > 1 {
+				c.script[path] = l[1:]
+			}
+		}
+		c.lock.Unlock()
+		if say == "!hang" {
+			<-c.ended
+			return
+		}
+		say, end := strings.CutSuffix(say, "!close")
+		io.WriteString(con, strings.ReplaceAll(say, "{id}", r.Header.Get("Visit-Name")))
+		if end {
+			return
+		}
+	}
+}
+
+func headOf(b *bufio.Reader) io.Reader {
+	var all bytes.Buffer
+	for {
+		line, err := b.ReadString('\n')
+		all.WriteString(line)
+		if err != nil || line == "\r\n" {
+			return &all
+		}
+	}
+}
+
+func (c *crowd) sound(status, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nVisit-Name: {id}\r\nSealed: wax\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+func (c *crowd) says(path string, list ...string) {
+	c.lock.Lock()
+	c.script[path] = list
+	c.lock.Unlock()
+}
+
+func (c *crowd) all(path string) []asked {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	var out []asked
+	for _, a := range c.seen {
+		if strings.Contains(a.line, " "+path) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+type gateway struct {
+	*Node
+	*crowd
+	t     *testing.T
+	core  *wire.Core
+	table *cell.Soundness
+	web   *httptest.Server
+	at    string
+	serve []string
+}
+
+func newGateway(t *testing.T, serve ...string) *gateway {
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := ear.Addr().String()
+	ear.Close()
+	g := &gateway{t: t, serve: serve, table: cell.New("a", 1), crowd: &crowd{script: map[string][]string{}, ended: make(chan struct{})}}
+	for i := range serve {
+		ear, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		g.ears = append(g.ears, ear)
+		t.Cleanup(func() { ear.Close() })
+		go func() {
+			for {
+				c, err := ear.Accept()
+				if err != nil {
+					return
+				}
+				go g.talk(i, c)
+			}
+		}()
+	}
+	t.Cleanup(func() { close(g.crowd.ended) })
+	g.Node = NewNode(Boot{Member: "n", Addr: ident.Addr(addr), Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"127.0.0.1:9"}}, log.NewNopLogger())
+	require.NoError(t, g.Open())
+	t.Cleanup(g.Close)
+	d, faults := desired.Read([]byte(frontDoc))
+	require.Empty(t, faults)
+	g.core = &wire.Core{Version: 1, Generation: 1, InForce: 1, Grown: 1, SeatCount: 1, LeaderAddr: "127.0.0.1:9", Seats: []*wire.Seat{{Member: "n", Addr: addr, Incarnation: 7}}}
+	for k, n := range ledger.Slots(d) {
+		g.core.Floors = append(g.core.Floors, &wire.Floor{Lane: string(k.Lane), Service: string(k.Service), Slots: uint32(n)})
+	}
+	g.table.Nodes = []string{"n"}
+	g.web = httptest.NewServer(g.Front(tongue))
+	g.at = strings.TrimPrefix(g.web.URL, "http://")
+	t.Cleanup(g.web.Close)
+	return g
+}
+
+func (g *gateway) beat() {
+	g.query(func(s *State, now ident.Moment) any {
+		for i, n := range g.serve {
+			g.table.Hear(&wire.Announce{Addr: g.ears[i].Addr().String(), Service: n, Incarnation: fmt.Sprint("life-", i), Slots: 2, Epoch: 1, Stands: true}, now)
+		}
+		g.table.Tick(now)
+		if s.Relay.Cells["a"] == nil {
+			s.Relay.Cells["a"] = cell.NewCopy("a")
+		}
+		k := s.Relay.Cells["a"]
+		s.Relay.TakeCore(g.core, []byte(frontDoc), 1, now)
+		k.Take(g.table.News(k.Have(), now), now)
+		s.refresh(now)
+		return nil
+	})
+}
+
+func (g *gateway) up() *gateway {
+	for i := 0; i < 500; i++ {
+		g.beat()
+		if g.Unready() == "" && g.query(func(s *State, now ident.Moment) any { s.Credit("s", 100); return s.Open() == 0 }).(bool) {
+			return g
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Fail(g.t, "never ready")
+	return g
+}
+
+func (g *gateway) raw(words string) (*http.Response, string) {
+	c, err := net.Dial("tcp", g.at)
+	require.NoError(g.t, err)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	io.WriteString(c, words)
+	method, _, _ := strings.Cut(words, " ")
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	require.NoError(g.t, err, words)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(g.t, err)
+	return resp, string(body)
+}
+
+func (g *gateway) post(path string, more ...string) (*http.Response, string) {
+	g.beat()
+	return g.raw("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nVisit-Name: v" + path + "\r\nLeft-Ms: 800\r\n" + strings.Join(more, "") + "Content-Length: 2\r\n\r\nhi")
+}
+
+func TestARoutedVisitGoesWhereItsLongestPrefixSays(t *testing.T) {
+	g := newGateway(t, "s", "u").up()
+	for path, by := range map[string]int{"/a/x": 0, "/a/": 0, "/a/b/x": 1, "/a/b/": 1, "/a/b": 0, "/a/%62/x": 0, "/a/../a/b/x": 0, "/a//b/x": 0, "/r/a/b/x": 0, "/o|d/x": 0} {
+		resp, body := g.post(path)
+		require.Equal(t, 200, resp.StatusCode, path)
+		require.Equal(t, "whole", body)
+		got := g.all(path + " ")
+		require.Len(t, got, 1, path)
+		require.Equal(t, by, got[0].by, path)
+	}
+	for _, host := range []string{"H.Example", "h.example:80", "h.example:99"} {
+		resp, _ := g.raw("GET /a/host HTTP/1.1\r\nHost: " + host + "\r\n\r\n")
+		require.Equal(t, 200, resp.StatusCode, host)
+		got := g.all("/a/host")
+		require.Equal(t, host, got[len(got)-1].head.Get("Host"))
+		left, err := strconv.Atoi(got[len(got)-1].head.Get("Left-Ms"))
+		require.NoError(t, err)
+		require.LessOrEqual(t, left, 900)
+		require.Greater(t, left, 600)
+	}
+	before := len(g.all("/"))
+	for _, words := range []string{"/b/x HTTP/1.1\r\nHost: h.example", "/a HTTP/1.1\r\nHost: h.example", "/A/x HTTP/1.1\r\nHost: h.example", "/a/x HTTP/1.1\r\nHost: g.example", "/a/x HTTP/1.1\r\nHost: h.example."} {
+		resp, _ := g.raw("OPTIONS " + words + "\r\n\r\n")
+		require.Equal(t, 404, resp.StatusCode, words)
+	}
+	require.Len(t, g.all("/"), before)
+}
+
+func TestARoutedVisitArrivesAsItWasSent(t *testing.T) {
+	g := newGateway(t, "s").up()
+	for _, at := range []string{"/a/x", "/a/?", "/a/x?", "/a/x??", "/a/x?a=1&a=2;c", "/a/%2f%2F%7e~", "/a/%zz"[:4] + "41", "/a/a|b", "/a/\"<>^`{}", "/a/#frag", "/a/x?#", "/a/%25%00", "/a/\xc3\xa9", "/a/[];:@!$&'()*+,=", "/a/./../x", "/a//", "/a/x?q=%zz|\"", "/a/%41"} {
+		for _, way := range []string{"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "BREW"} {
+			g.beat()
+			resp, _ := g.raw(way + " " + at + " HTTP/1.1\r\nHost: h.example\r\nVisit-Name: n\r\n\r\n")
+			require.Equal(t, 200, resp.StatusCode, at)
+			g.lock1(func() { require.Equal(t, way+" "+at+" HTTP/1.1", g.seen[len(g.seen)-1].line) })
+		}
+	}
+	long := strings.Repeat("bytes\x00\r\n\xff", 400)
+	for _, body := range []string{"", "0", "hi", "GET / HTTP/1.1\r\n\r\n", long} {
+		for _, way := range []string{"POST", "GET", "DELETE", "PATCH"} {
+			var chunks bytes.Buffer
+			w := httputil.NewChunkedWriter(&chunks)
+			for i := 0; i < len(body); i += 700 {
+				io.WriteString(w, body[i:min(len(body), i+700)])
+			}
+			w.Close()
+			for _, words := range []string{fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), "Transfer-Encoding: chunked\r\n\r\n" + chunks.String() + "\r\n"} {
+				g.beat()
+				resp, _ := g.raw(way + " /a/body HTTP/1.1\r\nHost: h.example\r\n" + words)
+				require.Equal(t, 200, resp.StatusCode)
+				g.lock1(func() {
+					last := g.seen[len(g.seen)-1]
+					require.Equal(t, body, last.body)
+					require.Equal(t, way+" /a/body HTTP/1.1", last.line)
+					require.Empty(t, last.head.Get("Transfer-Encoding"))
+				})
+			}
+		}
+	}
+}
+
+func (c *crowd) lock1(do func()) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	do()
+}
+
+func TestHeadersGoOutAndComeBackAsTheyAre(t *testing.T) {
+	g := newGateway(t, "s").up()
+	g.says("/a/heads", "HTTP/1.1 203 Odd\r\nVisit-Name: {id}\r\nSealed: a.b/c=\r\nX-Two: 1\r\nX-Two: 2\r\nRetry-After: 0.25\r\nConnection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=3\r\nSloeturn-Ran: no\r\nContent-Length: 2\r\n\r\nhi")
+	resp, body := g.post("/a/heads", "X-One: 1\r\nX-One: 2\r\nConnection: X-Gone\r\nX-Gone: 1\r\nUser-Agent: me\r\nAccept-Encoding: gzip\r\nMeant-For: nobody\r\nSloeturn-Lane: l\r\n")
+	require.Equal(t, 203, resp.StatusCode)
+	require.Equal(t, "hi", body)
+	require.Equal(t, []string{"v/a/heads"}, resp.Header["Visit-Name"])
+	require.Equal(t, []string{"a.b/c="}, resp.Header["Sealed"])
+	require.Equal(t, []string{"1", "2"}, resp.Header["X-Two"])
+	require.Equal(t, []string{"0.25"}, resp.Header["Retry-After"])
+	for _, k := range []string{"X-Hop", "Keep-Alive", "Sloeturn-Ran", "Sloeturn-Visit", "Sloeturn-Generation"} {
+		require.Empty(t, resp.Header[k], k)
+	}
+	got := g.all("/a/heads")[0].head
+	require.Equal(t, []string{"1", "2"}, got["X-One"])
+	require.Equal(t, []string{"v/a/heads"}, got["Visit-Name"])
+	require.Equal(t, []string{"life-0"}, got["Meant-For"])
+	require.Equal(t, []string{"me"}, got["User-Agent"])
+	left, err := strconv.Atoi(got.Get("Left-Ms"))
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 800)
+	require.Greater(t, left, 600)
+	for _, k := range []string{"X-Gone", "Accept-Encoding", "Sloeturn-Visit", "Sloeturn-Lane"} {
+		require.Empty(t, got[k], k)
+	}
+	g.says("/a/short", "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: w\r\nContent-Length: 5\r\n\r\n")
+	g.beat()
+	resp, _ = g.raw("HEAD /a/short HTTP/1.1\r\nHost: h.example\r\nVisit-Name: n\r\n\r\n")
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, "5", resp.Header.Get("Content-Length"))
+	for left, status := range map[string]int{"0": 504, "-1": 400, "soon": 400, "1e3": 400, "99999999999999999999": 400} {
+		resp, _ = g.raw("GET /a/left HTTP/1.1\r\nHost: h.example\r\nLeft-Ms: " + left + "\r\n\r\n")
+		require.Equal(t, status, resp.StatusCode, left)
+	}
+	require.Empty(t, g.all("/a/left"))
+}
+
+func TestWhichAnswersOfARoutedVisitArePassedOn(t *testing.T) {
+	g := newGateway(t, "s", "s", "s").up()
+	good := g.sound("200 OK", "whole")
+	other := strings.ReplaceAll(g.sound("200 OK", "another's"), "{id}", "somebody")
+	bad := map[string]string{
+		"no-seal":   "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nContent-Length: 2\r\n\r\nno",
+		"no-name":   "HTTP/1.1 200 OK\r\nSealed: w\r\nContent-Length: 2\r\n\r\nno",
+		"other":     other,
+		"many":      other + other + other + other + other + good,
+		"cut":       "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: w\r\nContent-Length: 9\r\n\r\nno!close",
+		"cut-chunk": "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: w\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n!close",
+		"open":      "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: w\r\n\r\nno!close",
+		"packed":    "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: w\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno",
+		"huge":      g.sound("200 OK", strings.Repeat("n", 4097)),
+		"words":     "SSH-2.0-x\r\n\r\n!close",
+		"silent":    "!close",
+		"half":      "HTTP/1.1 200 O!close",
+		"101":       "HTTP/1.1 101 Other\r\nVisit-Name: {id}\r\nSealed: w\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n!close",
+		"503":       g.sound("503 No", "no"),
+		"429":       g.sound("429 No", "no"),
+		"408":       g.sound("408 No", "no"),
+	}
+	for _, name := range ident.Keys(bad) {
+		for _, path := range []string{"/a/", "/one/", "/r/"} {
+			say := bad[name]
+			if name == "other" {
+				say += "!close"
+			}
+			g.says(path+name, say)
+			resp, body := g.post(path + name)
+			require.Equal(t, 502, resp.StatusCode, path+name)
+			require.Empty(t, resp.Header.Get("Retry-After"), name)
+			require.NotContains(t, body, "no\"", name)
+			most := 1
+			if path == "/r/" && name != "429" && name != "408" {
+				most = 3
+			}
+			require.Len(t, g.all(path+name+" "), most, path+name)
+			if path == "/r/" && most == 3 {
+				g.says(path+name+"2", say, good)
+				resp, body = g.post(path + name + "2")
+				require.Equal(t, 200, resp.StatusCode, name)
+				require.Equal(t, "whole", body)
+				require.Len(t, g.all(path+name+"2 "), 2)
+			}
+		}
+	}
+	for name, say := range map[string]string{
+		"before": other + good, "before-2": other + other + good, "after": good + other, "early": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + good,
+		"surplus-failure": strings.ReplaceAll(g.sound("500 No", "no"), "{id}", "somebody") + good, "surplus-turned": "HTTP/1.1 503 No\r\nVisit-Name: x\r\nTurned-Away: full\r\nContent-Length: 0\r\n\r\n" + good,
+	} {
+		for i := 0; i < 3; i++ {
+			at := fmt.Sprint("/one/", name, i)
+			g.says(at, say)
+			resp, body := g.post(at)
+			require.Equal(t, 200, resp.StatusCode, at)
+			require.Equal(t, "whole", body, at)
+			require.Equal(t, "v"+at, resp.Header.Get("Visit-Name"))
+			resp, body = g.post(fmt.Sprint("/one/next", name, i))
+			require.Equal(t, 200, resp.StatusCode, at)
+			require.Equal(t, "whole", body, at)
+		}
+	}
+	for _, status := range []string{"500 Own", "502 Own", "504 Own", "404 Own", "400 Own", "301 Own"} {
+		at := "/one/" + status[:3]
+		g.says(at, g.sound(status, "its own"))
+		resp, body := g.post(at)
+		require.Equal(t, status[:3], strconv.Itoa(resp.StatusCode))
+		require.Equal(t, "its own", body)
+	}
+}
+
+func TestAKeptFailureIsTheAnswerWhenNoShotDoesBetter(t *testing.T) {
+	g := newGateway(t, "s", "s", "s").up()
+	turned := "HTTP/1.1 503 Full\r\nVisit-Name: {id}\r\nTurned-Away: full\r\nContent-Length: 4\r\n\r\nfull"
+	for name, rest := range map[string][]string{"turned": {turned}, "moved": {"HTTP/1.1 421 Moved\r\nVisit-Name: {id}\r\nTurned-Away: moved\r\nContent-Length: 0\r\n\r\n"}, "cut": {"!close"}, "plain": {g.sound("503 No", "no")}} {
+		g.says("/r/"+name, append([]string{g.sound("500 Own", "its own")}, rest...)...)
+		resp, body := g.post("/r/" + name)
+		require.Equal(t, 500, resp.StatusCode, name)
+		require.Equal(t, "its own", body, name)
+		require.Len(t, g.all("/r/"+name), 3)
+		time.Sleep(20 * time.Millisecond)
+		g.lift()
+	}
+}
+
+func (g *gateway) lift() {
+	g.query(func(s *State, now ident.Moment) any { clear(s.bars); s.rev = 0; return nil })
+	g.beat()
+}
+
+func TestATurnedVisitGoesElsewhereAndElseIsPassedOnUnchanged(t *testing.T) {
+	g := newGateway(t, "s", "s").up()
+	for _, status := range []string{"503 Full", "429 Many", "400 Odd", "408 Late"} {
+		say := "HTTP/1.1 " + status + "\r\nVisit-Name: {id}\r\nTurned-Away: why\r\nRetry-After: 0.125\r\nX-More: 1\r\nContent-Length: 4\r\n\r\nfull"
+		at := status[:3]
+		g.says("/one/"+at, say)
+		resp, body := g.post("/one/" + at)
+		require.Equal(t, status[:3], fmt.Sprint(resp.StatusCode))
+		require.Equal(t, "full", body)
+		require.Equal(t, "why", resp.Header.Get("Turned-Away"))
+		require.Equal(t, "0.125", resp.Header.Get("Retry-After"))
+		require.Equal(t, "1", resp.Header.Get("X-More"))
+		require.Len(t, g.all("/one/"+at), 1)
+		g.says("/a/"+at, say, g.sound("200 OK", "whole"))
+		resp, body = g.post("/a/" + at)
+		require.Equal(t, 200, resp.StatusCode)
+		require.Equal(t, "whole", body)
+		got := g.all("/a/" + at)
+		require.Len(t, got, 2)
+		require.NotEqual(t, got[0].by, got[1].by)
+		require.NotEqual(t, got[0].head.Get("Meant-For"), got[1].head.Get("Meant-For"))
+		g.says("/a/all"+at, say)
+		resp, _ = g.post("/a/all" + at)
+		require.Equal(t, status[:3], fmt.Sprint(resp.StatusCode))
+		require.Len(t, g.all("/a/all"+at), 2)
+	}
+}
+
+func TestAMovedBackendIsBarredAndItsAnswerNeverPassedOn(t *testing.T) {
+	g := newGateway(t, "s", "s").up()
+	moved := "HTTP/1.1 421 Moved\r\nVisit-Name: {id}\r\nTurned-Away: another\r\nContent-Length: 0\r\n\r\n"
+	g.says("/one/x", moved)
+	resp, _ := g.post("/one/x")
+	require.Equal(t, 503, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	who := g.all("/one/x")[0].by
+	for i := 0; i < 6; i++ {
+		at := fmt.Sprint("/a/after", i)
+		resp, _ = g.raw("GET " + at + " HTTP/1.1\r\nHost: h.example\r\nVisit-Name: n\r\n\r\n")
+		require.Equal(t, 200, resp.StatusCode)
+		require.Equal(t, 1-who, g.all(at)[0].by)
+	}
+	held := g.query(func(s *State, now ident.Moment) any {
+		a := ident.Addr(g.ears[who].Addr().String())
+		s.Freed(s.keyOf(a), false, true, now)
+		s.obey(now)
+		return s.Pass.Backend(a).Barred
+	}).(bool)
+	require.True(t, held)
+}
+
+func (s *State) keyOf(a ident.Addr) (k pass.Key) {
+	k.Lane, k.Addr = "s", a
+	return k
+}
+
+func TestKeptConnectionsAreClosedWhileNotReady(t *testing.T) {
+	g := newGateway(t, "s")
+	resp, _ := g.raw("GET /a/x HTTP/1.1\r\nHost: h.example\r\n\r\n")
+	require.Equal(t, 503, resp.StatusCode)
+	require.True(t, resp.Close)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	g.up()
+	resp, _ = g.post("/a/x")
+	require.Equal(t, 200, resp.StatusCode)
+	require.False(t, resp.Close)
+	resp, _ = g.post("/none/x")
+	require.Equal(t, 404, resp.StatusCode)
+	require.False(t, resp.Close)
+	g.Put(Drain{})
+	for g.Unready() == "" {
+		time.Sleep(time.Millisecond)
+	}
+	resp, _ = g.post("/a/x")
+	require.Equal(t, 200, resp.StatusCode)
+	require.True(t, resp.Close)
+	resp, _ = g.post("/none/x")
+	require.Equal(t, 404, resp.StatusCode)
+	require.True(t, resp.Close)
+}
+
+func TestARoutedVisitIsRefusedInItsTimeAndToldWhenToComeBack(t *testing.T) {
+	g := newGateway(t, "s").up()
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for i := 0; i < 2; i++ {
+		at := fmt.Sprint("/one/hang", i)
+		g.says(at, "!hang")
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			resp, _ := g.post(at)
+			require.Equal(t, 504, resp.StatusCode)
+		}()
+	}
+	for len(g.all("/one/hang")) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	refused := func(path string, most time.Duration) {
+		at := ident.Now()
+		resp, _ := g.raw("GET " + path + " HTTP/1.1\r\nHost: h.example\r\nLeft-Ms: 700\r\n\r\n")
+		took := ident.Now().Sub(at)
+		require.Equal(t, 503, resp.StatusCode)
+		back, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.Greater(t, back, 0.0)
+		require.Less(t, took, most+20*time.Millisecond, path)
+		require.Greater(t, took, most/2, path)
+	}
+	refused("/aim/full", 60*time.Millisecond)
+	refused("/a/full", 200*time.Millisecond)
+	stall, stalled := make(chan struct{}), make(chan struct{})
+	g.Put(Query{func(*State, ident.Moment) { close(stalled); <-stall }})
+	<-stalled
+	refused("/aim/stalled", 60*time.Millisecond)
+	refused("/a/stalled", 200*time.Millisecond)
+	close(stall)
+	require.Empty(t, append(g.all("/aim/"), g.all("/a/")...))
+}
+
+func TestBytesBeyondTheLimitsReachNobody(t *testing.T) {
+	g := newGateway(t, "s").up()
+	big := strings.Repeat("x", 4097)
+	resp, _ := g.raw("POST /a/big HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4097\r\n\r\n" + big)
+	require.Equal(t, 413, resp.StatusCode)
+	resp, _ = g.raw("POST /a/big HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n1001\r\n" + big + "\r\n0\r\n\r\n")
+	require.Equal(t, 413, resp.StatusCode)
+	resp, _ = g.raw("POST /a/big HTTP/1.1\r\nHost: h.example\r\nLeft-Ms: 100\r\nContent-Length: 40\r\n\r\n" + "few")
+	require.Equal(t, 408, resp.StatusCode)
+	require.Empty(t, g.all("/a/big"))
+	resp, _ = g.raw("POST /a/fits HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4096\r\n\r\n" + big[1:])
+	require.Equal(t, 200, resp.StatusCode)
+	require.Len(t, g.all("/a/fits"), 1)
+}
--- a/data/node.go
+++ b/data/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -419,10 +418,10 @@
 		return
 	}
 	c := k.conn
-	var b bytes.Buffer
 	k.life = c.life
 	req := k.build(c.key.Addr)
-	if err := req.Write(&b); err != nil {
+	words, err := k.words(req)
+	if err != nil {
 		n.finish(k, c, true, false, NotWritten{e.Visit, "visit could not be put in words"})
 		return
 	}
@@ -435,7 +434,7 @@
 		n.finish(k, c, true, false, NotWritten{e.Visit, "given up before writing"})
 		return
 	}
-	sent, err := c.Write(b.Bytes())
+	sent, err := c.Write(words)
 	if err != nil && sent == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
 		n.finish(k, c, false, true)
 		n.Put(NotWritten{e.Visit, "connection broke before the first byte"})
