A heartbeat says that nothing changed, or the whole card

Cause: every 250 ms each process told three watchers its card and eight digests, 250 bytes to say that it lives. A brief one bears one number over all digests; the link says who speaks. A new card is told whole once; who reckons another number answers with its own card and digests, from where the exchange of tables goes on as before. Watchers of older builds (their cards lack brief) are told the whole card each time. Ruled out: fewer watchers or longer pauses, which would weaken the finding of the silent. Tests seen failing with the brief one taken out, and with it sent to older builds.

--- a/control/state.go
+++ b/control/state.go
@@ -286,7 +286,7 @@
 func (s *State) got(f *wire.Frame, now ident.Moment) {
 	switch b := f.Body.(type) {
 	case *wire.Frame_Heartbeat:
-		s.Members.Heartbeat(b.Heartbeat, now)
+		s.Members.Heartbeat(b.Heartbeat, f.From, f.Addr, now)
 	case *wire.Frame_Table:
 		s.Members.Table(b.Table, f.Addr, now)
 	case *wire.Frame_Ask:
--- a/data/state.go
+++ b/data/state.go
@@ -392,7 +392,7 @@
 func (s *State) got(f *wire.Frame, now ident.Moment) {
 	switch b := f.Body.(type) {
 	case *wire.Frame_Heartbeat:
-		s.Members.Heartbeat(b.Heartbeat, now)
+		s.Members.Heartbeat(b.Heartbeat, f.From, f.Addr, now)
 	case *wire.Frame_Table:
 		s.Members.Table(b.Table, f.Addr, now)
 	case *wire.Frame_Ask:
--- a/member/state.go
+++ b/member/state.go
@@ -39,6 +39,7 @@
 	sums  [Parts]uint64
 	ring  []*wire.Card
 	rev   uint64
+	told  uint64
 	beat  ident.Moment
 	seed  ident.Moment
 	since ident.Moment
@@ -50,6 +51,7 @@
 	s := &State{Self: self, Seeds: seeds, More: func() []ident.Addr { return nil }, cards: map[ident.Member]*wire.Card{}, heard: map[ident.Member]ident.Moment{}, dead: map[ident.Member]ident.Moment{}}
 	s.since = now
 	self.Rank = 1
+	self.Brief = true
 	s.put(self, now)
 	return s
 }
@@ -228,6 +230,27 @@
 	return &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{Card: s.Self, Digests: sums[:]}}}
 }
 
+func (s *State) whole() uint64 {
+	n := uint64(1)
+	for i, v := range s.sums {
+		n += v * (2*uint64(i) + 3)
+	}
+	return n
+}
+
+func (s *State) pulse(all bool) {
+	full := s.heartbeat()
+	brief := &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{Whole: s.whole()}}}
+	for _, c := range s.WatchersOf(ident.Member(s.Self.Id)) {
+		if c.Brief && !all && s.told == s.Self.Version {
+			s.send(c.Addr, brief)
+		} else {
+			s.send(c.Addr, full)
+		}
+	}
+	s.told = s.Self.Version
+}
+
 func (s *State) doors() []ident.Addr {
 	var lost []ident.Addr
 	for _, c := range s.Cards() {
@@ -246,9 +269,7 @@
 		s.since = now
 	}
 	s.beat = now
-	for _, c := range s.WatchersOf(ident.Member(s.Self.Id)) {
-		s.send(c.Addr, s.heartbeat())
-	}
+	s.pulse(false)
 	if len(s.Ring()) < 2 || now.Sub(s.seed) >= SeedEvery {
 		s.seed = now
 		list := s.doors()
@@ -295,8 +316,12 @@
 	}
 }
 
-func (s *State) Heartbeat(h *wire.Heartbeat, now ident.Moment) {
-	if h.Card == nil || h.Card.Id == s.Self.Id {
+func (s *State) Heartbeat(h *wire.Heartbeat, from, addr string, now ident.Moment) {
+	if h.Card == nil {
+		s.hear(h, ident.Member(from), addr, now)
+		return
+	}
+	if h.Card.Id == s.Self.Id {
 		return
 	}
 	s.learn(h.Card, now)
@@ -307,6 +332,18 @@
 	}
 }
 
+func (s *State) hear(h *wire.Heartbeat, from ident.Member, addr string, now ident.Moment) {
+	if string(from) == s.Self.Id {
+		return
+	}
+	if c := s.cards[from]; c != nil && c.Addr == addr {
+		s.heard[from] = now
+	}
+	if h.Whole != s.whole() {
+		s.send(addr, s.heartbeat())
+	}
+}
+
 func (s *State) differ(sums []uint64) *wire.Table {
 	t := &wire.Table{}
 	for i := 0; i < Parts && i < len(sums); i++ {
@@ -359,9 +396,7 @@
 
 func (s *State) Leave(now ident.Moment) {
 	s.Update(func(c *wire.Card) { c.State = Left }, now)
-	for _, c := range s.WatchersOf(ident.Member(s.Self.Id)) {
-		s.send(c.Addr, s.heartbeat())
-	}
+	s.pulse(true)
 }
 
 func (s *State) Flush() []wire.Send {
--- a/member/state_test.go
+++ b/member/state_test.go
@@ -6,16 +6,18 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"sloeturn/ident"
 	"sloeturn/wire"
 )
 
 type town struct {
-	all  map[string]*State
-	mute map[string]bool
-	now  ident.Moment
-	sent int
+	all   map[string]*State
+	mute  map[string]bool
+	now   ident.Moment
+	sent  int
+	bytes int
 }
 
 func newTown(n int) *town {
@@ -45,7 +47,8 @@
 					again = true
 					t.sent++
 					if h := m.Frame.GetHeartbeat(); h != nil {
-						to.Heartbeat(h, t.now)
+						t.bytes += proto.Size(m.Frame)
+						to.Heartbeat(h, t.all[a].Self.Id, a, t.now)
 					} else {
 						to.Table(m.Frame.GetTable(), a, t.now)
 					}
@@ -89,10 +92,26 @@
 func TestQuietTablesCostHeartbeatsOnly(t *testing.T) {
 	w := newTown(20)
 	w.run(5 * time.Second)
-	w.sent = 0
+	w.sent, w.bytes = 0, 0
 	w.run(5 * time.Second)
 	most := 20 * (Watchers*4 + 1) * 5
 	require.LessOrEqual(t, w.sent, most)
+	require.Less(t, w.bytes, 25*w.sent, "they say that nothing changed, and nothing else")
+}
+
+func TestAnOlderBuildIsToldTheWholeCard(t *testing.T) {
+	w := newTown(8)
+	w.all["a5"].Self.Brief = false
+	w.run(5 * time.Second)
+	for _, c := range w.all["a5"].WatchersOf("m5") {
+		require.True(t, c.Brief)
+	}
+	for _, a := range ident.Keys(w.all) {
+		w.all[a].pulse(false)
+		for _, m := range w.all[a].Flush() {
+			require.Equal(t, m.To == "a5", m.Frame.GetHeartbeat().Card != nil)
+		}
+	}
 }
 
 func TestANewLifeIsKnownWhateverTheClockSays(t *testing.T) {
