A peer that speaks is dialled at once; early stands last some 4 s

Cause: after a loss of power machines come back at different moments; a dial to one still down hangs 300 ms, though it may be back meanwhile (a holder heard of its cell 250 ms after the leader stood), and a voter that stood four times in vain then waited a whole election time. Change: a link whose peer opens one to us ends its hanging dial or pause and dials anew with the same frame. A recovered voter has 20 early times. Ruled out: a shorter connect wait: links of other sites may be slower.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -31,7 +31,7 @@
 	ElectSpread  = 500 * time.Millisecond
 	StandLeast   = 60 * time.Millisecond
 	StandSpread  = 240 * time.Millisecond
-	StandsMost   = 4
+	StandsMost   = 20
 	QuorumLost   = 1200 * time.Millisecond
 	FoundEvery   = 200 * time.Millisecond
 	SilentVoter  = 10 * time.Second
--- a/relay/state.go
+++ b/relay/state.go
@@ -25,6 +25,7 @@
 	CellTenure  = 1200 * time.Millisecond
 	CellFresh   = 1500 * time.Millisecond
 	EagerEvery  = 50 * time.Millisecond
+	EagerAsks   = 3
 	WholeEvery  = 8
 	Asleep      = 400 * time.Millisecond
 	Daze        = time.Second
@@ -373,7 +374,7 @@
 	s.askAt = now
 	if s.Control {
 		for _, t := range targets {
-			if !s.waits(t) {
+			if s.waits(t) < s.most() {
 				s.AskTo(t, now)
 			}
 		}
@@ -385,7 +386,9 @@
 			targets = targets[s.turn%len(targets):][:1]
 		}
 		for _, t := range targets {
-			s.AskTo(t, now)
+			if s.waits(t) < s.most() {
+				s.AskTo(t, now)
+			}
 		}
 		return
 	}
@@ -406,7 +409,7 @@
 	if len(path) == 0 {
 		return
 	}
-	if s.parent = path[s.climb%len(path)]; !s.waits(s.parent) {
+	if s.parent = path[s.climb%len(path)]; s.waits(s.parent) < s.most() {
 		s.AskTo(s.parent, now)
 	}
 }
@@ -427,13 +430,21 @@
 	}
 }
 
-func (s *State) waits(to string) bool {
+func (s *State) most() int {
+	if s.Eager {
+		return EagerAsks
+	}
+	return 1
+}
+
+func (s *State) waits(to string) int {
+	n := 0
 	for _, a := range s.asks {
 		if a.to == to && !a.late {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 func (s *State) Flush() []wire.Send {
--- a/wire/link.go
+++ b/wire/link.go
@@ -52,6 +52,7 @@
 	links map[string]*link
 	held  map[net.Conn]struct{}
 	ear   net.Listener
+	dial  func(done context.Context, to string) (net.Conn, error)
 	done  context.Context
 	stop  context.CancelFunc
 	Lost  atomic.Uint64
@@ -63,11 +64,17 @@
 	hub  *Hub
 	to   string
 	ring chan *Frame
+	up   chan struct{}
 }
 
 func (h *Hub) Open() error {
 	h.links = map[string]*link{}
 	h.held = map[net.Conn]struct{}{}
+	if h.dial == nil {
+		h.dial = func(done context.Context, to string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(done, "tcp", to)
+		}
+	}
 	h.done, h.stop = context.WithCancel(context.Background())
 	ear, err := net.Listen("tcp", h.Addr)
 	if err != nil {
@@ -130,6 +137,7 @@
 		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "from", g.From, "why", err)
 		return
 	}
+	h.rouse(g.Addr)
 	for {
 		f, err := ReadFrame(b)
 		if err != nil {
@@ -145,6 +153,18 @@
 	}
 }
 
+func (h *Hub) rouse(from string) {
+	h.lock.Lock()
+	l := h.links[from]
+	h.lock.Unlock()
+	if l != nil {
+		select {
+		case l.up <- struct{}{}:
+		default:
+		}
+	}
+}
+
 func spoken() (least, most uint32) {
 	if _, err := fmt.Sscanf(Speaks, "%d-%d", &least, &most); err != nil || least == 0 || least > most {
 		panic("wire: built with versions " + Speaks)
@@ -178,7 +198,7 @@
 	h.lock.Lock()
 	l := h.links[to]
 	if l == nil {
-		l = &link{hub: h, to: to, ring: make(chan *Frame, ringSize)}
+		l = &link{hub: h, to: to, ring: make(chan *Frame, ringSize), up: make(chan struct{}, 1)}
 		h.links[to] = l
 		go l.run()
 	}
@@ -206,6 +226,7 @@
 		select {
 		case <-h.done.Done():
 			return
+		case <-l.up:
 		case <-time.After(pause):
 		}
 	}
@@ -213,8 +234,7 @@
 
 func (l *link) serve(f *Frame) (stood bool) {
 	h := l.hub
-	dial := net.Dialer{Timeout: connectWait}
-	c, err := dial.DialContext(h.done, "tcp", l.to)
+	c, err := l.connect()
 	if err != nil {
 		h.Lost.Add(1 + uint64(l.flush()))
 		return false
@@ -266,6 +286,31 @@
 	}
 }
 
+func (l *link) connect() (net.Conn, error) {
+	select {
+	case <-l.up:
+	default:
+	}
+	for {
+		done, stop := context.WithTimeout(l.hub.done, connectWait)
+		over := make(chan bool, 1)
+		go func() {
+			select {
+			case <-l.up:
+				over <- true
+				stop()
+			case <-done.Done():
+				over <- false
+			}
+		}()
+		c, err := l.hub.dial(done, l.to)
+		stop()
+		if roused := <-over; err == nil || !roused {
+			return c, err
+		}
+	}
+}
+
 func (l *link) flush() int {
 	n := 0
 	for {
--- a/wire/link_test.go
+++ b/wire/link_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
@@ -72,3 +75,32 @@
 		require.Equal(t, "a", f.From, "an older build is told with each frame")
 	}
 }
+
+func TestAPeerThatSpeaksIsDialledAtOnce(t *testing.T) {
+	took := make(chan *Frame, 8)
+	hub := func(name string, dial func(context.Context, string) (net.Conn, error)) *Hub {
+		ear, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		h := &Hub{Name: name, Addr: ear.Addr().String(), Incarnation: 7, Log: log.NewNopLogger(), Take: func(f *Frame) { took <- f }, dial: dial}
+		ear.Close()
+		require.NoError(t, h.Open())
+		t.Cleanup(h.Close)
+		return h
+	}
+	var dials atomic.Int64
+	a := hub("a", func(done context.Context, to string) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			<-done.Done()
+			return nil, done.Err()
+		}
+		return (&net.Dialer{}).DialContext(done, "tcp", to)
+	})
+	b := hub("b", nil)
+	start := time.Now()
+	a.Send(b.Addr, &Frame{Body: &Frame_Ask{Ask: &Ask{Token: 9}}})
+	time.Sleep(20 * time.Millisecond)
+	b.Send(a.Addr, &Frame{Body: &Frame_Ask{Ask: &Ask{Token: 5}}})
+	seen := []uint64{(<-took).GetAsk().Token, (<-took).GetAsk().Token}
+	require.ElementsMatch(t, []uint64{9, 5}, seen, "what was to be sent is not lost")
+	require.Less(t, time.Since(start), 200*time.Millisecond)
+}
