A disk that refused is written again: the ring goes back to its last sync and owes the rest

The ring keeps a mark at each sync. A failed write takes it back there, the records not kept are owed and written first next time, at the same places with the same numbers, so a torn try reads as torn. Ruled out: opening the ring anew (reads 12 MB, and must be matched with what the reducer remembers); ending the process (a start per try).

--- a/control/node.go
+++ b/control/node.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"sloeturn/agreement"
+	"sloeturn/boot"
 	"sloeturn/duty"
 	"sloeturn/ident"
 	"sloeturn/ledger"
@@ -20,8 +21,9 @@
 )
 
 const (
-	stallAfter = 300 * time.Millisecond
-	calmPause  = 20 * time.Millisecond
+	stallAfter  = 300 * time.Millisecond
+	calmPause   = 20 * time.Millisecond
+	insistEvery = 200 * time.Millisecond
 )
 
 var ErrStart = merry.Sentinel("control: cannot start")
@@ -147,7 +149,7 @@
 		list := n.disk
 		n.disk = nil
 		n.lock.Unlock()
-		if len(list) == 0 || n.dead.Load() {
+		if len(list) == 0 {
 			continue
 		}
 		var recs []*wire.Record
@@ -158,11 +160,8 @@
 		n.busy.Store(int64(start))
 		err := n.ring.Write(recs)
 		n.busy.Store(0)
-		if err != nil {
-			level.Error(n.Log).Log("part", "ring", "msg", "The disk failed; this voter no longer answers.", "why", err)
-			n.dead.Store(true)
-			n.Put(Disk{true})
-			continue
+		if err != nil && !n.insist(err) {
+			return
 		}
 		took := int64(ident.Now().Sub(start))
 		n.Slow.Store(max(n.Slow.Load(), took))
@@ -171,6 +170,23 @@
 	}
 }
 
+func (n *Node) insist(err error) bool {
+	level.Error(n.Log).Log("part", "ring", "msg", "The disk refuses; this voter does not answer until it writes again.", "why", boot.Why(err))
+	n.dead.Store(true)
+	n.Put(Disk{true})
+	for err != nil {
+		select {
+		case <-n.ended:
+			return false
+		case <-time.After(insistEvery):
+		}
+		err = n.ring.Write(nil)
+	}
+	n.dead.Store(false)
+	level.Info(n.Log).Log("part", "ring", "msg", "The disk writes again.")
+	return true
+}
+
 func (n *Node) watch() {
 	t := time.NewTicker(100 * time.Millisecond)
 	defer t.Stop()
--- a/control/shelf_test.go
+++ b/control/shelf_test.go
@@ -155,8 +155,8 @@
 	doc, err := proto.Marshal(&wire.Shelf{Cells: []*wire.CellKept{k}})
 	require.NoError(t, err)
 	d := newDesk(t, 3, doc, nil)
-	d.Members.Heartbeat(&wire.Heartbeat{Card: &wire.Card{Id: "other", Addr: "127.0.0.1:2", Role: 2}}, d.now)
-	d.Members.Heartbeat(&wire.Heartbeat{Card: &wire.Card{Id: "node", Addr: "127.0.0.1:3", Role: 1}}, d.now)
+	d.Members.Heartbeat(&wire.Heartbeat{Card: &wire.Card{Id: "other", Addr: "127.0.0.1:2", Role: 2}}, "other", "127.0.0.1:2", d.now)
+	d.Members.Heartbeat(&wire.Heartbeat{Card: &wire.Card{Id: "node", Addr: "127.0.0.1:3", Role: 1}}, "node", "127.0.0.1:3", d.now)
 	require.Empty(t, d.answer("127.0.0.1:3", &wire.Ask{}, d.now).Cells)
 	got := d.answer("127.0.0.1:2", &wire.Ask{}, d.now).Cells
 	require.Len(t, got, 1)
--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -66,6 +66,7 @@
 	live   uint64
 	synced uint64
 	vow    *wire.Vow
+	owed   []*wire.Record
 	Torn   bool
 }
 
@@ -264,28 +265,65 @@
 	}
 }
 
+type mark struct {
+	at        int
+	off       int64
+	lsn, live uint64
+	heads     [][2]uint64
+}
+
+func (r *Ring) mark() mark {
+	m := mark{at: r.at, off: r.off, lsn: r.lsn, live: r.live}
+	for _, s := range r.slots {
+		m.heads = append(m.heads, [2]uint64{s.seq, s.first})
+	}
+	return m
+}
+
+func (r *Ring) back(m mark) {
+	r.at, r.off, r.lsn, r.live = m.at, m.off, m.lsn, m.live
+	for i, s := range r.slots {
+		s.seq, s.first = m.heads[i][0], m.heads[i][1]
+	}
+}
+
+// Write puts the records on disk, synced. After an error the ring stands where it was last synced,
+// and the next Write, of no records even, writes first what this one owes.
 func (r *Ring) Write(recs []*wire.Record) error {
-	for _, rec := range recs {
+	recs = append(r.owed, recs...)
+	r.owed = nil
+	m := r.mark()
+	kept, err := r.write(recs, &m)
+	if err != nil {
+		r.back(m)
+		r.owed = recs[kept:]
+	}
+	return err
+}
+
+func (r *Ring) write(recs []*wire.Record, m *mark) (kept int, err error) {
+	for i, rec := range recs {
 		if v := rec.GetVow(); v != nil {
 			r.vow = v
 		}
 		from := r.lsn
 		if err := r.put(rec); err != nil {
-			return err
+			return kept, err
 		}
 		if rec.GetSnap() != nil {
 			if r.vow != nil {
 				if err := r.put(&wire.Record{Body: &wire.Record_Vow{Vow: r.vow}}); err != nil {
-					return err
+					return kept, err
 				}
 			}
 			if err := r.sync(); err != nil {
-				return err
+				return kept, err
 			}
 			r.live = from
+			*m, kept = r.mark(), i+1
 		}
 	}
-	return r.sync()
+	return kept, r.sync()
 }
 
 func (r *Ring) put(rec *wire.Record) error {
--- a/ringfile/ring_test.go
+++ b/ringfile/ring_test.go
@@ -143,3 +143,81 @@
 	d["ring-00"].full = true
 	require.ErrorIs(t, r.Write([]*wire.Record{vow(2)}), ErrWrite)
 }
+
+type moody struct {
+	Folder
+	left *int
+}
+
+type sulky struct {
+	File
+	left *int
+}
+
+func (m moody) Open(name string, size int64) (File, error) {
+	f, err := m.Folder.Open(name, size)
+	return &sulky{f, m.left}, err
+}
+
+func (s *sulky) spent() error {
+	if *s.left--; *s.left < 0 {
+		return fmt.Errorf("no space left")
+	}
+	return nil
+}
+
+func (s *sulky) WriteAt(b []byte, off int64) (int, error) {
+	if err := s.spent(); err != nil {
+		return 0, err
+	}
+	return s.File.WriteAt(b, off)
+}
+
+func (s *sulky) Sync() error {
+	if err := s.spent(); err != nil {
+		return err
+	}
+	return s.File.Sync()
+}
+
+func TestAfterADiskRefusedTheNextWriteOwesWhatWasNotKept(t *testing.T) {
+	for seed := int64(0); seed < 300; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		d := memDir{}
+		left := 1 << 30
+		ring, _, err := Open(moody{d, &left}, 4, 4096)
+		require.NoError(t, err)
+		require.NoError(t, ring.Write([]*wire.Record{snap(1, 10), vow(1)}))
+		last, base := uint64(1), uint64(1)
+		for step := 0; step < 40; step++ {
+			var recs []*wire.Record
+			for range 1 + r.Intn(3) {
+				last++
+				recs = append(recs, entry(last, r.Intn(900)))
+			}
+			if r.Intn(4) == 0 || last-base > 5 {
+				recs, base = append(recs, snap(last, 20)), last
+			}
+			if r.Intn(2) == 0 {
+				left = r.Intn(8)
+			}
+			err := ring.Write(recs)
+			for n := 0; err != nil; n++ {
+				if left = r.Intn(6); n > 20 {
+					left = 1 << 30
+				}
+				err = ring.Write(nil)
+			}
+			left = 1 << 30
+			d.powerLoss(r)
+			var got *agreement.Recovered
+			ring, got, err = Open(moody{d, &left}, 4, 4096)
+			require.NoError(t, err, "seed %d step %d", seed, step)
+			top := got.Snap.LastIndex
+			if n := len(got.Entries); n > 0 {
+				top = got.Entries[n-1].Index
+			}
+			require.Equal(t, last, top, "seed %d step %d", seed, step)
+		}
+	}
+}
