--- a/data/front.go
+++ b/data/front.go
@@ -1,6 +1,7 @@
 package data
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -64,6 +65,23 @@
 	return strings.ToLower(h)
 }
 
+func placeOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		path, _, _ := strings.Cut(r.RequestURI, "?")
+		return path
+	}
+	return r.URL.EscapedPath()
+}
+
+func (k *call) words(req *http.Request) ([]byte, error) {
+	var b bytes.Buffer
+	if err := req.Write(&b); err != nil || k.Dialect == nil || !strings.HasPrefix(k.req.RequestURI, "/") {
+		return b.Bytes(), err
+	}
+	_, rest, _ := bytes.Cut(b.Bytes(), []byte("\r\n"))
+	return append([]byte(req.Method+" "+k.req.RequestURI+" HTTP/1.1\r\n"), rest...), nil
+}
+
 func (d *Dialect) left(r *http.Request, most time.Duration) (time.Duration, bool) {
 	s := r.Header.Get(d.Left)
 	if s == "" {
@@ -83,14 +101,14 @@
 		n.decline(w, forward.Answer{Status: status, Ran: forward.RanNo, Reason: why, RetryAfter: back})
 	}
 	if view.desired == nil {
-		no(503, "no desired state read yet", 500*time.Millisecond)
+		no(503, "no desired state read yet", n.early(start))
 		return
 	}
 	if l := view.desired.Limits; l != nil && l.Head > 0 && headSize(r) > l.Head {
 		no(431, "head too large", 0)
 		return
 	}
-	path := r.URL.EscapedPath()
+	path := placeOf(r)
 	route := view.desired.Find(hostOf(r), path)
 	if route == nil {
 		no(404, "no route to this place", 0)
@@ -131,6 +149,10 @@
 	n.take(w, k, forward.Arrival{Visit: id, Lane: lane.Name, Rule: lane, Arrived: ident.Now(), Expiry: start.Add(left)}, view.gen)
 }
 
+func (n *Node) early(now ident.Moment) time.Duration {
+	return ComeBack(strconv.FormatUint(n.dice(), 10), now.Sub(n.State.born))
+}
+
 func (n *Node) dice() uint64 {
 	return ident.Hash(string(n.State.Member), strconv.FormatUint(n.count.Add(1), 10))
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -25,6 +25,7 @@
 	CellTenure  = 1200 * time.Millisecond
 	CellFresh   = 1500 * time.Millisecond
 	EagerEvery  = 50 * time.Millisecond
+	EagerAsks   = 3
 	WholeEvery  = 8
 	Asleep      = 400 * time.Millisecond
 	Daze        = time.Second
@@ -54,6 +55,7 @@
 	token    uint64
 	took     time.Duration
 	askAt    ident.Moment
+	turn     int
 	climb    int
 	climbAt  ident.Moment
 	ringRev  uint64
@@ -214,6 +216,8 @@
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: a}}})
 }
 
+func (s *State) Hasten() { s.askAt = 0 }
+
 func (s *State) cellNames() []ident.Cell {
 	return ident.Keys(s.Cells)
 }
@@ -370,7 +374,19 @@
 	s.askAt = now
 	if s.Control {
 		for _, t := range targets {
-			if !s.waits(t) {
+			if s.waits(t) < s.most() {
+				s.AskTo(t, now)
+			}
+		}
+		return
+	}
+	if s.Eager && len(targets) > 0 {
+		if s.CoreKnown {
+			s.turn++
+			targets = targets[s.turn%len(targets):][:1]
+		}
+		for _, t := range targets {
+			if s.waits(t) < s.most() {
 				s.AskTo(t, now)
 			}
 		}
@@ -393,7 +409,7 @@
 	if len(path) == 0 {
 		return
 	}
-	if s.parent = path[s.climb%len(path)]; !s.waits(s.parent) {
+	if s.parent = path[s.climb%len(path)]; s.waits(s.parent) < s.most() {
 		s.AskTo(s.parent, now)
 	}
 }
@@ -414,13 +430,21 @@
 	}
 }
 
-func (s *State) waits(to string) bool {
+func (s *State) most() int {
+	if s.Eager {
+		return EagerAsks
+	}
+	return 1
+}
+
+func (s *State) waits(to string) int {
+	n := 0
 	for _, a := range s.asks {
 		if a.to == to && !a.late {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 func (s *State) Flush() []wire.Send {
--- a/wire/link.go
+++ b/wire/link.go
@@ -24,6 +24,7 @@
 	connectWait = 300 * time.Millisecond
 	writeWait   = 2 * time.Second
 	redialPause = 100 * time.Millisecond
+	redialLeast = 10 * time.Millisecond
 )
 
 var Speaks = "2-2"
@@ -51,6 +52,7 @@
 	links map[string]*link
 	held  map[net.Conn]struct{}
 	ear   net.Listener
+	dial  func(done context.Context, to string) (net.Conn, error)
 	done  context.Context
 	stop  context.CancelFunc
 	Lost  atomic.Uint64
@@ -62,11 +64,17 @@
 	hub  *Hub
 	to   string
 	ring chan *Frame
+	up   chan struct{}
 }
 
 func (h *Hub) Open() error {
 	h.links = map[string]*link{}
 	h.held = map[net.Conn]struct{}{}
+	if h.dial == nil {
+		h.dial = func(done context.Context, to string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(done, "tcp", to)
+		}
+	}
 	h.done, h.stop = context.WithCancel(context.Background())
 	ear, err := net.Listen("tcp", h.Addr)
 	if err != nil {
@@ -129,6 +137,7 @@
 		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "from", g.From, "why", err)
 		return
 	}
+	h.rouse(g.Addr)
 	for {
 		f, err := ReadFrame(b)
 		if err != nil {
@@ -144,6 +153,18 @@
 	}
 }
 
+func (h *Hub) rouse(from string) {
+	h.lock.Lock()
+	l := h.links[from]
+	h.lock.Unlock()
+	if l != nil {
+		select {
+		case l.up <- struct{}{}:
+		default:
+		}
+	}
+}
+
 func spoken() (least, most uint32) {
 	if _, err := fmt.Sscanf(Speaks, "%d-%d", &least, &most); err != nil || least == 0 || least > most {
 		panic("wire: built with versions " + Speaks)
@@ -177,7 +198,7 @@
 	h.lock.Lock()
 	l := h.links[to]
 	if l == nil {
-		l = &link{hub: h, to: to, ring: make(chan *Frame, ringSize)}
+		l = &link{hub: h, to: to, ring: make(chan *Frame, ringSize), up: make(chan struct{}, 1)}
 		h.links[to] = l
 		go l.run()
 	}
@@ -191,6 +212,7 @@
 
 func (l *link) run() {
 	h := l.hub
+	pause := redialLeast
 	for {
 		var f *Frame
 		select {
@@ -198,36 +220,38 @@
 			return
 		case f = <-l.ring:
 		}
-		l.serve(f)
+		if pause = min(2*pause, redialPause); l.serve(f) {
+			pause = redialLeast
+		}
 		select {
 		case <-h.done.Done():
 			return
-		case <-time.After(redialPause):
+		case <-l.up:
+		case <-time.After(pause):
 		}
 	}
 }
 
-func (l *link) serve(f *Frame) {
+func (l *link) serve(f *Frame) (stood bool) {
 	h := l.hub
-	dial := net.Dialer{Timeout: connectWait}
-	c, err := dial.DialContext(h.done, "tcp", l.to)
+	c, err := l.connect()
 	if err != nil {
 		h.Lost.Add(1 + uint64(l.flush()))
-		return
+		return false
 	}
 	h.keep(c)
 	defer h.drop(c)
 	c.SetDeadline(time.Now().Add(writeWait))
 	if WriteFrame(c, h.stamp(h.greet())) != nil {
-		return
+		return false
 	}
 	g, err := ReadFrame(c)
 	if err != nil || g.GetHello() == nil {
-		return
+		return false
 	}
 	if err := agree(g); err != nil {
 		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "to", l.to, "why", err)
-		return
+		return false
 	}
 	c.SetDeadline(time.Time{})
 	gone := make(chan struct{})
@@ -248,20 +272,45 @@
 		}
 		if err != nil {
 			h.Lost.Add(1)
-			return
+			return true
 		}
 		h.Sent.Add(1)
 		h.Bytes.Add(uint64(n))
 		select {
 		case <-h.done.Done():
-			return
+			return true
 		case <-gone:
-			return
+			return true
 		case f = <-l.ring:
 		}
 	}
 }
 
+func (l *link) connect() (net.Conn, error) {
+	select {
+	case <-l.up:
+	default:
+	}
+	for {
+		done, stop := context.WithTimeout(l.hub.done, connectWait)
+		over := make(chan bool, 1)
+		go func() {
+			select {
+			case <-l.up:
+				over <- true
+				stop()
+			case <-done.Done():
+				over <- false
+			}
+		}()
+		c, err := l.hub.dial(done, l.to)
+		stop()
+		if roused := <-over; err == nil || !roused {
+			return c, err
+		}
+	}
+}
+
 func (l *link) flush() int {
 	n := 0
 	for {
