--- a/data/start_test.go
+++ b/data/start_test.go
@@ -10,7 +10,7 @@
 	"sloeturn/wire"
 )
 
-func asked(list []any) (to []string) {
+func placesAsked(list []any) (to []string) {
 	for _, e := range list {
 		if m, ok := e.(wire.Send); ok && m.Frame.GetAsk() != nil {
 			to = append(to, m.To)
@@ -23,18 +23,18 @@
 	now := ident.Moment(1e12)
 	s := New(Boot{Member: "node", Addr: "10.0.0.9:1", Cell: "a", Incarnation: 4, Seeds: []ident.Addr{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}}, now)
 	s.Step(now, Tick{})
-	require.ElementsMatch(t, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, asked(s.Take()))
+	require.ElementsMatch(t, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, placesAsked(s.Take()))
 	n := 0
 	for i := 0; i < 21; i++ {
 		now = now.Add(5 * time.Millisecond)
 		s.Step(now, Tick{})
-		n += len(asked(s.Take()))
+		n += len(placesAsked(s.Take()))
 	}
 	require.Equal(t, 6, n)
 	for i := 0; i < 39; i++ {
 		now = now.Add(5 * time.Millisecond)
 		s.Step(now, Tick{})
-		n += len(asked(s.Take()))
+		n += len(placesAsked(s.Take()))
 	}
 	require.Equal(t, 6, n, "three asks without an answer, then none until one is late")
 	now = now.Add(time.Second)
@@ -46,7 +46,7 @@
 	for i := 0; i < 60; i++ {
 		now = now.Add(5 * time.Millisecond)
 		s.Step(now, Tick{})
-		n += len(asked(s.Take()))
+		n += len(placesAsked(s.Take()))
 	}
 	require.Equal(t, 6, n, "one at a time once the core is known")
 	for i := 0; i < 2000; i++ {
