A control process asks each other one for the cells that one holds

An ask now names the cells wanted and says that it wants no others: what the other holds by the core, and what is three asks old. Whoever does not know all cells that are held asks for all. Ruled out: slower asks, which would age what nodes decide on. Test seen failing.

--- a/control/state.go
+++ b/control/state.go
@@ -567,7 +567,7 @@
 	sort.Strings(names)
 	for _, c := range names {
 		h := s.active(ident.Cell(c), now)
-		if h == nil {
+		if h == nil || a.Only && have[c] == nil {
 			continue
 		}
 		n.Cells = append(n.Cells, h.sound.News(have[c], now))
--- a/relay/state.go
+++ b/relay/state.go
@@ -22,6 +22,7 @@
 	CellTenure = 1200 * time.Millisecond
 	CellFresh  = 1500 * time.Millisecond
 	WholeEvery = 8
+	Overdue    = 3 * AskEvery
 	Asleep     = 400 * time.Millisecond
 	Daze       = time.Second
 )
@@ -185,7 +186,25 @@
 	return out, all
 }
 
-func (s *State) AskTo(to string, now ident.Moment) {
+func (s *State) wanted(of ident.Member, now ident.Moment) (list []*wire.CellHave, only bool) {
+	holders := map[string]string{}
+	only = s.Control && of != "" && s.CoreKnown && len(s.Core.Holds) > 0
+	for _, h := range s.Core.GetHolds() {
+		holders[h.Cell] = h.Holder
+		k := s.Cells[ident.Cell(h.Cell)]
+		only = only && k != nil && k.Known
+	}
+	for _, c := range s.cellNames() {
+		k := s.Cells[c]
+		if holder := holders[string(c)]; only && holder != "" && holder != string(of) && now.Sub(k.AsOf) <= Overdue {
+			continue
+		}
+		list = append(list, k.Have())
+	}
+	return list, only
+}
+
+func (s *State) AskTo(to string, of ident.Member, now ident.Moment) {
 	s.token++
 	t := s.told[to]
 	if t == nil {
@@ -201,9 +220,7 @@
 	if s.CoreKnown {
 		a.Core = s.Core.Version
 	}
-	for _, k := range s.cellNames() {
-		a.Cells = append(a.Cells, s.Cells[k].Have())
-	}
+	a.Cells, a.Only = s.wanted(of, now)
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: a}}})
 }
 
@@ -296,7 +313,7 @@
 	}
 	for _, k := range s.cellNames() {
 		c := s.Cells[k]
-		if !c.Known {
+		if !c.Known || a.Only && have[string(k)] == nil {
 			continue
 		}
 		if h := have[string(k)]; h != nil && (h.Epoch > uint64(c.Epoch) || h.Epoch == uint64(c.Epoch) && h.Upto > c.Upto) {
@@ -359,8 +376,12 @@
 	}
 	s.askAt = now
 	if s.Control {
+		who := map[string]ident.Member{}
+		for _, c := range ring {
+			who[c.Addr] = ident.Member(c.Id)
+		}
 		for _, t := range targets {
-			s.AskTo(t, now)
+			s.AskTo(t, who[t], now)
 		}
 		return
 	}
@@ -382,7 +403,7 @@
 		return
 	}
 	s.parent = path[s.climb%len(path)]
-	s.AskTo(s.parent, now)
+	s.AskTo(s.parent, "", now)
 }
 
 func (s *State) Flush() []wire.Send {
--- a/relay/state_test.go
+++ b/relay/state_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sloeturn/cell"
 	"sloeturn/ident"
 	"sloeturn/member"
 	"sloeturn/wire"
@@ -57,7 +58,7 @@
 	now := ident.Moment(1e9)
 	round := func(lost bool) []string {
 		now = now.Add(AskEvery)
-		a.AskTo("b:1", now)
+		a.AskTo("b:1", "", now)
 		q := a.Flush()[0].Frame.GetAsk()
 		var told []string
 		for _, c := range q.Confirms {
@@ -93,3 +94,50 @@
 	a.TakeCore(&wire.Core{Version: 1, Seats: []*wire.Seat{{Member: "a", Incarnation: 1}, {Member: "c", Incarnation: 2}}}, nil, 0, now)
 	require.Equal(t, []string{"a", "c"}, round(false), "seats changed hands")
 }
+
+func TestAControlProcessAsksEachForWhatItHolds(t *testing.T) {
+	now := ident.Moment(1e9)
+	s, other := New("h0", true), New("h1", true)
+	ring := []*wire.Card{{Id: "h0", Addr: "h0:1"}, {Id: "h1", Addr: "h1:1"}, {Id: "h2", Addr: "h2:1"}}
+	asked := func() map[string][]string {
+		now = now.Add(AskEvery)
+		s.Tick(ring, 0, []string{"h1:1", "h2:1"}, now)
+		out := map[string][]string{}
+		for _, m := range s.Flush() {
+			var cells []string
+			for _, c := range m.Frame.GetAsk().Cells {
+				cells = append(cells, c.Cell)
+			}
+			out[m.To] = cells
+			if n := other.Answer(m.Frame.GetAsk(), now); m.Frame.GetAsk().Only {
+				require.Len(t, n.Cells, len(cells))
+			} else {
+				require.Len(t, n.Cells, 3)
+			}
+		}
+		return out
+	}
+	news := func(s *State, cells ...string) {
+		for _, c := range cells {
+			if s.Cells[ident.Cell(c)] == nil {
+				s.Cells[ident.Cell(c)] = cell.NewCopy(ident.Cell(c))
+			}
+			n := &wire.CellNews{Cell: c, Epoch: 1}
+			for p := range cell.Parts {
+				n.Ranges = append(n.Ranges, &wire.Range{Part: uint32(p)})
+			}
+			require.True(t, s.Cells[ident.Cell(c)].Take(n, now))
+		}
+	}
+	news(other, "a", "b", "c")
+	s.TakeCore(&wire.Core{Version: 1, Holds: []*wire.Hold{{Cell: "a", Holder: "h0"}, {Cell: "b", Holder: "h1"}, {Cell: "c", Holder: "h2"}}}, nil, 0, now)
+	news(s, "a", "b")
+	require.Equal(t, map[string][]string{"h1:1": {"a", "b"}, "h2:1": {"a", "b"}}, asked(), "not all cells are known")
+	news(s, "a", "b", "c")
+	require.Equal(t, map[string][]string{"h1:1": {"b"}, "h2:1": {"c"}}, asked())
+	for range 3 {
+		news(s, "a", "b")
+		asked()
+	}
+	require.Equal(t, map[string][]string{"h1:1": {"b", "c"}, "h2:1": {"c"}}, asked(), "news of c is overdue")
+}
