--- a/data/http.go
+++ b/data/http.go
@@ -28,7 +28,8 @@
 	expiryMost   = 3600000
 	keyLimit     = 256
 	bodyPatience = 2 * time.Second
-	Patience     = forward.GiveUp + 10*time.Millisecond
+	slack        = 10 * time.Millisecond
+	Patience     = forward.GiveUp + slack
 )
 
 type verdict struct {
@@ -161,7 +162,7 @@
 	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), lanePath), "/")
 	if view.desired == nil {
-		no(503, "no desired state read yet", 2*time.Second)
+		no(503, "no desired state read yet", n.early(start))
 		return
 	}
 	lane := view.desired.Lanes[ident.Lane(name)]
@@ -236,7 +237,7 @@
 		no("node busy", time.Second)
 		return
 	}
-	late := time.NewTimer(Patience)
+	late := time.NewTimer(forward.Patience(k.lane) + slack)
 	defer late.Stop()
 	for {
 		select {
--- a/data/state.go
+++ b/data/state.go
@@ -26,8 +26,14 @@
 	OutcomeWait  = 10 * time.Second
 	AnnounceWait = time.Second
 	DrainGrace   = 2500 * time.Millisecond
+	SignOffWait  = 1500 * time.Millisecond
 	WarmWait     = 6 * time.Second
 	WantEvery    = 500 * time.Millisecond
+	EagerFor     = 5 * time.Second
+	StartFor     = 400 * time.Millisecond
+	YoungFor     = 1500 * time.Millisecond
+	BackLeast    = 100 * time.Millisecond
+	BackSpread   = 250 * time.Millisecond
 )
 
 type (
@@ -187,17 +193,20 @@
 	draining     bool
 	drainAt      ident.Moment
 	signedOff    bool
+	signedAt     ident.Moment
 	freeing      bool
 	gone         bool
+	born         ident.Moment
 	out          []any
 	now          ident.Moment
 }
 
 func New(b Boot, now ident.Moment) *State {
-	s := &State{Boot: b, bars: map[ident.Addr]bar{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}}
+	s := &State{Boot: b, bars: map[ident.Addr]bar{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}, born: now}
 	s.Pass = pass.New()
 	s.Pass.Salt = string(b.Member)
 	s.State = forward.New(s.Pass, s.gate)
+	s.Back = func(visit string) time.Duration { return s.back(visit, s.now) }
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Data, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, false)
 	s.Relay.Terms(b.Tenure, b.Stale)
@@ -249,13 +258,46 @@
 	if len(s.Relay.Cells) > 0 {
 		return "all cells' news stale"
 	}
+	if len(s.Relay.Core.Holds) > 0 {
+		return "no cell's news read yet"
+	}
 	return ""
 }
 
+func (s *State) back(visit string, now ident.Moment) time.Duration {
+	if why := s.Unready(now); now.Sub(s.born) > YoungFor && (why == "" || why == "draining") {
+		return 0
+	}
+	return ComeBack(visit, now.Sub(s.born))
+}
+
+func ComeBack(visit string, age time.Duration) time.Duration {
+	return max(BackLeast, StartFor-age) + time.Duration(ident.Hash(visit)%uint64(BackSpread))
+}
+
+func (s *State) Eager(now ident.Moment) bool {
+	return now.Sub(s.born) < EagerFor && !s.draining && !s.whole(now)
+}
+
+func (s *State) whole(now ident.Moment) bool {
+	for _, h := range s.Relay.Core.GetHolds() {
+		if !s.Relay.CellFresh(ident.Cell(h.Cell), now) {
+			return false
+		}
+	}
+	return s.ready
+}
+
 func (s *State) Why(now ident.Moment) string {
-	if why := s.Unready(now); why != "" || s.warm {
+	if why := s.Unready(now); why != "" {
 		return why
 	}
+	if now.Sub(s.Relay.CoreAsOf) >= s.Relay.Tenure {
+		return "out of touch; serves on old news"
+	}
+	if s.warm {
+		return ""
+	}
 	return "no backend proven yet"
 }
 
@@ -425,6 +467,7 @@
 	switch t := tag.(type) {
 	case seatTag:
 		s.asking = false
+		s.Relay.Hasten()
 	case claimTag:
 		s.Claimed(t.visit, ledger.Code(r.Code), r.Status, now)
 	case freeTag:
@@ -484,11 +527,14 @@
 		}
 	}
 	targets := heads
-	if len(targets) == 0 {
+	if len(targets) == 0 || !s.Relay.CoreKnown {
 		for _, a := range s.Seeds {
-			targets = append(targets, string(a))
+			if !slices.Contains(targets, string(a)) {
+				targets = append(targets, string(a))
+			}
 		}
 	}
+	s.Relay.Eager = s.Eager(now)
 	s.Relay.Tick(s.Members.Ring(), s.ringKey(), targets, now)
 	s.refresh(now)
 	s.takeSeat(heads, now)
@@ -733,7 +779,7 @@
 		}
 		g := s.guards[a]
 		_, barred := s.bars[a]
-		list = append(list, pass.Backend{Addr: a, Service: ident.Service(e.Service), Life: e.Incarnation, Cell: e.cell.Cell, Near: e.cell.Cell == s.Cell, Barred: barred || !s.named(ident.Service(e.Service)) && (g == nil || !g.up || g.life != e.Incarnation)})
+		list = append(list, pass.Backend{Addr: a, Service: ident.Service(e.Service), Life: e.Incarnation, Cell: e.cell.Cell, Slots: int(e.Slots), Near: e.cell.Cell == s.Cell, Barred: barred || !s.named(ident.Service(e.Service)) && (g == nil || !g.up || g.life != e.Incarnation)})
 		key := string(e.cell.Cell) + " " + e.Service
 		work := int(min(e.Work, cell.SlotLimit))
 		groups[key] = append(groups[key], cell.Share{Addr: a, Work: work})
@@ -854,7 +900,7 @@
 		return
 	}
 	if s.Open() == 0 && now.Sub(s.drainAt) > DrainGrace && !s.signedOff {
-		s.signedOff = true
+		s.signedOff, s.signedAt = true, now
 		s.rev = 0
 		s.out = append(s.out, Shed{map[ident.Addr]string{}}, Note{"All visits have ended."})
 		s.refresh(now)
@@ -867,6 +913,10 @@
 			s.Mail.Post(&wire.Change{Body: &wire.Change_SeatFree{SeatFree: &wire.SeatFree{Seat: s.seat.Seat, Member: s.seat.Member, Incarnation: s.seat.Incarnation, Reason: "sign-off"}}}, now.Add(SeatWait), freeTag{}, heads, now)
 		}
 	}
+	if s.signedOff && !s.gone && s.Pass.Held() == 0 && now.Sub(s.signedAt) > SignOffWait {
+		s.gone = true
+		s.out = append(s.out, Note{"Nobody heard the sign-off; the seat stays with this address."})
+	}
 	if s.gone {
 		s.Members.Leave(now)
 		s.out = append(s.out, Note{"Signed off."}, Exit{})
@@ -887,7 +937,9 @@
 			s.Mail.Post(&wire.Change{Body: &wire.Change_Outcome{Outcome: &wire.Outcome{Key: e.Visit.Arrival.Key, Visit: string(e.Visit.Visit), Status: uint32(e.Status)}}}, now.Add(OutcomeWait), otherTag{}, heads, now)
 		case forward.Bar:
 			if e.Ask && s.namedAt(e.Addr) {
-				s.Pass.Unbar(e.Addr)
+				if _, barred := s.bars[e.Addr]; !barred {
+					s.Pass.Unbar(e.Addr)
+				}
 				continue
 			}
 			s.bar(e.Addr, e.Ask)
--- a/relay/state.go
+++ b/relay/state.go
@@ -12,19 +12,24 @@
 )
 
 const (
-	AskEvery   = 150 * time.Millisecond
-	AskWait    = 300 * time.Millisecond
-	Roots      = 2
-	Fan        = 4
-	ClimbFor   = 5 * time.Second
-	PoorAge    = time.Second
-	CoreTenure = 5 * time.Second
-	CellTenure = 1200 * time.Millisecond
-	CellFresh  = 1500 * time.Millisecond
-	WholeEvery = 8
-	Overdue    = 3 * AskEvery
-	Asleep     = 400 * time.Millisecond
-	Daze       = time.Second
+	AskEvery    = 150 * time.Millisecond
+	AskWait     = 300 * time.Millisecond
+	AskPatience = 2 * time.Second
+	AskKept     = 5 * time.Second
+	FirstTook   = 150 * time.Millisecond
+	Roots       = 2
+	Fan         = 4
+	ClimbFor    = 5 * time.Second
+	PoorAge     = time.Second
+	CoreTenure  = 5 * time.Second
+	CellTenure  = 1200 * time.Millisecond
+	CellFresh   = 1500 * time.Millisecond
+	EagerEvery  = 50 * time.Millisecond
+	EagerAsks   = 3
+	WholeEvery  = 8
+	Overdue     = 3 * AskEvery
+	Asleep      = 400 * time.Millisecond
+	Daze        = time.Second
 )
 
 type State struct {
@@ -32,6 +37,7 @@
 	Control bool
 	Tenure  time.Duration
 	Stale   time.Duration
+	Eager   bool
 
 	Core      *wire.Core
 	CoreAsOf  ident.Moment
@@ -48,7 +54,9 @@
 	told     map[string]*told
 	asks     map[uint64]ask
 	token    uint64
+	took     time.Duration
 	askAt    ident.Moment
+	turn     int
 	climb    int
 	climbAt  ident.Moment
 	ringRev  uint64
@@ -65,6 +73,7 @@
 	to   string
 	upto uint64
 	all  int
+	late bool
 }
 
 type told struct {
@@ -73,7 +82,7 @@
 }
 
 func New(self ident.Member, control bool) *State {
-	return &State{Self: self, Control: control, Tenure: CoreTenure, Stale: CoreTenure, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}}
+	return &State{Self: self, Control: control, Tenure: CoreTenure, Stale: CoreTenure, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, took: FirstTook}
 }
 
 func (s *State) Revision() uint64 {
@@ -215,7 +224,7 @@
 		t.upto = 0
 	}
 	confirms, all := s.list(t.upto)
-	s.asks[s.token] = ask{now, to, s.changes, all}
+	s.asks[s.token] = ask{at: now, to: to, upto: s.changes, all: all}
 	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: confirms}
 	if s.CoreKnown {
 		a.Core = s.Core.Version
@@ -224,6 +233,8 @@
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: a}}})
 }
 
+func (s *State) Hasten() { s.askAt = 0 }
+
 func (s *State) cellNames() []ident.Cell {
 	return ident.Keys(s.Cells)
 }
@@ -264,12 +275,13 @@
 	return true
 }
 
-func (s *State) News(n *wire.News, from string, now ident.Moment) {
+func (s *State) News(n *wire.News, from string, now ident.Moment) bool {
 	a, ok := s.asks[n.Token]
 	if !ok || a.to != from {
-		return
+		return false
 	}
 	delete(s.asks, n.Token)
+	s.took += (now.Sub(a.at) - s.took) / 4
 	if t := s.told[from]; t != nil {
 		if t.upto = max(t.upto, a.upto); int(n.Heard) < a.all {
 			t.upto = 0
@@ -291,8 +303,13 @@
 			k = cell.NewCopy(ident.Cell(c.Cell))
 			s.Cells[k.Cell] = k
 		}
+		if c.Old {
+			k.Remember(c)
+			continue
+		}
 		k.Take(c, a.at.Add(-time.Duration(max(0, c.AgeNs))))
 	}
+	return true
 }
 
 func (s *State) Answer(a *wire.Ask, now ident.Moment) *wire.News {
@@ -363,15 +380,12 @@
 }
 
 func (s *State) Tick(ring []*wire.Card, rev uint64, targets []string, now ident.Moment) {
-	for t, a := range s.asks {
-		if now.Sub(a.at) > AskWait {
-			delete(s.asks, t)
-			if a.to == s.parent {
-				s.poor = true
-			}
-		}
+	s.overdue(now)
+	every := AskEvery
+	if s.Eager {
+		every = EagerEvery
 	}
-	if now.Sub(s.askAt) < AskEvery {
+	if now.Sub(s.askAt) < every {
 		return
 	}
 	s.askAt = now
@@ -381,7 +395,21 @@
 			who[c.Addr] = ident.Member(c.Id)
 		}
 		for _, t := range targets {
-			s.AskTo(t, who[t], now)
+			if s.waits(t) < s.most() {
+				s.AskTo(t, who[t], now)
+			}
+		}
+		return
+	}
+	if s.Eager && len(targets) > 0 {
+		if s.CoreKnown {
+			s.turn++
+			targets = targets[s.turn%len(targets):][:1]
+		}
+		for _, t := range targets {
+			if s.waits(t) < s.most() {
+				s.AskTo(t, "", now)
+			}
 		}
 		return
 	}
@@ -402,8 +430,42 @@
 	if len(path) == 0 {
 		return
 	}
-	s.parent = path[s.climb%len(path)]
-	s.AskTo(s.parent, "", now)
+	if s.parent = path[s.climb%len(path)]; s.waits(s.parent) < s.most() {
+		s.AskTo(s.parent, "", now)
+	}
+}
+
+func (s *State) overdue(now ident.Moment) {
+	wait := min(max(AskWait, 4*s.took), AskPatience)
+	for t, a := range s.asks {
+		switch {
+		case now.Sub(a.at) > AskKept:
+			delete(s.asks, t)
+		case !a.late && now.Sub(a.at) > wait:
+			a.late = true
+			s.asks[t] = a
+			if a.to == s.parent {
+				s.poor = true
+			}
+		}
+	}
+}
+
+func (s *State) most() int {
+	if s.Eager {
+		return EagerAsks
+	}
+	return 1
+}
+
+func (s *State) waits(to string) int {
+	n := 0
+	for _, a := range s.asks {
+		if a.to == to && !a.late {
+			n++
+		}
+	}
+	return n
 }
 
 func (s *State) Flush() []wire.Send {
--- a/relay/state_test.go
+++ b/relay/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -109,6 +110,7 @@
 				cells = append(cells, c.Cell)
 			}
 			out[m.To] = cells
+			s.News(&wire.News{Token: m.Frame.GetAsk().Token}, m.To, now)
 			if n := other.Answer(m.Frame.GetAsk(), now); m.Frame.GetAsk().Only {
 				require.Len(t, n.Cells, len(cells))
 			} else {
@@ -141,3 +143,28 @@
 	}
 	require.Equal(t, map[string][]string{"h1:1": {"b", "c"}, "h2:1": {"c"}}, asked(), "news of c is overdue")
 }
+
+func TestAnAskIsWaitedForAndItsSlowAnswerStillCounts(t *testing.T) {
+	now := ident.Moment(1e9)
+	s := New("n", false)
+	asked := func() (out []*wire.Ask) {
+		for _, m := range s.Flush() {
+			out = append(out, m.Frame.GetAsk())
+		}
+		return out
+	}
+	s.Tick(nil, 1, []string{"p"}, now)
+	first := asked()[0]
+	for range 3 {
+		now = now.Add(AskEvery)
+		s.Tick(nil, 1, []string{"p"}, now)
+	}
+	require.Empty(t, asked(), "a second whole answer is asked for while the first is on its way")
+	now = now.Add(2 * time.Second)
+	s.Tick(nil, 1, []string{"p"}, now)
+	require.Len(t, asked(), 1)
+	s.News(&wire.News{Token: first.Token, HasCore: true, Core: &wire.Core{Version: 3}}, "p", now)
+	require.True(t, s.CoreKnown)
+	require.Equal(t, uint64(3), s.Core.Version)
+	require.Equal(t, ident.Moment(1e9), s.CoreAsOf)
+}
