A tick that changes nothing does little

Cause: each tick (40 a second at a node, 50 at a control process) built a text of what is fresh, cloned and compared its own card, listed the control processes, hashed the ring, made a confirmation, sorted every backend and copied each held cell's news to itself. The list of control processes and the ring's number are kept with the ring; freshness is a value; a card is cloned when it changes; a held cell's copy stands while nothing is newer. The tests of the reducers are unchanged.

--- a/cell/state.go
+++ b/cell/state.go
@@ -141,6 +141,8 @@
 	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}, ended: map[ident.Addr]ending{}, pulse: 1}
 }
 
+func (s *Soundness) Pulse() uint64 { return s.pulse }
+
 func (s *Soundness) Upto() uint64 { return s.ver }
 
 func Part(addr string) int { return int(ident.Hash(addr) % Parts) }
@@ -345,6 +347,13 @@
 			delete(s.ended, a)
 		}
 	}
+	due := false
+	for _, b := range s.table {
+		due = due || now.Sub(b.Heard) > BeatSilence || Work(b, now) != b.Work
+	}
+	if !due {
+		return
+	}
 	for _, b := range s.Lines() {
 		if now.Sub(b.Heard) > BeatSilence {
 			s.drop(b.Addr)
@@ -457,6 +466,8 @@
 	rev   uint64
 	asks  int
 
+	rollSum uint64
+
 	Turns  uint64
 	Leaves uint64
 }
@@ -518,8 +529,8 @@
 		c.rev++
 	}
 	c.Upto = max(c.Upto, n.Upto)
-	if r := (Roll{n.Nodes, n.Wants}); !n.NodesSame && r.Sum() != c.Roll.Sum() {
-		c.Roll = r
+	if r := (Roll{n.Nodes, n.Wants}); !n.NodesSame && r.Sum() != c.sumOfRoll() {
+		c.Roll, c.rollSum = r, r.Sum()
 		c.rev++
 	}
 	c.Pulse = max(c.Pulse, n.Pulse)
@@ -527,6 +538,17 @@
 	return true
 }
 
+func (c *Copy) sumOfRoll() uint64 {
+	if c.rollSum == 0 {
+		c.rollSum = c.Roll.Sum()
+	}
+	return c.rollSum
+}
+
+func (c *Copy) Stand(pulse uint64, asOf ident.Moment) {
+	c.Pulse, c.AsOf = max(c.Pulse, pulse), max(c.AsOf, asOf)
+}
+
 func (c *Copy) delta(n *wire.CellNews) {
 	for _, g := range n.Gone {
 		a := ident.Addr(g.Addr)
@@ -610,7 +632,7 @@
 const WholeEvery = 16
 
 func (c *Copy) Have() *wire.CellHave {
-	h := &wire.CellHave{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Upto: c.Upto, NodesSum: c.Roll.Sum()}
+	h := &wire.CellHave{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Upto: c.Upto, NodesSum: c.sumOfRoll()}
 	if c.asks%WholeEvery == 0 || !c.Known {
 		h.Digests = c.Digests()
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -106,18 +106,20 @@
 }
 
 type hold struct {
-	epoch ident.Epoch
-	start ident.Moment
-	sound *cell.Soundness
-	heir  *wire.Card
-	will  *wire.Bequest
-	sent  ident.Moment
-	named ident.Moment
-	begun bool
-	turns int
-	dealt ident.Moment
-	vows  []*vow
-	kept  uint64
+	epoch  ident.Epoch
+	start  ident.Moment
+	sound  *cell.Soundness
+	heir   *wire.Card
+	will   *wire.Bequest
+	sent   ident.Moment
+	named  ident.Moment
+	begun  bool
+	turns  int
+	dealt  ident.Moment
+	rolls  int
+	copied int
+	vows   []*vow
+	kept   uint64
 }
 
 type seen struct {
@@ -245,15 +247,7 @@
 
 func (s *State) leading() bool { return s.Agree != nil && s.Agree.Firm() }
 
-func (s *State) heads() []string {
-	var out []string
-	for _, c := range s.Members.Ring() {
-		if c.Role == member.Control {
-			out = append(out, c.Addr)
-		}
-	}
-	return out
-}
+func (s *State) heads() []string { return s.Members.Heads() }
 
 func (s *State) Step(now ident.Moment, e any) {
 	s.Relay.Woke(now)
@@ -778,7 +772,13 @@
 		k = cell.NewCopy(c)
 		s.Relay.Cells[c] = k
 	}
-	k.Take(h.sound.News(k.Have(), now), now)
+	if h.copied == h.rolls && k.Known && k.Epoch == h.epoch && k.Upto == h.sound.Upto() {
+		k.Stand(h.sound.Pulse(), now)
+		return
+	}
+	if k.Take(h.sound.News(k.Have(), now), now) {
+		h.copied = h.rolls
+	}
 }
 
 func (s *State) tick(now ident.Moment) {
@@ -815,10 +815,7 @@
 		s.assign(now)
 		s.marks(now)
 	}
-	s.Members.Update(func(c *wire.Card) {
-		c.Leaving = s.draining
-		c.Ready = s.Relay.CoreFresh(now)
-	}, now)
+	s.Members.Say(s.Relay.CoreFresh(now), s.draining, now)
 	s.Members.Tick(now)
 	s.shelve(now)
 	if s.draining {
@@ -893,6 +890,7 @@
 		r.Wants = append(r.Wants, &wire.Wants{Service: v, ByNode: by[v], Only: only})
 	}
 	if r.Sum() != h.sound.Roll.Sum() {
+		h.rolls++
 		s.decide(duty.Decision{Decision: "dealt", Cell: string(h.sound.Cell), Note: strings.Join(nodes, " ") + " " + r.Text()})
 	}
 	h.sound.Roll = r
@@ -986,7 +984,7 @@
 	for _, c := range ident.Keys(mine) {
 		m, h := mine[c], s.holds[c]
 		if h == nil {
-			h = &hold{epoch: ident.Epoch(m.Epoch), start: now.Add(relay.CellTenure), sound: cell.New(c, ident.Epoch(m.Epoch))}
+			h = &hold{rolls: 1, epoch: ident.Epoch(m.Epoch), start: now.Add(relay.CellTenure), sound: cell.New(c, ident.Epoch(m.Epoch))}
 			if q := s.wills[c]; q != nil && q.Epoch == m.Before {
 				h.start, h.sound = now, cell.Inherit(q, h.epoch, now)
 			}
--- a/data/state.go
+++ b/data/state.go
@@ -1,7 +1,6 @@
 package data
 
 import (
-	"fmt"
 	"slices"
 	"sort"
 	"strconv"
@@ -176,7 +175,7 @@
 	lives     map[ident.Addr]string
 	announces map[uint64]pending
 	rev       uint64
-	fresh     string
+	fresh     fresh
 	adopted   ident.Generation
 	ready     bool
 	wanted    map[ident.Service]float64
@@ -214,15 +213,7 @@
 	return s
 }
 
-func (s *State) heads() []string {
-	var out []string
-	for _, c := range s.Members.Ring() {
-		if c.Role == member.Control {
-			out = append(out, c.Addr)
-		}
-	}
-	return out
-}
+func (s *State) heads() []string { return s.Members.Heads() }
 
 func (s *State) Ready() bool    { return s.ready }
 func (s *State) Draining() bool { return s.draining }
@@ -535,7 +526,7 @@
 		}
 	}
 	s.Relay.Eager = s.Eager(now)
-	s.Relay.Tick(s.Members.Ring(), s.ringKey(), targets, now)
+	s.Relay.Tick(s.Members.Ring(), s.Members.Key(), targets, now)
 	s.refresh(now)
 	s.takeSeat(heads, now)
 	s.State.Tick(now)
@@ -549,18 +540,10 @@
 		s.ready = ready
 		s.out = append(s.out, Note{map[bool]string{true: "Ready.", false: "Not ready: " + s.Why(now) + "."}[ready]})
 	}
-	s.Members.Update(func(c *wire.Card) { c.Ready, c.Leaving = s.ready, s.draining }, now)
+	s.Members.Say(s.ready, s.draining, now)
 	s.Members.Tick(now)
 }
 
-func (s *State) ringKey() uint64 {
-	n := uint64(0)
-	for _, c := range s.Members.Ring() {
-		n += ident.Hash(c.Id)
-	}
-	return n
-}
-
 func (s *State) takeSeat(heads []string, now ident.Moment) {
 	s.takeSeatLine()
 	if s.seat != nil || s.asking || s.seatAt != 0 && now.Sub(s.seatAt) < SeatPause || s.draining || !s.Relay.CoreFresh(now) || s.Relay.Core.SeatCount == 0 {
@@ -593,18 +576,20 @@
 	return out
 }
 
-func (s *State) freshKey(now ident.Moment) string {
-	var b strings.Builder
-	fmt.Fprint(&b, s.Relay.CoreFresh(now), s.signedOff, s.Seat())
-	names := make([]string, 0, len(s.Relay.Cells))
+type fresh struct {
+	core, off bool
+	seat      int
+	cells     uint64
+}
+
+func (s *State) freshKey(now ident.Moment) fresh {
+	f := fresh{s.Relay.CoreFresh(now), s.signedOff, s.Seat(), 0}
 	for c := range s.Relay.Cells {
-		names = append(names, string(c))
-	}
-	sort.Strings(names)
-	for _, c := range names {
-		fmt.Fprint(&b, c, s.Relay.CellFresh(ident.Cell(c), now))
+		if s.Relay.CellFresh(c, now) {
+			f.cells += ident.Hash(string(c))
+		}
 	}
-	return b.String()
+	return f
 }
 
 func (s *State) decide(d duty.Decision) {
@@ -714,11 +699,15 @@
 }
 
 func (s *State) confirm() {
-	c := wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: uint64(s.Relay.DocGen), Turn: s.turn, Wants: s.wants}
-	if s.Relay.Core.Generation == uint64(s.Relay.DocGen) && s.Pass.Within() {
-		c.Shrunk = uint64(s.Relay.DocGen)
+	staged, shrunk := uint64(s.Relay.DocGen), uint64(0)
+	if s.Relay.Core.Generation == staged && s.Pass.Within() {
+		shrunk = staged
+	}
+	old := s.Relay.ConfirmOf(string(s.Member))
+	if old != nil && old.Incarnation == uint64(s.Incarnation) && old.Staged >= staged && old.Shrunk >= shrunk && old.Turn == s.turn {
+		return
 	}
-	s.Relay.Confirm(&c)
+	s.Relay.Confirm(&wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: staged, Shrunk: shrunk, Turn: s.turn, Wants: s.wants})
 }
 
 func (s *State) want(now ident.Moment) {
--- a/member/state.go
+++ b/member/state.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -38,6 +39,8 @@
 	dead  map[ident.Member]ident.Moment
 	sums  [Parts]uint64
 	ring  []*wire.Card
+	heads []string
+	key   uint64
 	rev   uint64
 	told  uint64
 	beat  ident.Moment
@@ -107,6 +110,12 @@
 	s.put(c, now)
 }
 
+func (s *State) Say(ready, leaving bool, now ident.Moment) {
+	if s.Self.Ready != ready || s.Self.Leaving != leaving {
+		s.Update(func(c *wire.Card) { c.Ready, c.Leaving = ready, leaving }, now)
+	}
+}
+
 func (s *State) Cards() []*wire.Card {
 	out := make([]*wire.Card, 0, len(s.cards))
 	for _, c := range s.cards {
@@ -134,10 +143,28 @@
 			a, b := ident.Hash(s.ring[i].Id), ident.Hash(s.ring[j].Id)
 			return a < b || a == b && s.ring[i].Id < s.ring[j].Id
 		})
+		s.heads, s.key = nil, 0
+		for _, c := range s.ring {
+			s.key += ident.Hash(c.Id)
+			if c.Role == Control {
+				s.heads = append(s.heads, c.Addr)
+			}
+		}
+		s.heads = slices.Clip(s.heads)
 	}
 	return s.ring
 }
 
+func (s *State) Heads() []string {
+	s.Ring()
+	return s.heads
+}
+
+func (s *State) Key() uint64 {
+	s.Ring()
+	return s.key
+}
+
 func (s *State) WatchersOf(id ident.Member) []*wire.Card {
 	r := s.Ring()
 	at := ident.Hash(string(id))
