A repeatable visit that is overdue gets a shot beside it; the first answer counts

Cause: an answer that is lost in silence (a backend that crashed, muted, or lost its answer) held a repeatable visit until its expiry; a repeat by the requester came too late. A kind of visit learns its usual time and spread; past the mean plus two deviations of the logarithm (2 % of visits), within the budget of further shots, at another backend, with time enough for a usual answer. The first whole answer is delivered; a failed one waits for the other; what was held stays held until each backend's work ends. Ruled out: a fixed part of the aim, which at a wide spread shoots twice for a tenth of all visits, most of them merely long.

--- a/data/node.go
+++ b/data/node.go
@@ -146,6 +146,8 @@
 			go n.dial(e)
 		case forward.Write:
 			go n.write(e)
+		case forward.Beside:
+			n.beside(e)
 		case forward.Drop:
 			go n.drop(e.Visit)
 		case forward.Cut:
@@ -380,6 +382,14 @@
 	n.Put(Linked{e.Visit, e.Shot})
 }
 
+func (n *Node) beside(e forward.Beside) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if k := n.calls[e.Visit]; k != nil {
+		n.calls[e.Twin] = &call{Dialect: k.Dialect, visit: e.Twin, lane: k.lane, req: k.req, body: k.body, path: k.path, ans: k.ans, expiry: k.expiry, end: ident.Now()}
+	}
+}
+
 func (n *Node) drop(v ident.Visit) {
 	n.lock.Lock()
 	k := n.calls[v]
--- a/forward/state.go
+++ b/forward/state.go
@@ -78,6 +78,8 @@
 	asked    ident.Moment
 	sent     ident.Moment
 	late     bool
+	twin     bool
+	mate     ident.Visit
 	skip     map[ident.Addr]bool
 }
 
@@ -118,6 +120,10 @@
 		Visit  *Visit
 		Status int
 	}
+	Beside struct {
+		Visit ident.Visit
+		Twin  ident.Visit
+	}
 	Bar struct {
 		Addr ident.Addr
 		Ask  bool
@@ -286,7 +292,13 @@
 	if v.Phase == Waiting && v.Shot > 1 {
 		s.unspend(v.Rule.Service)
 	}
+	if v.twin {
+		s.emit(Drop{v.Visit})
+	}
 	switch {
+	case v.Told || s.other(v) != nil:
+		s.end(v, Answer{Reason: why})
+		return
 	case v.Kept > 0:
 		s.deliver(v, v.Kept)
 		return
@@ -324,6 +336,9 @@
 		return
 	}
 	v.Told = true
+	if s.other(v) != nil {
+		return
+	}
 	a.Visit = v.Visit
 	if !v.Left {
 		s.emit(a)
@@ -472,8 +487,42 @@
 	}
 }
 
+func (s *State) other(v *Visit) *Visit {
+	if m := s.visits[v.mate]; v.mate != "" && m != nil && !m.Told {
+		return m
+	}
+	return nil
+}
+
+func (s *State) beside(v *Visit, now ident.Moment) {
+	if v.mate != "" || v.Told || v.Left || !v.Rule.Again || v.Shot >= v.Rule.Shots {
+		return
+	}
+	late, usual, ok := s.State.Overdue(v.kind())
+	if !ok || now.Sub(v.sent) < late || v.AnswerBy.Sub(now) < usual || !s.further(v.Rule.Service) {
+		return
+	}
+	t := &Visit{Arrival: v.Arrival, Shot: v.Rule.Shots - 1, Unsure: true, twin: true, mate: v.Visit, skip: map[ident.Addr]bool{v.Backend.Addr: true}}
+	t.Visit += "-beside"
+	for a := range v.skip {
+		t.skip[a] = true
+	}
+	v.mate = t.Visit
+	t.asked, t.GiveUpAt = now, now.Add(Patience(v.Rule))
+	s.visits[t.Visit] = t
+	s.emit(Beside{v.Visit, t.Visit})
+	s.ask(t, now)
+}
+
+func (s *State) leave(v *Visit, why string, now ident.Moment) {
+	v.Told = true
+	if v.Phase < Sent {
+		s.unsent(v, why, v.Phase >= Connected, now)
+	}
+}
+
 func (s *State) again(v *Visit, now ident.Moment) bool {
-	if v.Told || v.Left || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || v.Rule.Route != "" && !v.Arrived.Add(v.Rule.Work).After(now) || !s.further(v.Rule.Service) {
+	if v.Told || v.Left || v.mate != "" || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || v.Rule.Route != "" && !v.Arrived.Add(v.Rule.Work).After(now) || !s.further(v.Rule.Service) {
 		return false
 	}
 	v.skip[v.Backend.Addr] = true
@@ -499,6 +548,14 @@
 	}
 	s.Counts["ended "+e.String()]++
 	s.timed(v, e, status, now)
+	if m := s.other(v); m != nil {
+		if e != Whole || status >= 500 {
+			m.Unsure = m.Unsure || e != Turned && e != Moved
+			s.end(v, Answer{Reason: e.String() + "; the shot beside it goes on"})
+			return
+		}
+		defer s.leave(m, "the shot beside it was answered", now)
+	}
 	switch e {
 	case Whole:
 		if len(v.Arrival.Key) > 0 {
@@ -587,6 +644,10 @@
 		return
 	}
 	v.Left = true
+	if m := s.visits[v.mate]; v.mate != "" && m != nil {
+		m.Left = true
+		s.leave(m, "requester left", now)
+	}
 	if v.Phase < Sent {
 		s.unsent(v, "requester left", v.Phase >= Connected, now)
 		s.passed(now)
@@ -619,6 +680,7 @@
 				}
 				s.tell(v, Answer{Status: 504, Ran: RanUnknown, Reason: "no answer in time"})
 			}
+			s.beside(v, now)
 			if !v.Reclaim.After(now) {
 				v.Reclaim = now.Add(time.Second)
 				s.emit(Cut{v.Visit})
--- a/pass/pace.go
+++ b/pass/pace.go
@@ -13,6 +13,8 @@
 	paceLife   = 10 * time.Second
 	usualMost  = 200
 	failedPace = 4
+	usualLeast = 30
+	farOut     = 2
 	fullCost   = 0.15
 	farCost    = 0.25
 	freshCost  = 0.03
@@ -23,6 +25,11 @@
 	sum, n float64
 }
 
+type spread struct {
+	mean
+	sq float64
+}
+
 func (m *mean) add(v, most float64) {
 	if m.n >= most {
 		m.sum *= (most - 1) / m.n
@@ -67,13 +74,28 @@
 	log := math.Log(max(float64(took), float64(time.Millisecond)))
 	u := s.usual[kind]
 	if u == nil {
-		u = &mean{}
+		u = &spread{}
 		s.usual[kind] = u
 	}
+	if u.n >= usualMost {
+		u.sq *= (usualMost - 1) / u.n
+	}
+	u.sq += log * log
 	u.add(log, usualMost)
 	s.paced(a, life, log-u.value(0), now)
 }
 
+// Overdue tells the time that few visits of a kind take, and the usual one; false until enough were seen.
+func (s *State) Overdue(kind string) (late, usual time.Duration, ok bool) {
+	u := s.usual[kind]
+	if u == nil || u.n < usualLeast {
+		return 0, 0, false
+	}
+	m := u.value(0)
+	dev := math.Sqrt(max(0, u.sq/u.n-m*m))
+	return time.Duration(math.Exp(m + farOut*dev)), time.Duration(math.Exp(m)), true
+}
+
 // Failed hears that a backend failed a visit.
 func (s *State) Failed(a ident.Addr, life string, now ident.Moment) {
 	s.paced(a, life, math.Log(failedPace), now)
--- a/pass/state.go
+++ b/pass/state.go
@@ -109,14 +109,14 @@
 	missed   map[ident.Service]int
 	turn     int
 	paces    map[ident.Addr]*pace
-	usual    map[string]*mean
+	usual    map[string]*spread
 	out      Out
 	Admitted uint64
 	Refused  uint64
 }
 
 func New() *State {
-	return &State{pools: map[Key]*Pool{}, lanes: map[ident.Lane]*lane{}, floors: map[ledger.Lot]int{}, backends: map[ident.Addr]*Backend{}, byName: map[ident.Service][]*Backend{}, load: map[ident.Addr]int{}, peak: map[ident.Service]int{}, missed: map[ident.Service]int{}, paces: map[ident.Addr]*pace{}, usual: map[string]*mean{}}
+	return &State{pools: map[Key]*Pool{}, lanes: map[ident.Lane]*lane{}, floors: map[ledger.Lot]int{}, backends: map[ident.Addr]*Backend{}, byName: map[ident.Service][]*Backend{}, load: map[ident.Addr]int{}, peak: map[ident.Service]int{}, missed: map[ident.Service]int{}, paces: map[ident.Addr]*pace{}, usual: map[string]*spread{}}
 }
 
 func (s *State) Rules(rules []LaneRule, floors map[ledger.Lot]int) {
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -170,6 +170,12 @@
 			p.send(e)
 		case forward.Dial:
 			n.later(n.wait(), func() { n.dial(e) })
+		case forward.Beside:
+			if t := n.trips[e.Visit]; t != nil {
+				c := *t
+				c.visit, c.link = e.Twin, nil
+				n.trips[e.Twin] = &c
+			}
 		case forward.Write:
 			n.later(n.wait()/4, func() { n.write(e) })
 		case forward.Drop:
