--- a/data/http.go
+++ b/data/http.go
@@ -232,6 +232,7 @@
 		k.end = ident.Now()
 		n.lock.Unlock()
 		n.forget(id)
+		n.forget(k.twin)
 	}()
 	if !n.Offer(Arrive{a}) {
 		no("node busy", time.Second)
--- a/data/node.go
+++ b/data/node.go
@@ -58,6 +58,8 @@
 	end    ident.Moment
 	expiry ident.Moment
 	fate   atomic.Int32
+	of     *call
+	twin   ident.Visit
 }
 
 const (
@@ -386,7 +388,8 @@
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	if k := n.calls[e.Visit]; k != nil {
-		n.calls[e.Twin] = &call{Dialect: k.Dialect, visit: e.Twin, lane: k.lane, req: k.req, body: k.body, path: k.path, ans: k.ans, expiry: k.expiry, end: ident.Now()}
+		n.calls[e.Twin] = &call{Dialect: k.Dialect, visit: e.Twin, lane: k.lane, req: k.req, body: k.body, path: k.path, ans: k.ans, expiry: k.expiry, of: k}
+		k.twin = e.Twin
 	}
 }
 
@@ -405,9 +408,11 @@
 	n.forget(v)
 }
 
+func (k *call) over() bool { return k.end != 0 || k.of != nil && k.of.end != 0 }
+
 func (n *Node) forget(v ident.Visit) {
 	n.lock.Lock()
-	if k := n.calls[v]; k != nil && k.conn == nil && k.end != 0 {
+	if k := n.calls[v]; k != nil && k.conn == nil && k.over() {
 		delete(n.calls, v)
 	}
 	n.lock.Unlock()
