A beat waits for a holder that starts; a new leader waits for holders not yet seen

Change: a beat, drain or sign-off waits up to 600 ms (1024 at most) at the control process for a holder; one handed on is handed on again every 200 ms to whoever holds then, and none that is ready after this process stood still. A new leader gives a holder whose card it has never seen 600 ms. Ruled out: waiting as long as the caller does (1 s): the answer would come too late to count. Tests: beats, drains and sign-offs at a holder that starts, refused after 600 ms, bounded; a hold of an unseen member stays 500 ms and not 1 s.

--- a/control/shelf_test.go
+++ b/control/shelf_test.go
@@ -169,3 +169,45 @@
 	torn := newDesk(t, 3, []byte("\xff\xff\xff"), nil)
 	require.Empty(t, torn.Relay.Cells)
 }
+
+func TestABeatWaitsForAHolderThatStarts(t *testing.T) {
+	d := newDesk(t, 3, nil, nil)
+	d.run(4 * time.Second)
+	for i := uint64(1); i <= 4; i++ {
+		d.beat(i, int(i), cell.Ready)
+	}
+	d.run(time.Second)
+	n := newDesk(t, 4, d.shelf, d.recovered())
+	n.beat(1, 1, cell.Ready)
+	n.beat(2, 2, cell.Leaving)
+	n.beat(3, 3, cell.Gone)
+	require.Empty(t, n.said)
+	n.run(500 * time.Millisecond)
+	require.Equal(t, map[uint64]uint32{1: 200, 2: 200, 3: 200}, n.said)
+	h := n.active("a", n.now)
+	require.Equal(t, map[ident.Service]int{"s": 2}, h.sound.Counts())
+	blank := newDesk(t, 5, nil, d.recovered())
+	blank.beat(1, 1, cell.Leaving)
+	blank.run(ParkMost - 40*time.Millisecond)
+	require.Empty(t, blank.said)
+	blank.run(80 * time.Millisecond)
+	require.Equal(t, map[uint64]uint32{1: 503}, blank.said, "not later than its sender waits")
+	for i := uint64(0); i < 2*ParkedMost; i++ {
+		blank.step(Announce{100 + i, &wire.Announce{Cell: "z", Addr: "b", Service: "s", Incarnation: "l", Stands: true}})
+	}
+	require.Len(t, blank.parked, ParkedMost)
+}
+
+func TestANewLeaderWaitsAMomentForAHolderItHasNotSeen(t *testing.T) {
+	d := newDesk(t, 3, nil, nil)
+	d.run(4 * time.Second)
+	got := d.recovered()
+	last := got.Entries[len(got.Entries)-1]
+	got.Entries = append(got.Entries, &wire.Entry{Term: last.Term, Index: last.Index + 1, Stamp: last.Stamp, Change: &wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: "b", Holder: "other", Addr: "127.0.0.1:2", Incarnation: 7}}}})
+	n := newDesk(t, 4, d.shelf, got)
+	n.run(500 * time.Millisecond)
+	require.True(t, n.leading())
+	require.Equal(t, "other", n.Book.Holds["b"].Holder)
+	n.run(500 * time.Millisecond)
+	require.Equal(t, "head", n.Book.Holds["b"].Holder)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -31,9 +31,13 @@
 	HeldMost     = 600 * time.Millisecond
 	HeirWait     = 600 * time.Millisecond
 	DeafWait     = 4 * time.Second
+	UnseenWait   = 600 * time.Millisecond
 	AnnounceWait = time.Second
 	DesiredWait  = 15 * time.Second
 	HopsMost     = 2
+	ParkMost     = 600 * time.Millisecond
+	ParkedMost   = 1024
+	OnwardEvery  = 200 * time.Millisecond
 	EagerFor     = 3 * time.Second
 	ShelveEvery  = 500 * time.Millisecond
 	ShelveWait   = 150 * time.Millisecond
@@ -146,6 +150,16 @@
 	id uint64
 }
 
+type parked struct {
+	pending
+	what *wire.Announce
+}
+
+type errand struct {
+	parked
+	sent ident.Moment
+}
+
 type vow struct {
 	pending
 	upto uint64
@@ -173,7 +187,8 @@
 	markAt   ident.Moment
 	genAt    ident.Moment
 	genSeen  ident.Generation
-	passes   map[uint64]pending
+	passes   map[uint64]errand
+	parked   []parked
 	passID   uint64
 	replay   bool
 	draining bool
@@ -187,7 +202,7 @@
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]pending{}, told: map[string]bool{}, born: now}
+	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
@@ -320,7 +335,7 @@
 		r := b.AnnounceReply
 		if p, ok := s.passes[r.Token]; ok {
 			delete(s.passes, r.Token)
-			s.announced(p, r.Code, r.Text)
+			s.announced(p.pending, r.Code, r.Text)
 		}
 	case *wire.Frame_Propose:
 		s.propose(asker{b.Propose.Token, f.Addr}, b.Propose.Change, now)
@@ -596,13 +611,17 @@
 }
 
 func (s *State) announce(token uint64, a *wire.Announce, now ident.Moment) {
-	if a.State == cell.Ready && s.Relay.Dazed(now) {
+	if s.old(a, now) {
 		s.announced(pending{now, "", token}, 503, "this process stood still just now; the beat may be an old one")
 		return
 	}
 	s.route(pending{now, "", token}, a, now)
 }
 
+func (s *State) old(a *wire.Announce, now ident.Moment) bool {
+	return a.State == cell.Ready && s.Relay.Dazed(now)
+}
+
 func (s *State) announceFrom(from string, a *wire.Announce, now ident.Moment) {
 	s.route(pending{now, from, a.Token}, a, now)
 }
@@ -633,17 +652,25 @@
 		return
 	}
 	if h := s.holds[c]; h != nil && h.heir != nil {
-		s.onward(p, a, h.heir.Addr)
+		s.onward(p, a, h.heir.Addr, now)
 		return
 	}
 	if h := s.holds[c]; h != nil && now.Sub(s.Relay.CoreAsOf) < relay.CellTenure {
 		if h.sound.Hear(a, now) && a.State == cell.Ready {
 			s.announced(p, 200, "")
 		} else {
-			s.announced(p, 503, "the holder of cell "+a.Cell+" starts in a moment")
+			s.park(p, a, "the holder of cell "+a.Cell+" starts in a moment", now)
 		}
 		return
 	}
+	if to := s.holderAddr(a); to != "" {
+		s.onward(p, a, to, now)
+		return
+	}
+	s.park(p, a, "cell "+a.Cell+" has no holder just now", now)
+}
+
+func (s *State) holderAddr(a *wire.Announce) string {
 	for _, h := range s.Relay.Core.GetHolds() {
 		if h.Cell != a.Cell {
 			continue
@@ -652,10 +679,44 @@
 		if card == nil || h.Holder == string(s.Member) || a.Hops >= HopsMost {
 			break
 		}
-		s.onward(p, a, card.Addr)
+		return card.Addr
+	}
+	return ""
+}
+
+func (s *State) park(p pending, a *wire.Announce, why string, now ident.Moment) {
+	if now.Sub(p.at) >= ParkMost || len(s.parked) >= ParkedMost || s.draining {
+		s.announced(p, 503, why)
 		return
 	}
-	s.announced(p, 503, "cell "+a.Cell+" has no holder just now")
+	s.parked = append(s.parked, parked{p, a})
+}
+
+func (s *State) unpark(now ident.Moment) {
+	list := s.parked
+	s.parked = nil
+	for _, k := range list {
+		h := s.holds[ident.Cell(k.what.Cell)]
+		switch {
+		case s.old(k.what, now):
+			s.announced(k.pending, 503, "this process stood still just now; the beat may be an old one")
+		case h != nil && h.heir == nil && now.Before(h.start) && now.Sub(k.at) < ParkMost:
+			s.parked = append(s.parked, k)
+		default:
+			s.route(k.pending, k.what, now)
+		}
+	}
+	for _, id := range ident.Keys(s.passes) {
+		p := s.passes[id]
+		if now.Sub(p.sent) < OnwardEvery || now.Sub(p.at) > ParkMost || s.old(p.what, now) {
+			continue
+		}
+		p.sent = now
+		s.passes[id] = p
+		if to := s.holderAddr(p.what); to != "" {
+			s.forward(id, p.what, to)
+		}
+	}
 }
 
 func (s *State) witnesses() int {
@@ -702,11 +763,15 @@
 	h.vows = keep
 }
 
-func (s *State) onward(p pending, a *wire.Announce, to string) {
+func (s *State) onward(p pending, a *wire.Announce, to string, now ident.Moment) {
 	s.passID++
-	s.passes[s.passID] = p
+	s.passes[s.passID] = errand{parked{p, a}, now}
+	s.forward(s.passID, a, to)
+}
+
+func (s *State) forward(id uint64, a *wire.Announce, to string) {
 	n := proto.Clone(a).(*wire.Announce)
-	n.Token, n.Hops = s.passID, a.Hops+1
+	n.Token, n.Hops = id, a.Hops+1
 	s.send(to, &wire.Frame{Body: &wire.Frame_Announce{Announce: n}})
 }
 
@@ -793,9 +858,10 @@
 		p := s.passes[id]
 		if now.Sub(p.at) > AnnounceWait {
 			delete(s.passes, id)
-			s.announced(p, 503, "the cell's holder did not answer")
+			s.announced(p.pending, 503, "the cell's holder did not answer")
 		}
 	}
+	s.unpark(now)
 	if s.Agree != nil {
 		s.Agree.Tick(now)
 	}
@@ -1058,6 +1124,9 @@
 		if h != nil {
 			k := s.Members.Card(ident.Member(h.Holder))
 			heard := max(s.holdAt[c], s.Agree.LedSince())
+			if k == nil && now.Sub(s.Agree.LedSince()) < UnseenWait {
+				continue
+			}
 			if n := s.Relay.Cells[c]; n != nil {
 				heard = max(heard, n.AsOf)
 			}
