Nodes that start ask the leader every second time; design of recovery

Cause: after its seat was answered a node asked heads in turn, of which only the leader knew it at once.

--- a/relay/state.go
+++ b/relay/state.go
@@ -382,8 +382,11 @@
 	}
 	if s.Eager && len(targets) > 0 {
 		if s.CoreKnown {
-			s.turn++
-			targets = targets[s.turn%len(targets):][:1]
+			if s.turn++; s.turn%2 == 0 || s.Core.LeaderAddr == "" {
+				targets = targets[s.turn/2%len(targets):][:1]
+			} else {
+				targets = []string{s.Core.LeaderAddr}
+			}
 		}
 		for _, t := range targets {
 			if s.waits(t) < s.most() {
