A node with no visit to send ticks every 50 ms, not 25

Cause: waking up is most of what a still node costs; nothing it does between visits is due within 25 ms: asks go every 150, beats every 250, and each visit looks at the freshness itself.

--- a/data/node.go
+++ b/data/node.go
@@ -68,7 +68,7 @@
 
 const (
 	surplusMost = 4
-	calmPause   = 25 * time.Millisecond
+	calmPause   = 50 * time.Millisecond
 )
 
 type view struct {
