Control processes tick every 30 ms, not 20; nodes that start tick every 20

Their beats go every 60 ms, asks every 150, marks and holds more slowly; frames, changes and syncs are stepped as they come. A node that starts asks every 50 ms and ticks every 20 for it.

--- a/control/node.go
+++ b/control/node.go
@@ -21,7 +21,7 @@
 
 const (
 	stallAfter = 300 * time.Millisecond
-	calmPause  = 20 * time.Millisecond
+	calmPause  = 30 * time.Millisecond
 )
 
 var ErrStart = merry.Sentinel("control: cannot start")
--- a/data/node.go
+++ b/data/node.go
@@ -68,6 +68,7 @@
 
 const (
 	surplusMost = 4
+	eagerPause  = 20 * time.Millisecond
 	calmPause   = 50 * time.Millisecond
 )
 
