--- a/control/node.go
+++ b/control/node.go
@@ -22,7 +22,7 @@
 
 const (
 	stallAfter  = 300 * time.Millisecond
-	calmPause   = 20 * time.Millisecond
+	calmPause   = 30 * time.Millisecond
 	insistEvery = 200 * time.Millisecond
 )
 
--- a/data/node.go
+++ b/data/node.go
@@ -70,7 +70,8 @@
 
 const (
 	surplusMost = 4
-	calmPause   = 25 * time.Millisecond
+	eagerPause  = 20 * time.Millisecond
+	calmPause   = 50 * time.Millisecond
 )
 
 type view struct {
