A beat that says nothing new is no news where backends know their names

Beats of named services change the line only when slots, state or work do. What beats were heard for elsewhere stays: silence is still counted, and services without names send every beat, for their guards need it. A barred backend that knows its name is tried again after 1, 2, 4, 8 s instead of at its next beat. Tests: no news for a repeated beat, news for each change, silence; bars of growing length. Both fail without it.

--- a/cell/state.go
+++ b/cell/state.go
@@ -54,6 +54,7 @@
 	tombs tombs
 	moves []Move
 	ended map[ident.Addr]ending
+	Quiet func(ident.Service) bool
 }
 
 type ending struct {
@@ -265,6 +266,7 @@
 		s.table[addr] = b
 		s.moves = append(s.moves, Move{addr, b.Service, "", "ready"})
 	}
+	old := *b
 	b.Slots = int(min(a.Slots, SlotLimit))
 	if b.State != Leaving && a.State == Leaving {
 		b.State = Leaving
@@ -279,7 +281,9 @@
 	b.Heard = now
 	b.Beat++
 	b.Work = Work(b, now)
-	s.touch(b)
+	if old.Version == 0 || s.Quiet == nil || !s.Quiet(b.Service) || old.Slots != b.Slots || old.State != b.State || old.Work != b.Work {
+		s.touch(b)
+	}
 	return true
 }
 
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -240,3 +240,27 @@
 	require.True(t, say("", 4, Ready, 5))
 	require.Equal(t, 5, line().Slots)
 }
+
+func TestABeatThatSaysNothingNewIsNoNewsWhereBackendsKnowTheirNames(t *testing.T) {
+	s := New("a", 1)
+	s.Quiet = func(v ident.Service) bool { return v == "named" }
+	say := func(service, state string, turn uint64, slots uint32, cold time.Duration, now ident.Moment) uint64 {
+		a := &wire.Announce{Addr: service + ":1", Service: service, Incarnation: "x", Slots: slots, Turn: turn, Epoch: 1, Stands: true, ColdNs: int64(cold)}
+		if state == "leaving" {
+			a.State, a.Notice = Leaving, true
+		}
+		require.True(t, s.Hear(a, now))
+		return s.Upto()
+	}
+	at := ident.Moment(1e9)
+	v := say("named", "ready", 1, 4, 0, at)
+	require.Equal(t, v, say("named", "ready", 2, 4, 0, at.Add(time.Second)))
+	require.Equal(t, v, say("named", "ready", 3, 4, 0, at.Add(9*time.Second)))
+	s.Tick(at.Add(12 * time.Second))
+	require.Len(t, s.Lines(), 1, "it was heard, though nothing was new")
+	require.Greater(t, say("named", "ready", 4, 2, 0, at.Add(12*time.Second)), v)
+	v = s.Upto()
+	require.Greater(t, say("named", "leaving", 5, 2, 0, at.Add(13*time.Second)), v)
+	v = say("other", "ready", 1, 4, 0, at)
+	require.Greater(t, say("other", "ready", 2, 4, 0, at.Add(time.Second)), v, "guards are proved by beats")
+}
--- a/control/state.go
+++ b/control/state.go
@@ -962,6 +962,11 @@
 	h.sound.Roll = r
 }
 
+func (s *State) quiet(v ident.Service) bool {
+	d := s.Relay.Desired
+	return d != nil && d.Services[v] != nil && d.Services[v].Named
+}
+
 func (s *State) lined(v string) bool {
 	d := s.Relay.Desired
 	return d != nil && d.Services[ident.Service(v)] != nil && d.Services[ident.Service(v)].Line > 0
@@ -1054,6 +1059,7 @@
 			if q := s.wills[c]; q != nil && q.Epoch == m.Before {
 				h.start, h.sound = now, cell.Inherit(q, h.epoch, now)
 			}
+			h.sound.Quiet = s.quiet
 			delete(s.wills, c)
 			s.holds[c] = h
 			s.out = append(s.out, Note{"Holds cell " + string(c) + " soon."})
--- a/data/state.go
+++ b/data/state.go
@@ -26,6 +26,9 @@
 	AnnounceWait = time.Second
 	DrainGrace   = 2500 * time.Millisecond
 	SignOffWait  = 1500 * time.Millisecond
+	BarLeast     = time.Second
+	BarMost      = 8 * time.Second
+	StrikeLife   = 20 * time.Second
 	WarmWait     = 6 * time.Second
 	WantEvery    = 500 * time.Millisecond
 	EagerFor     = 5 * time.Second
@@ -151,6 +154,13 @@
 	epoch   ident.Epoch
 	cell    ident.Cell
 	ask     bool
+	until   ident.Moment
+}
+
+type strike struct {
+	life string
+	n    int
+	at   ident.Moment
 }
 
 type pending struct {
@@ -171,6 +181,7 @@
 	asking    bool
 	seatAt    ident.Moment
 	bars      map[ident.Addr]bar
+	strikes   map[ident.Addr]strike
 	guards    map[ident.Addr]*guard
 	lives     map[ident.Addr]string
 	announces map[uint64]pending
@@ -201,7 +212,7 @@
 }
 
 func New(b Boot, now ident.Moment) *State {
-	s := &State{Boot: b, bars: map[ident.Addr]bar{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}, born: now}
+	s := &State{Boot: b, bars: map[ident.Addr]bar{}, strikes: map[ident.Addr]strike{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}, born: now}
 	s.Pass = pass.New()
 	s.Pass.Salt = string(b.Member)
 	s.State = forward.New(s.Pass, s.gate)
@@ -499,6 +510,7 @@
 
 func (s *State) tick(now ident.Moment) {
 	heads := s.heads()
+	s.unbar(now)
 	s.Mail.Hint(s.Relay.Core.GetLeaderAddr())
 	for _, tag := range s.Mail.Tick(heads, now) {
 		switch t := tag.(type) {
@@ -870,13 +882,43 @@
 	return b != nil && s.named(b.Service)
 }
 
+func (s *State) strike(a ident.Addr) ident.Moment {
+	b := s.Pass.Backend(a)
+	if b == nil || !s.named(b.Service) {
+		return 0
+	}
+	k := s.strikes[a]
+	if k.life != b.Life || s.now.Sub(k.at) > StrikeLife {
+		k = strike{life: b.Life}
+	}
+	wait := min(BarLeast<<min(k.n, 8), BarMost)
+	k.n, k.at = k.n+1, s.now
+	s.strikes[a] = k
+	return s.now.Add(wait)
+}
+
+func (s *State) unbar(now ident.Moment) {
+	for a, b := range s.bars {
+		if b.until != 0 && !b.until.After(now) {
+			delete(s.bars, a)
+			s.rev = 0
+		}
+	}
+	for a, k := range s.strikes {
+		if now.Sub(k.at) > StrikeLife {
+			delete(s.strikes, a)
+		}
+	}
+}
+
 func (s *State) bar(a ident.Addr, ask bool) {
 	if old, ok := s.bars[a]; ok && !old.ask {
 		ask = false
 	}
+	until := s.strike(a)
 	for c, k := range s.Relay.Cells {
 		if b := k.Table[a]; b != nil {
-			s.bars[a] = bar{life: b.Incarnation, service: b.Service, beat: b.Beat, epoch: k.Epoch, cell: c, ask: ask}
+			s.bars[a] = bar{life: b.Incarnation, service: b.Service, beat: b.Beat, epoch: k.Epoch, cell: c, ask: ask, until: until}
 		}
 	}
 	if g := s.guards[a]; ask && g != nil && g.up {
--- a/data/state_test.go
+++ b/data/state_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sloeturn/cell"
 	"sloeturn/ident"
 	"sloeturn/ledger"
 	"sloeturn/wire"
@@ -60,3 +61,28 @@
 	require.NotEmpty(t, s.Why(now.Add(3*time.Second)))
 	require.NotEmpty(t, s.Unready(now.Add(20*time.Second)))
 }
+
+func TestABackendThatKnowsItsNameIsTriedAgainAfterAWhileWithoutABeat(t *testing.T) {
+	now := ident.Moment(1e9)
+	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7}, now)
+	doc := []byte(`{"fleet":{"open":true},"services":{"s":{"maxConnections":9,"named":true}},"tenants":{"t":{}},"lanes":{"l":{"tenant":"t","service":"s","slots":2}}}`)
+	s.Relay.TakeCore(&wire.Core{Version: 1, Generation: 1, SeatCount: 4, Seats: []*wire.Seat{{Member: "n", Addr: "10.0.0.1:1", Incarnation: 7}}, Floors: []*wire.Floor{{Lane: "l", Service: "s", Slots: 2}}}, doc, 1, now)
+	table := cell.New("a", 1)
+	table.Nodes = []string{"n"}
+	require.True(t, table.Hear(&wire.Announce{Addr: "b:1", Service: "s", Incarnation: "x", Slots: 2, Epoch: 1, Stands: true}, now))
+	k := cell.NewCopy("a")
+	s.Relay.Cells["a"] = k
+	k.Take(table.News(k.Have(), now), now)
+	s.Step(now, Tick{})
+	for _, wait := range []time.Duration{BarLeast, 2 * BarLeast, 4 * BarLeast, BarMost, BarMost} {
+		s.bar("b:1", false)
+		for left := wait; left > 0; left -= 100 * time.Millisecond {
+			require.Contains(t, s.bars, ident.Addr("b:1"))
+			now = now.Add(100 * time.Millisecond)
+			s.Relay.CoreAsOf, k.AsOf = now, now
+			s.Step(now, Tick{})
+		}
+		require.NotContains(t, s.bars, ident.Addr("b:1"))
+		require.False(t, s.Pass.Backend("b:1").Barred)
+	}
+}
