Connections to backends read through 4 kB, not 16

Cause: each held connection kept 16 kB to read answers of some 400 to 5000 bytes; a body's larger reads pass the buffer by.

--- a/data/node.go
+++ b/data/node.go
@@ -68,6 +68,7 @@
 
 const (
 	surplusMost = 4
+	readerSize  = 4 << 10
 	eagerPause  = 20 * time.Millisecond
 	calmPause   = 50 * time.Millisecond
 )
@@ -367,7 +368,7 @@
 			n.Put(LinkFailed{e.Visit, e.Shot, e.Key, true})
 			return
 		}
-		c = &conn{Conn: raw, read: bufio.NewReaderSize(raw, 16<<10), key: e.Key, life: e.Backend.Life}
+		c = &conn{Conn: raw, read: bufio.NewReaderSize(raw, readerSize), key: e.Key, life: e.Backend.Life}
 	}
 	n.lock.Lock()
 	k := n.calls[e.Visit]
