A visit that was never written is refused within its first patience

It shoots again only within what is left of the first patience; a shot that a backend turned away still gets its own, for it was offered. Test: a second shot that waits in vain is refused at 180 ms; it was not before.

--- a/forward/shots_test.go
+++ b/forward/shots_test.go
@@ -419,3 +419,22 @@
 		require.Empty(t, pick[Release](r.Flush()))
 	}
 }
+
+func TestAVisitThatWasNeverWrittenIsRefusedWithinItsFirstPatience(t *testing.T) {
+	r := newRoad(t, 2, 1, 10, 200)
+	r.come("again")
+	held := r.sends(1)
+	start := r.now
+	r.come("once")
+	d := r.sends(1)
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.NotWritten(d.Visit, "connection broke before the first byte", r.now)
+	require.Empty(t, pick[Answer](r.Flush()))
+	r.now = start.Add(GiveUp)
+	r.Tick(r.now)
+	a := pick[Answer](r.Flush())
+	require.Len(t, a, 1)
+	require.Equal(t, RanNo, a[0].Ran)
+	require.Equal(t, d.Visit, a[0].Visit)
+	require.NotEmpty(t, held.Visit)
+}
--- a/forward/state.go
+++ b/forward/state.go
@@ -462,7 +462,7 @@
 		delete(s.visits, id)
 		return
 	}
-	if !v.Left && s.again(v, now) {
+	if v.GiveUpAt.After(now) && s.shoot(v, now, v.GiveUpAt) {
 		s.passed(now)
 		return
 	}
@@ -522,12 +522,16 @@
 }
 
 func (s *State) again(v *Visit, now ident.Moment) bool {
+	return s.shoot(v, now, now.Add(Patience(v.Rule)))
+}
+
+func (s *State) shoot(v *Visit, now, until ident.Moment) bool {
 	if v.Told || v.Left || v.mate != "" || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || v.Rule.Route != "" && !v.Arrived.Add(v.Rule.Work).After(now) || !s.further(v.Rule.Service) {
 		return false
 	}
 	v.skip[v.Backend.Addr] = true
-	v.asked = now
-	v.GiveUpAt = now.Add(Patience(v.Rule))
+	v.asked = until.Add(-Patience(v.Rule))
+	v.GiveUpAt = until
 	s.move(v, Waiting, "further shot")
 	s.ask(v, now)
 	return true
