--- a/data/node.go
+++ b/data/node.go
@@ -70,7 +70,9 @@
 
 const (
 	surplusMost = 4
-	calmPause   = 25 * time.Millisecond
+	readerSize  = 4 << 10
+	eagerPause  = 20 * time.Millisecond
+	calmPause   = 50 * time.Millisecond
 )
 
 type view struct {
@@ -368,7 +370,7 @@
 			n.Put(LinkFailed{e.Visit, e.Shot, e.Key, true})
 			return
 		}
-		c = &conn{Conn: raw, read: bufio.NewReaderSize(raw, 16<<10), key: e.Key, life: e.Backend.Life}
+		c = &conn{Conn: raw, read: bufio.NewReaderSize(raw, readerSize), key: e.Key, life: e.Backend.Life}
 	}
 	n.lock.Lock()
 	k := n.calls[e.Visit]
