A founder without a disk is passed over; cells are held by disk holders of their own first

Cause: the machines named as founders may serve control without a disk, and a fleet whose founders were waited for in vain never formed. Such a process now says that it has none, and the roster is made of the rest once all have spoken. Test: two of three founders form; before, they waited forever.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -364,7 +364,7 @@
 		}
 		return
 	}
-	if f.Voter != "" {
+	if f.Voter != "" || f.Answer && f.Blank {
 		s.found[f.Addr] = f
 	}
 	r := &wire.Roster{}
@@ -376,6 +376,9 @@
 		if g == nil || !g.Blank {
 			return
 		}
+		if g.Voter == "" {
+			continue
+		}
 		r.Voters = append(r.Voters, &wire.Voter{Id: g.Voter, Addr: g.Addr, Member: g.Member})
 	}
 	sort.Slice(r.Voters, func(i, j int) bool { return r.Voters[i].Id < r.Voters[j].Id })
--- a/control/state.go
+++ b/control/state.go
@@ -346,6 +346,9 @@
 
 func (s *State) agreed(f *wire.Frame, now ident.Moment) {
 	if s.Agree == nil {
+		if q := f.GetFounding(); q != nil && !q.Answer {
+			s.send(q.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: &wire.Founding{Member: string(s.Member), Addr: string(s.Addr), Blank: true, Answer: true}}})
+		}
 		return
 	}
 	switch b := f.Body.(type) {
@@ -1101,6 +1104,23 @@
 	}
 }
 
+func (s *State) keepers(list []*wire.Card) []*wire.Card {
+	disk := map[string]bool{}
+	for _, v := range s.Agree.Roster().GetVoters() {
+		disk[v.Member] = true
+	}
+	var out []*wire.Card
+	for _, c := range list {
+		if disk[c.Id] {
+			out = append(out, c)
+		}
+	}
+	if len(out) == 0 {
+		return list
+	}
+	return out
+}
+
 func (s *State) assign(now ident.Moment) {
 	homes := map[string][]*wire.Card{}
 	all := s.standing()
@@ -1138,9 +1158,10 @@
 				continue
 			}
 		}
-		pick := all[int(ident.Hash(name)%uint64(len(all)))]
+		list := s.keepers(all)
+		pick := list[int(ident.Hash(name)%uint64(len(list)))]
 		if l := homes[name]; len(l) > 0 {
-			pick = l[0]
+			pick = s.keepers(l)[0]
 		}
 		basis := uint64(0)
 		if h != nil {
