--- a/forward/shots_test.go
+++ b/forward/shots_test.go
@@ -419,3 +419,27 @@
 		require.Empty(t, pick[Release](r.Flush()))
 	}
 }
+
+func TestAVisitThatWasNeverWrittenIsRefusedInItsFirstTime(t *testing.T) {
+	r := newRoad(t, 2, 1, 10, 0)
+	r.come("once")
+	r.sends(1)
+	at := r.now
+	v := r.come("aim")
+	d := r.sends(1)
+	r.now = r.now.Add(80 * time.Millisecond)
+	r.NotWritten(v, "broke", r.now)
+	r.Freed(d.Key, false, false, r.now)
+	for r.Find(v) != nil {
+		r.now = r.now.Add(time.Millisecond)
+		r.Tick(r.now)
+	}
+	require.Equal(t, 90*time.Millisecond, r.now.Sub(at))
+	require.Equal(t, RanNo, pick[Answer](r.Flush())[0].Ran)
+
+	v = r.come("aim")
+	r.sends(1)
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.NotWritten(v, "broke", r.now)
+	require.Nil(t, r.Find(v))
+}
--- a/forward/state.go
+++ b/forward/state.go
@@ -441,7 +441,7 @@
 		delete(s.visits, id)
 		return
 	}
-	if !v.Left && s.again(v, now) {
+	if v.GiveUpAt.After(now) && s.another(v, now) {
 		s.passed(now)
 		return
 	}
@@ -466,13 +466,22 @@
 	}
 }
 
+// again gives a visit that a backend answered or lost a new time to wait.
 func (s *State) again(v *Visit, now ident.Moment) bool {
+	asked, until := v.asked, v.GiveUpAt
+	v.asked, v.GiveUpAt = now, now.Add(Patience(v.Rule))
+	if !s.another(v, now) {
+		v.asked, v.GiveUpAt = asked, until
+		return false
+	}
+	return true
+}
+
+func (s *State) another(v *Visit, now ident.Moment) bool {
 	if v.Told || v.Left || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || v.Rule.Route != "" && !v.Arrived.Add(v.Rule.Work).After(now) || !s.further(v.Rule.Service) {
 		return false
 	}
 	v.skip[v.Backend.Addr] = true
-	v.asked = now
-	v.GiveUpAt = now.Add(Patience(v.Rule))
 	s.move(v, Waiting, "further shot")
 	s.ask(v, now)
 	return true
