--- a/data/node.go
+++ b/data/node.go
@@ -58,6 +58,8 @@
 	end    ident.Moment
 	expiry ident.Moment
 	fate   atomic.Int32
+	of     *call
+	twin   ident.Visit
 }
 
 const (
@@ -68,7 +70,8 @@
 
 const (
 	surplusMost = 4
-	calmPause   = 25 * time.Millisecond
+	eagerPause  = 20 * time.Millisecond
+	calmPause   = 50 * time.Millisecond
 )
 
 type view struct {
@@ -114,7 +117,7 @@
 }
 
 func (n *Node) pause() time.Duration {
-	if n.State.Pressing() {
+	if n.State.Pressing() || n.State.Eager(ident.Now()) {
 		return duty.TickEvery
 	}
 	return calmPause
@@ -146,6 +149,8 @@
 			go n.dial(e)
 		case forward.Write:
 			go n.write(e)
+		case forward.Beside:
+			n.beside(e)
 		case forward.Drop:
 			go n.drop(e.Visit)
 		case forward.Cut:
@@ -380,6 +385,15 @@
 	n.Put(Linked{e.Visit, e.Shot})
 }
 
+func (n *Node) beside(e forward.Beside) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if k := n.calls[e.Visit]; k != nil {
+		n.calls[e.Twin] = &call{Dialect: k.Dialect, visit: e.Twin, lane: k.lane, req: k.req, body: k.body, path: k.path, ans: k.ans, expiry: k.expiry, of: k}
+		k.twin = e.Twin
+	}
+}
+
 func (n *Node) drop(v ident.Visit) {
 	n.lock.Lock()
 	k := n.calls[v]
@@ -395,9 +409,11 @@
 	n.forget(v)
 }
 
+func (k *call) over() bool { return k.end != 0 || k.of != nil && k.of.end != 0 }
+
 func (n *Node) forget(v ident.Visit) {
 	n.lock.Lock()
-	if k := n.calls[v]; k != nil && k.conn == nil && k.end != 0 {
+	if k := n.calls[v]; k != nil && k.conn == nil && k.over() {
 		delete(n.calls, v)
 	}
 	n.lock.Unlock()
--- a/data/state.go
+++ b/data/state.go
@@ -1,7 +1,6 @@
 package data
 
 import (
-	"fmt"
 	"slices"
 	"sort"
 	"strconv"
@@ -29,6 +28,11 @@
 	SignOffWait  = 1500 * time.Millisecond
 	WarmWait     = 6 * time.Second
 	WantEvery    = 500 * time.Millisecond
+	EagerFor     = 5 * time.Second
+	StartFor     = 400 * time.Millisecond
+	YoungFor     = 1500 * time.Millisecond
+	BackLeast    = 100 * time.Millisecond
+	BackSpread   = 250 * time.Millisecond
 )
 
 type (
@@ -171,7 +175,7 @@
 	lives     map[ident.Addr]string
 	announces map[uint64]pending
 	rev       uint64
-	fresh     string
+	fresh     fresh
 	adopted   ident.Generation
 	ready     bool
 	wanted    map[ident.Service]float64
@@ -191,15 +195,17 @@
 	signedAt     ident.Moment
 	freeing      bool
 	gone         bool
+	born         ident.Moment
 	out          []any
 	now          ident.Moment
 }
 
 func New(b Boot, now ident.Moment) *State {
-	s := &State{Boot: b, bars: map[ident.Addr]bar{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}}
+	s := &State{Boot: b, bars: map[ident.Addr]bar{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}, born: now}
 	s.Pass = pass.New()
 	s.Pass.Salt = string(b.Member)
 	s.State = forward.New(s.Pass, s.gate)
+	s.Back = func(visit string) time.Duration { return s.back(visit, s.now) }
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Data, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, false)
 	s.Relay.Terms(b.Tenure, b.Stale)
@@ -207,15 +213,7 @@
 	return s
 }
 
-func (s *State) heads() []string {
-	var out []string
-	for _, c := range s.Members.Ring() {
-		if c.Role == member.Control {
-			out = append(out, c.Addr)
-		}
-	}
-	return out
-}
+func (s *State) heads() []string { return s.Members.Heads() }
 
 func (s *State) Ready() bool    { return s.ready }
 func (s *State) Draining() bool { return s.draining }
@@ -251,13 +249,46 @@
 	if len(s.Relay.Cells) > 0 {
 		return "all cells' news stale"
 	}
+	if len(s.Relay.Core.Holds) > 0 {
+		return "no cell's news read yet"
+	}
 	return ""
 }
 
+func (s *State) back(visit string, now ident.Moment) time.Duration {
+	if why := s.Unready(now); now.Sub(s.born) > YoungFor && (why == "" || why == "draining") {
+		return 0
+	}
+	return ComeBack(visit, now.Sub(s.born))
+}
+
+func ComeBack(visit string, age time.Duration) time.Duration {
+	return max(BackLeast, StartFor-age) + time.Duration(ident.Hash(visit)%uint64(BackSpread))
+}
+
+func (s *State) Eager(now ident.Moment) bool {
+	return now.Sub(s.born) < EagerFor && !s.draining && !s.whole(now)
+}
+
+func (s *State) whole(now ident.Moment) bool {
+	for _, h := range s.Relay.Core.GetHolds() {
+		if !s.Relay.CellFresh(ident.Cell(h.Cell), now) {
+			return false
+		}
+	}
+	return s.ready
+}
+
 func (s *State) Why(now ident.Moment) string {
-	if why := s.Unready(now); why != "" || s.warm {
+	if why := s.Unready(now); why != "" {
 		return why
 	}
+	if now.Sub(s.Relay.CoreAsOf) >= s.Relay.Tenure {
+		return "out of touch; serves on old news"
+	}
+	if s.warm {
+		return ""
+	}
 	return "no backend proven yet"
 }
 
@@ -394,7 +425,7 @@
 func (s *State) got(f *wire.Frame, now ident.Moment) {
 	switch b := f.Body.(type) {
 	case *wire.Frame_Heartbeat:
-		s.Members.Heartbeat(b.Heartbeat, now)
+		s.Members.Heartbeat(b.Heartbeat, f.From, f.Addr, now)
 	case *wire.Frame_Table:
 		s.Members.Table(b.Table, f.Addr, now)
 	case *wire.Frame_Ask:
@@ -427,6 +458,7 @@
 	switch t := tag.(type) {
 	case seatTag:
 		s.asking = false
+		s.Relay.Hasten()
 	case claimTag:
 		s.Claimed(t.visit, ledger.Code(r.Code), r.Status, now)
 	case freeTag:
@@ -486,12 +518,15 @@
 		}
 	}
 	targets := heads
-	if len(targets) == 0 {
+	if len(targets) == 0 || !s.Relay.CoreKnown {
 		for _, a := range s.Seeds {
-			targets = append(targets, string(a))
+			if !slices.Contains(targets, string(a)) {
+				targets = append(targets, string(a))
+			}
 		}
 	}
-	s.Relay.Tick(s.Members.Ring(), s.ringKey(), targets, now)
+	s.Relay.Eager = s.Eager(now)
+	s.Relay.Tick(s.Members.Ring(), s.Members.Key(), targets, now)
 	s.refresh(now)
 	s.takeSeat(heads, now)
 	s.State.Tick(now)
@@ -505,18 +540,10 @@
 		s.ready = ready
 		s.out = append(s.out, Note{map[bool]string{true: "Ready.", false: "Not ready: " + s.Why(now) + "."}[ready]})
 	}
-	s.Members.Update(func(c *wire.Card) { c.Ready, c.Leaving = s.ready, s.draining }, now)
+	s.Members.Say(s.ready, s.draining, now)
 	s.Members.Tick(now)
 }
 
-func (s *State) ringKey() uint64 {
-	n := uint64(0)
-	for _, c := range s.Members.Ring() {
-		n += ident.Hash(c.Id)
-	}
-	return n
-}
-
 func (s *State) takeSeat(heads []string, now ident.Moment) {
 	s.takeSeatLine()
 	if s.seat != nil || s.asking || s.seatAt != 0 && now.Sub(s.seatAt) < SeatPause || s.draining || !s.Relay.CoreFresh(now) || s.Relay.Core.SeatCount == 0 {
@@ -549,18 +576,20 @@
 	return out
 }
 
-func (s *State) freshKey(now ident.Moment) string {
-	var b strings.Builder
-	fmt.Fprint(&b, s.Relay.CoreFresh(now), s.signedOff, s.Seat())
-	names := make([]string, 0, len(s.Relay.Cells))
+type fresh struct {
+	core, off bool
+	seat      int
+	cells     uint64
+}
+
+func (s *State) freshKey(now ident.Moment) fresh {
+	f := fresh{s.Relay.CoreFresh(now), s.signedOff, s.Seat(), 0}
 	for c := range s.Relay.Cells {
-		names = append(names, string(c))
-	}
-	sort.Strings(names)
-	for _, c := range names {
-		fmt.Fprint(&b, c, s.Relay.CellFresh(ident.Cell(c), now))
+		if s.Relay.CellFresh(c, now) {
+			f.cells += ident.Hash(string(c))
+		}
 	}
-	return b.String()
+	return f
 }
 
 func (s *State) decide(d duty.Decision) {
@@ -670,13 +699,15 @@
 }
 
 func (s *State) confirm() {
-	c := &wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: uint64(s.Relay.DocGen)}
-	if s.Relay.Core.Generation == uint64(s.Relay.DocGen) && s.Pass.Within() {
-		c.Shrunk = uint64(s.Relay.DocGen)
+	staged, shrunk := uint64(s.Relay.DocGen), uint64(0)
+	if s.Relay.Core.Generation == staged && s.Pass.Within() {
+		shrunk = staged
+	}
+	old := s.Relay.ConfirmOf(string(s.Member))
+	if old != nil && old.Incarnation == uint64(s.Incarnation) && old.Staged >= staged && old.Shrunk >= shrunk && old.Turn == s.turn {
+		return
 	}
-	s.turn++
-	c.Turn, c.Wants = s.turn, s.wants
-	s.Relay.Confirm(c)
+	s.Relay.Confirm(&wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: staged, Shrunk: shrunk, Turn: s.turn, Wants: s.wants})
 }
 
 func (s *State) want(now ident.Moment) {
@@ -684,14 +715,19 @@
 		return
 	}
 	s.wantAt = now
-	s.wants = nil
-	for _, v := range ident.Keys(s.Desired().Services) {
+	var wants []*wire.Want
+	for _, v := range s.Desired().ServiceNames() {
 		w := 0.7*s.wanted[v] + 0.3*s.Pass.Wanted(v)
 		s.wanted[v] = w
 		if k := uint32(4 * w); k > 0 {
-			s.wants = append(s.wants, &wire.Want{Service: string(v), Slots: k})
+			wants = append(wants, &wire.Want{Service: string(v), Slots: k})
 		}
 	}
+	same := func(a, b *wire.Want) bool { return a.Service == b.Service && a.Slots == b.Slots }
+	if !slices.EqualFunc(wants, s.wants, same) {
+		s.turn++
+		s.wants = wants
+	}
 	s.confirm()
 }
 
--- a/member/state.go
+++ b/member/state.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -38,7 +39,10 @@
 	dead  map[ident.Member]ident.Moment
 	sums  [Parts]uint64
 	ring  []*wire.Card
+	heads []string
+	key   uint64
 	rev   uint64
+	told  uint64
 	beat  ident.Moment
 	seed  ident.Moment
 	since ident.Moment
@@ -50,6 +54,7 @@
 	s := &State{Self: self, Seeds: seeds, More: func() []ident.Addr { return nil }, cards: map[ident.Member]*wire.Card{}, heard: map[ident.Member]ident.Moment{}, dead: map[ident.Member]ident.Moment{}}
 	s.since = now
 	self.Rank = 1
+	self.Brief = true
 	s.put(self, now)
 	return s
 }
@@ -105,6 +110,12 @@
 	s.put(c, now)
 }
 
+func (s *State) Say(ready, leaving bool, now ident.Moment) {
+	if s.Self.Ready != ready || s.Self.Leaving != leaving {
+		s.Update(func(c *wire.Card) { c.Ready, c.Leaving = ready, leaving }, now)
+	}
+}
+
 func (s *State) Cards() []*wire.Card {
 	out := make([]*wire.Card, 0, len(s.cards))
 	for _, c := range s.cards {
@@ -132,10 +143,28 @@
 			a, b := ident.Hash(s.ring[i].Id), ident.Hash(s.ring[j].Id)
 			return a < b || a == b && s.ring[i].Id < s.ring[j].Id
 		})
+		s.heads, s.key = nil, 0
+		for _, c := range s.ring {
+			s.key += ident.Hash(c.Id)
+			if c.Role == Control {
+				s.heads = append(s.heads, c.Addr)
+			}
+		}
+		s.heads = slices.Clip(s.heads)
 	}
 	return s.ring
 }
 
+func (s *State) Heads() []string {
+	s.Ring()
+	return s.heads
+}
+
+func (s *State) Key() uint64 {
+	s.Ring()
+	return s.key
+}
+
 func (s *State) WatchersOf(id ident.Member) []*wire.Card {
 	r := s.Ring()
 	at := ident.Hash(string(id))
@@ -228,6 +257,27 @@
 	return &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{Card: s.Self, Digests: sums[:]}}}
 }
 
+func (s *State) whole() uint64 {
+	n := uint64(1)
+	for i, v := range s.sums {
+		n += v * (2*uint64(i) + 3)
+	}
+	return n
+}
+
+func (s *State) pulse(all bool) {
+	full := s.heartbeat()
+	brief := &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{Whole: s.whole()}}}
+	for _, c := range s.WatchersOf(ident.Member(s.Self.Id)) {
+		if c.Brief && !all && s.told == s.Self.Version {
+			s.send(c.Addr, brief)
+		} else {
+			s.send(c.Addr, full)
+		}
+	}
+	s.told = s.Self.Version
+}
+
 func (s *State) doors() []ident.Addr {
 	var lost []ident.Addr
 	for _, c := range s.Cards() {
@@ -246,9 +296,7 @@
 		s.since = now
 	}
 	s.beat = now
-	for _, c := range s.WatchersOf(ident.Member(s.Self.Id)) {
-		s.send(c.Addr, s.heartbeat())
-	}
+	s.pulse(false)
 	if len(s.Ring()) < 2 || now.Sub(s.seed) >= SeedEvery {
 		s.seed = now
 		list := s.doors()
@@ -295,8 +343,12 @@
 	}
 }
 
-func (s *State) Heartbeat(h *wire.Heartbeat, now ident.Moment) {
-	if h.Card == nil || h.Card.Id == s.Self.Id {
+func (s *State) Heartbeat(h *wire.Heartbeat, from, addr string, now ident.Moment) {
+	if h.Card == nil {
+		s.hear(h, ident.Member(from), addr, now)
+		return
+	}
+	if h.Card.Id == s.Self.Id {
 		return
 	}
 	s.learn(h.Card, now)
@@ -307,6 +359,18 @@
 	}
 }
 
+func (s *State) hear(h *wire.Heartbeat, from ident.Member, addr string, now ident.Moment) {
+	if string(from) == s.Self.Id {
+		return
+	}
+	if c := s.cards[from]; c != nil && c.Addr == addr {
+		s.heard[from] = now
+	}
+	if h.Whole != s.whole() {
+		s.send(addr, s.heartbeat())
+	}
+}
+
 func (s *State) differ(sums []uint64) *wire.Table {
 	t := &wire.Table{}
 	for i := 0; i < Parts && i < len(sums); i++ {
@@ -359,9 +423,7 @@
 
 func (s *State) Leave(now ident.Moment) {
 	s.Update(func(c *wire.Card) { c.State = Left }, now)
-	for _, c := range s.WatchersOf(ident.Member(s.Self.Id)) {
-		s.send(c.Addr, s.heartbeat())
-	}
+	s.pulse(true)
 }
 
 func (s *State) Flush() []wire.Send {
--- a/wire/link.go
+++ b/wire/link.go
@@ -20,9 +20,11 @@
 const (
 	frameLimit  = 64 << 20
 	ringSize    = 512
+	bufferSize  = 4 << 10
 	connectWait = 300 * time.Millisecond
 	writeWait   = 2 * time.Second
 	redialPause = 100 * time.Millisecond
+	redialLeast = 10 * time.Millisecond
 )
 
 var Speaks = "2-2"
@@ -50,6 +52,7 @@
 	links map[string]*link
 	held  map[net.Conn]struct{}
 	ear   net.Listener
+	dial  func(done context.Context, to string) (net.Conn, error)
 	done  context.Context
 	stop  context.CancelFunc
 	Lost  atomic.Uint64
@@ -61,11 +64,17 @@
 	hub  *Hub
 	to   string
 	ring chan *Frame
+	up   chan struct{}
 }
 
 func (h *Hub) Open() error {
 	h.links = map[string]*link{}
 	h.held = map[net.Conn]struct{}{}
+	if h.dial == nil {
+		h.dial = func(done context.Context, to string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(done, "tcp", to)
+		}
+	}
 	h.done, h.stop = context.WithCancel(context.Background())
 	ear, err := net.Listen("tcp", h.Addr)
 	if err != nil {
@@ -119,15 +128,16 @@
 	if err := WriteFrame(c, h.stamp(h.greet())); err != nil {
 		return
 	}
-	b := bufio.NewReaderSize(c, 64<<10)
-	f, err := ReadFrame(b)
-	if err != nil || f.GetHello() == nil {
+	b := bufio.NewReaderSize(c, bufferSize)
+	g, err := ReadFrame(b)
+	if err != nil || g.GetHello() == nil {
 		return
 	}
-	if err := agree(f); err != nil {
-		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "from", f.From, "why", err)
+	if err := agree(g); err != nil {
+		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "from", g.From, "why", err)
 		return
 	}
+	h.rouse(g.Addr)
 	for {
 		f, err := ReadFrame(b)
 		if err != nil {
@@ -136,10 +146,25 @@
 		if f.Body == nil {
 			continue
 		}
+		if f.Addr == "" {
+			f.From, f.Addr, f.Incarnation = g.From, g.Addr, g.Incarnation
+		}
 		h.Take(f)
 	}
 }
 
+func (h *Hub) rouse(from string) {
+	h.lock.Lock()
+	l := h.links[from]
+	h.lock.Unlock()
+	if l != nil {
+		select {
+		case l.up <- struct{}{}:
+		default:
+		}
+	}
+}
+
 func spoken() (least, most uint32) {
 	if _, err := fmt.Sscanf(Speaks, "%d-%d", &least, &most); err != nil || least == 0 || least > most {
 		panic("wire: built with versions " + Speaks)
@@ -149,7 +174,7 @@
 
 func (h *Hub) greet() *Frame {
 	least, most := spoken()
-	return &Frame{Body: &Frame_Hello{Hello: &Hello{Least: least, Most: most, Build: h.Build}}}
+	return &Frame{Body: &Frame_Hello{Hello: &Hello{Least: least, Most: most, Build: h.Build, Terse: true}}}
 }
 
 func agree(f *Frame) error {
@@ -173,7 +198,7 @@
 	h.lock.Lock()
 	l := h.links[to]
 	if l == nil {
-		l = &link{hub: h, to: to, ring: make(chan *Frame, ringSize)}
+		l = &link{hub: h, to: to, ring: make(chan *Frame, ringSize), up: make(chan struct{}, 1)}
 		h.links[to] = l
 		go l.run()
 	}
@@ -187,6 +212,7 @@
 
 func (l *link) run() {
 	h := l.hub
+	pause := redialLeast
 	for {
 		var f *Frame
 		select {
@@ -194,36 +220,38 @@
 			return
 		case f = <-l.ring:
 		}
-		l.serve(f)
+		if pause = min(2*pause, redialPause); l.serve(f) {
+			pause = redialLeast
+		}
 		select {
 		case <-h.done.Done():
 			return
-		case <-time.After(redialPause):
+		case <-l.up:
+		case <-time.After(pause):
 		}
 	}
 }
 
-func (l *link) serve(f *Frame) {
+func (l *link) serve(f *Frame) (stood bool) {
 	h := l.hub
-	dial := net.Dialer{Timeout: connectWait}
-	c, err := dial.DialContext(h.done, "tcp", l.to)
+	c, err := l.connect()
 	if err != nil {
 		h.Lost.Add(1 + uint64(l.flush()))
-		return
+		return false
 	}
 	h.keep(c)
 	defer h.drop(c)
 	c.SetDeadline(time.Now().Add(writeWait))
 	if WriteFrame(c, h.stamp(h.greet())) != nil {
-		return
+		return false
 	}
 	g, err := ReadFrame(c)
 	if err != nil || g.GetHello() == nil {
-		return
+		return false
 	}
 	if err := agree(g); err != nil {
 		level.Error(h.Log).Log("part", "wire", "msg", "Refused a link.", "to", l.to, "why", err)
-		return
+		return false
 	}
 	c.SetDeadline(time.Time{})
 	gone := make(chan struct{})
@@ -232,29 +260,57 @@
 		c.Read(b[:])
 		close(gone)
 	}()
-	out := bufio.NewWriterSize(c, 64<<10)
+	out := bufio.NewWriterSize(c, bufferSize)
 	for {
 		c.SetWriteDeadline(time.Now().Add(writeWait))
+		if g.GetHello().Terse {
+			f = &Frame{Body: f.Body}
+		}
 		n, err := writeTo(out, f)
 		if err == nil && len(l.ring) == 0 {
 			err = out.Flush()
 		}
 		if err != nil {
 			h.Lost.Add(1)
-			return
+			return true
 		}
 		h.Sent.Add(1)
 		h.Bytes.Add(uint64(n))
 		select {
 		case <-h.done.Done():
-			return
+			return true
 		case <-gone:
-			return
+			return true
 		case f = <-l.ring:
 		}
 	}
 }
 
+func (l *link) connect() (net.Conn, error) {
+	select {
+	case <-l.up:
+	default:
+	}
+	for {
+		done, stop := context.WithTimeout(l.hub.done, connectWait)
+		over := make(chan bool, 1)
+		go func() {
+			select {
+			case <-l.up:
+				over <- true
+				stop()
+			case <-done.Done():
+				over <- false
+			}
+		}()
+		c, err := l.hub.dial(done, l.to)
+		stop()
+		if roused := <-over; err == nil || !roused {
+			return c, err
+		}
+	}
+}
+
 func (l *link) flush() int {
 	n := 0
 	for {
