Two peer tests wait until the connection is given back before they visit again

Cause: they looked for bars right after the answer, and the loop may answer before it hears that the connection broke, so the next visit met a bar (1 of 24 runs on a busy machine).

--- a/data/peer_test.go
+++ b/data/peer_test.go
@@ -202,7 +202,7 @@
 		require.Empty(t, h.Get("Retry-After"), path)
 		require.NotContains(t, body, "xxx")
 		require.Equal(t, 1, g.peer.saw(path), path)
-		g.until(func(s *State) bool { return len(s.bars) == 0 })
+		g.until(func(s *State) bool { return s.Open() == 0 && s.Pass.Held() == 1 && len(s.bars) == 0 })
 	}
 	g.peer.script = map[string]string{"/early": "HTTP/1.1 103 Early Hints\r\n\r\n" + answer200(`{"a":1}`)}
 	for _, path := range []string{"/early", "/plain"} {
@@ -240,7 +240,7 @@
 		status, ran, _, _ := g.visit("/slam", strings.Repeat("x", 60<<10))
 		require.Equal(t, 502, status)
 		require.Equal(t, "unknown", ran)
-		g.until(func(s *State) bool { return len(s.bars) == 0 })
+		g.until(func(s *State) bool { return s.Open() == 0 && s.Pass.Held() == 1 && len(s.bars) == 0 })
 	}
 }
 
