--- /dev/null
+++ b/calendar/calendar_test.go
@@ -0,0 +1,230 @@
+package calendar
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/desired"
+)
+
+const head = `{"fleet":{"nodes":1},"regions":{"fr":{"cells":["brest","rennes"]},"be":{}},"blackouts":`
+
+func read(t testing.TB, blackouts string) (*Calendar, []desired.Fault) {
+	s, faults := desired.Read([]byte(head + blackouts + "}"))
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return Read(s)
+}
+
+func at(t *testing.T, zone, text string) int64 {
+	z, err := time.LoadLocation(zone)
+	require.NoError(t, err)
+	m, err := time.ParseInLocation("2006-01-02 15:04:05", text, z)
+	require.NoError(t, err)
+	return m.UnixMilli()
+}
+
+func TestDaysAreJoinedAndBeginAndEndAtTheRegionsMidnight(t *testing.T) {
+	c, faults := read(t, `{"fr":{"zone":"Europe/Paris","days":["2026-12-26","2026-12-24","2026-12-25","2026-12-31"]},"be":{"zone":"Pacific/Kiritimati","days":["2026-12-25"]}}`)
+	require.Empty(t, faults)
+	p, ok := c.Next("fr", 0)
+	require.True(t, ok)
+	require.Equal(t, Period{at(t, "Europe/Paris", "2026-12-24 00:00:00"), at(t, "Europe/Paris", "2026-12-27 00:00:00")}, p)
+	_, ok = c.At("fr", p.From-1)
+	require.False(t, ok)
+	_, ok = c.At("fr", p.From)
+	require.True(t, ok)
+	_, ok = c.At("fr", p.Until)
+	require.False(t, ok)
+	q, _ := c.Next("fr", p.Until)
+	require.Equal(t, at(t, "Europe/Paris", "2026-12-31 00:00:00"), q.From)
+	_, ok = c.Next("fr", q.Until)
+	require.False(t, ok)
+	_, ok = c.Next("nowhere", 0)
+	require.False(t, ok)
+	k, _ := c.Next("be", 0)
+	require.Equal(t, 13*time.Hour, time.Duration(at(t, "Europe/Paris", "2026-12-25 00:00:00")-k.From)*time.Millisecond)
+}
+
+func TestADayOfTheClocksChangeIsAsLongAsItIs(t *testing.T) {
+	c, faults := read(t, `{"fr":{"zone":"Europe/Paris","days":["2027-03-28","2027-10-31"]}}`)
+	require.Empty(t, faults)
+	p, _ := c.Next("fr", 0)
+	require.Equal(t, int64(23*3600*1000), p.Until-p.From)
+	p, _ = c.Next("fr", p.Until)
+	require.Equal(t, int64(25*3600*1000), p.Until-p.From)
+}
+
+func TestRulesGiveTheirDays(t *testing.T) {
+	for rule, want := range map[string][]string{
+		"DTSTART=20260101;FREQ=YEARLY;BYMONTH=12;BYMONTHDAY=25":                 {"2026-12-25", "2027-12-25"},
+		"DTSTART=20260101;FREQ=YEARLY;BYEASTER=1":                               {"2026-04-06", "2027-03-29"},
+		"DTSTART=20261101;FREQ=MONTHLY;BYDAY=1SU;COUNT=2":                       {"2026-11-01", "2026-12-06"},
+		"RRULE:DTSTART=20261221;FREQ=WEEKLY;BYDAY=MO;UNTIL=20261231":            {"2026-12-21", "2026-12-28"},
+		"DTSTART=20261224;FREQ=DAILY;INTERVAL=2;COUNT=2":                        {"2026-12-24", "2026-12-26"},
+		"DTSTART=20260101;FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=29":                  {"2028-02-29", "2032-02-29"},
+		"DTSTART=20260101;FREQ=MONTHLY;BYDAY=FR;BYMONTHDAY=13;UNTIL=20261231":   {"2026-02-13", "2026-03-13"},
+		"DTSTART=20260101;FREQ=YEARLY;BYMONTH=11;BYDAY=4TH;INTERVAL=1;COUNT=40": {"2026-11-26", "2027-11-25"},
+	} {
+		c, faults := read(t, fmt.Sprintf(`{"fr":{"zone":"UTC","rules":["%s"]}}`, rule))
+		require.Empty(t, faults, rule)
+		ms := int64(0)
+		for _, day := range want {
+			p, ok := c.Next("fr", ms)
+			require.True(t, ok, rule)
+			require.Equal(t, at(t, "UTC", day+" 00:00:00"), p.From, rule)
+			ms = p.Until
+		}
+	}
+}
+
+func event(lines ...string) string {
+	return "BEGIN:VEVENT\r\n" + strings.Join(lines, "\r\n") + "\r\nEND:VEVENT\r\n"
+}
+
+func file(events ...string) string {
+	return "BEGIN:VCALENDAR\r\nVERSION:2.0\r\nPRODID:x\r\n" + strings.Join(events, "") + "END:VCALENDAR\r\n"
+}
+
+func ofFile(text string) string {
+	b, _ := json.Marshal(text)
+	return fmt.Sprintf(`{"fr":{"zone":"Europe/Paris","ics":%s}}`, b)
+}
+
+func TestAnICalendarFileIsRead(t *testing.T) {
+	c, faults := read(t, ofFile(file(
+		event("UID:1", "SUMMARY:Noël", "DTSTART;VALUE=DATE:20261224", "DTEND;VALUE=DATE:20261227"),
+		event("UID:2", "DTSTART;VALUE=DATE:20260714", "RRULE:FREQ=YEARLY", "EXDATE;VALUE=DATE:20270714"),
+		event("UID:3", "DTSTART;VALUE=DATE:20260801", "STATUS:CANCELLED"),
+	)))
+	require.Empty(t, faults)
+	var days []string
+	for ms := int64(0); len(days) < 3; {
+		p, ok := c.Next("fr", ms)
+		require.True(t, ok)
+		days, ms = append(days, time.UnixMilli(p.From).In(c.Zone("fr")).Format(desired.DayForm)), p.Until
+	}
+	require.Equal(t, []string{"2026-07-14", "2026-12-24", "2028-07-14"}, days)
+}
+
+func TestEveryFaultOfACalendarIsNamed(t *testing.T) {
+	for blackouts, want := range map[string]string{
+		`{"fr":{"zone":"Europe/Brest","days":["2026-12-25"]}}`:     "/blackouts/fr/zone is no IANA time zone",
+		`{"fr":{"zone":"Local","days":["2026-12-25"]}}`:            "/blackouts/fr/zone is no IANA time zone",
+		`{"fr":{"zone":"../../etc/passwd","days":["2026-12-25"]}}`: "/blackouts/fr/zone is no IANA time zone",
+		`{"fr":{"days":["2026-12-25"]}}`:                           "/blackouts/fr/zone is missing",
+		`{"fr":{"zone":"UTC"}}`:                                    "/blackouts/fr holds no day",
+		`{"fr":{"zone":"UTC","days":[]}}`:                          "/blackouts/fr/days is empty",
+		`{"fr":{"zone":"UTC","days":["2026-02-30"]}}`:              "/blackouts/fr/days/0 must be a date",
+		`{"fr":{"zone":"UTC","days":["25.12.2026"]}}`:              "/blackouts/fr/days/0 must be a date",
+		`{"fr":{"zone":"UTC","days":[7]}}`:                         "/blackouts/fr/days/0 must be a text",
+		`{"fr":{"zone":"UTC","days":["2026-12-25","2026-12-25"]}}`: "/blackouts/fr/days/1 names 2026-12-25 twice",
+		`{"us":{"zone":"UTC","days":["2026-12-25"]}}`:              "/blackouts/us names a region that regions does not hold",
+		`{"fr":{"zone":"UTC","days":["2026-12-25"],"spare":1}}`:    "/blackouts/fr/spare is not known here",
+		`{"fr":{"zone":"UTC","days":["2026-12-25"],"ics":"x"}}`:    "/blackouts/fr/ics cannot stand beside days or rules",
+		`{"fr":{"zone":"UTC","ics":"x"}}`:                          "/blackouts/fr/ics is no iCalendar text",
+		`{"fr":{"zone":"UTC","days":["2026-12-25"],"rules":["DTSTART=20260101;FREQ=YEARLY;BYMONTH=12;BYMONTHDAY=25"]}}`: "/blackouts/fr/days/0 2026-12-25 is given by rules/0 as well",
+		`{"fr":{"zone":"UTC","rules":["FREQ=YEARLY"]}}`:                                                                 "/blackouts/fr/rules/0 names no DTSTART",
+		`{"fr":{"zone":"UTC","rules":["DTSTART=20260101;FREQ=DAILY"]}}`:                                                 "/blackouts/fr/rules/0 gives a period without end",
+		`{"fr":{"zone":"UTC","rules":["DTSTART=20260101;FREQ=WEEKLY;BYDAY=MO,TU,WE,TH,FR,SA,SU"]}}`:                     "/blackouts/fr has a period without end: from 2026-01-01",
+		`{"fr":{"zone":"UTC","rules":["DTSTART=20260101;FREQ=DAILY;COUNT=63"]}}`:                                        "/blackouts/fr has a period without end",
+		`{"fr":{"zone":"UTC","rules":["DTSTART=20260101;FREQ=HOURLY"]}}`:                                                "/blackouts/fr/rules/0 must give whole days",
+		`{"fr":{"zone":"UTC","rules":["DTSTART=20260101;FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30"]}}`:                        "/blackouts/fr/rules/0 gives no day",
+		`{"fr":{"zone":"UTC","rules":["DTSTART=20260101;FREQ=YEARLY;UNTIL=20251231"]}}`:                                 "/blackouts/fr/rules/0 ends before it starts",
+		`{"fr":{"zone":"UTC","rules":["DTSTART=20260101T080000;FREQ=YEARLY"]}}`:                                         "/blackouts/fr/rules/0 must give DTSTART and UNTIL as dates",
+		`{"fr":{"zone":"UTC","rules":["DTSTART=20260101;FREQ=YEARLY;FREQ=DAILY"]}}`:                                     "/blackouts/fr/rules/0 names FREQ twice",
+		`{"fr":{"zone":"UTC","rules":["DTSTART=20260101;FREQ=YEARLY;BYSETPOS=400"]}}`:                                   `/blackouts/fr/rules/0 "BYSETPOS" is not read here`,
+		`{"fr":{"zone":"UTC","rules":["DTSTART=20260101;FREQ=YEARLY;INTERVAL=0"]}}`:                                     "/blackouts/fr/rules/0 must have an INTERVAL",
+		`{"fr":{"zone":"UTC","rules":["every day"]}}`:                                                                   "/blackouts/fr/rules/0",
+		ofFile(file()): "/blackouts/fr/ics holds no event",
+		ofFile(file(event("UID:1", "DTSTART:20261224T080000Z"))):                                                   "/blackouts/fr/ics/event/0 DTSTART must be one date",
+		ofFile(file(event("UID:1", "DTSTART;VALUE=DATE:20261224", "DTEND;VALUE=DATE:20261224"))):                   "/blackouts/fr/ics/event/0 ends on 2026-12-24, no later than it starts",
+		ofFile(file(event("UID:1", "DTSTART;VALUE=DATE:20261224", "DTEND;VALUE=DATE:20271224"))):                   "/blackouts/fr/ics/event/0 is 365 days long",
+		ofFile(file(event("UID:1", "DTSTART;VALUE=DATE:20261224"), event("UID:1", "DTSTART;VALUE=DATE:20261225"))): `/blackouts/fr/ics/event/1 has the UID of another, "1"`,
+		ofFile(file(event("DTSTART;VALUE=DATE:20261224"))):                                                         "/blackouts/fr/ics/event/0 has no UID",
+		ofFile(file(event("UID:1"))): "/blackouts/fr/ics/event/0 has no DTSTART",
+		ofFile(file(event("UID:1", "DTSTART;VALUE=DATE:20261224", "DURATION:P1D"))):                               "/blackouts/fr/ics/event/0 DURATION is not read here",
+		ofFile(file(event("UID:1", "DTSTART;VALUE=DATE:20261224", "RRULE:FREQ=DAILY"))):                           "/blackouts/fr/ics/event/0 gives a period without end",
+		ofFile(strings.Replace(file(event("UID:1", "DTSTART;VALUE=DATE:20261224")), "END:VCALENDAR", "", 1)[:40]): "/blackouts/fr/ics",
+	} {
+		_, faults := read(t, blackouts)
+		var all []string
+		for _, f := range faults {
+			all = append(all, f.Path+" "+f.Text)
+		}
+		require.Contains(t, strings.Join(all, "\n"), want, blackouts)
+	}
+}
+
+func TestOnlyWhatIsNewAndWhollyPastIsRefused(t *testing.T) {
+	now := at(t, "Europe/Paris", "2026-12-25 12:00:00")
+	c, faults := read(t, `{"fr":{"zone":"Europe/Paris","days":["2026-12-24","2026-12-25"],"rules":["DTSTART=20250101;FREQ=YEARLY;COUNT=1","DTSTART=20250501;FREQ=YEARLY"]}}`)
+	require.Empty(t, faults)
+	var paths []string
+	for _, f := range c.Past(nil, now) {
+		paths = append(paths, f.Path)
+	}
+	require.Equal(t, []string{"/blackouts/fr/days/0", "/blackouts/fr/rules/0"}, paths)
+	require.Empty(t, c.Past(c, now))
+}
+
+func TestNoRuleTakesLongToRead(t *testing.T) {
+	for _, r := range []string{"FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30", "FREQ=MONTHLY;BYMONTH=2;BYMONTHDAY=30", "FREQ=MONTHLY;BYDAY=6MO", "FREQ=YEARLY;BYMONTH=2;BYDAY=5MO;BYMONTHDAY=1", "FREQ=WEEKLY;BYDAY=MO,TU,WE,TH,FR", "FREQ=YEARLY;BYEASTER=200", "FREQ=WEEKLY;BYMONTH=2"} {
+		start := time.Now()
+		read(t, `{"fr":{"zone":"UTC","rules":["DTSTART=20000101;`+r+`"]}}`)
+		require.Less(t, time.Since(start), time.Second, r)
+		t.Log(r, time.Since(start))
+	}
+}
+
+func TestTheDataPlaneCarriesNoZonesAndNoCalendarReader(t *testing.T) {
+	for _, p := range []string{"sloeturn/cmd/dataplane", "sloeturn/platform/dataplane"} {
+		out, err := exec.Command("go", "list", "-deps", p).Output()
+		require.NoError(t, err)
+		for _, l := range strings.Fields(string(out)) {
+			require.NotContains(t, []string{"time/tzdata", "sloeturn/calendar", "github.com/teambition/rrule-go", "github.com/arran4/golang-ical"}, l, p)
+		}
+	}
+}
+
+func FuzzReadersOfACalendarNeverFailAndGivePeriodsInOrder(f *testing.F) {
+	f.Add("Europe/Paris", "2026-12-25", "DTSTART=20260101;FREQ=YEARLY;BYMONTH=12;BYMONTHDAY=25", false)
+	f.Add("UTC", "2026-12-25", "DTSTART=20260101;FREQ=MONTHLY;BYDAY=1SU;COUNT=2", false)
+	f.Add("Asia/Tokyo", "x", file(event("UID:1", "DTSTART;VALUE=DATE:20261224", "DTEND;VALUE=DATE:20261227", "RRULE:FREQ=YEARLY", "EXDATE:20271224")), true)
+	f.Add("America/Sao_Paulo", "2018-11-04", "DTSTART=20000101;FREQ=WEEKLY;BYDAY=SU", false)
+	f.Fuzz(func(t *testing.T, zone, day, text string, asFile bool) {
+		b := map[string]any{"zone": zone}
+		if asFile {
+			b["ics"] = text
+		} else {
+			b["days"], b["rules"] = []string{day}, []string{text}
+		}
+		doc, _ := json.Marshal(map[string]any{"fr": b})
+		c, faults := read(t, string(doc))
+		if len(faults) > 0 {
+			for _, f := range faults {
+				require.NotEmpty(t, f.Path+f.Text)
+			}
+			return
+		}
+		last := int64(-1 << 60)
+		for i := 0; i < 100000; i++ {
+			p, ok := c.Next("fr", last)
+			if !ok {
+				return
+			}
+			require.Greater(t, p.Until, p.From)
+			require.Greater(t, p.From, last)
+			require.LessOrEqual(t, p.Until-p.From, int64(PeriodMost+2)*24*3600*1000)
+			last = p.Until
+		}
+		t.Fatal("no end")
+	})
+}
--- a/desired/state.go
+++ b/desired/state.go
@@ -42,6 +42,7 @@
 	FurtherShare   int
 	Named          bool
 	Line           int
+	Regions        []string
 }
 
 type Lane struct {
@@ -78,13 +79,15 @@
 }
 
 type State struct {
-	Edition  uint64
-	Fleet    Fleet
-	Limits   *Limits
-	Services map[ident.Service]*Service
-	Lanes    map[ident.Lane]*Lane
-	Tenants  map[string]*Tenant
-	Routes   map[string]*Route
+	Edition   uint64
+	Fleet     Fleet
+	Limits    *Limits
+	Services  map[ident.Service]*Service
+	Lanes     map[ident.Lane]*Lane
+	Tenants   map[string]*Tenant
+	Routes    map[string]*Route
+	Regions   map[string]*Region
+	Blackouts map[string]*Blackout
 
 	hosts map[string][]*Route
 }
@@ -225,7 +228,7 @@
 
 func Check(tree any) (*State, []Fault) {
 	c := &check{}
-	s := &State{Services: map[ident.Service]*Service{}, Lanes: map[ident.Lane]*Lane{}, Tenants: map[string]*Tenant{}, Routes: map[string]*Route{}, hosts: map[string][]*Route{}}
+	s := &State{Services: map[ident.Service]*Service{}, Lanes: map[ident.Lane]*Lane{}, Tenants: map[string]*Tenant{}, Routes: map[string]*Route{}, Regions: map[string]*Region{}, Blackouts: map[string]*Blackout{}, hosts: map[string][]*Route{}}
 	o := c.object("", tree)
 	s.Edition = uint64(o.whole("edition", 1, EditionMost, 0, false))
 	if v, ok := o.take("fleet"); ok {
@@ -241,6 +244,10 @@
 	o.each("lanes", 4096, NameOK, nameRule, func(name, path string, v any) { s.Lanes[ident.Lane(name)] = c.lane(name, path, v, s) })
 	o.each("routes", 4096, RouteOK, routeRule, func(name, path string, v any) { s.Routes[name] = c.route(name, path, v, s) })
 	c.pave(s)
+	of := map[ident.Cell]string{}
+	o.each("regions", RegionsMost, NameOK, nameRule, func(name, path string, v any) { s.Regions[name] = c.region(name, path, v, s, of) })
+	o.each("blackouts", RegionsMost, NameOK, nameRule, func(name, path string, v any) { s.Blackouts[name] = c.blackout(name, path, v, s) })
+	c.within(s)
 	o.end()
 	if len(c.faults) == 0 {
 		c.sums(s)
@@ -308,6 +315,7 @@
 	if out.Named {
 		out.Probe.Slots = 0
 	}
+	out.Regions = o.texts("regions", RegionsMost)
 	o.end()
 	return out
 }
