Control: changes are held while a region stands still, and land together

The leader opens and closes periods through the log on the wall clocks that voters tell in their append replies; a reducer is given readings as events and reads no clock. A change is judged against the end of the queue, kept as a patch, and lands with the rest as one generation; what touches nothing that stands still takes effect at once and stays in the queue, so that it is replayed over what was held before it. Ruled out: whole states in the queue (a key changed meanwhile would be undone at the landing), and closing on the leader's clock alone. An opening that was disputed can be taken back by all voters; one that was not never is, lest a lone clock that leaps back ends a running period.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -39,6 +39,7 @@
 	BatchEntries = 512
 	Caught       = 256
 	LastResort   = 2 * time.Second
+	ClockKept    = 3 * time.Second
 )
 
 type Self struct {
@@ -77,6 +78,8 @@
 	snapAt  ident.Moment
 	reset   uint64
 	resetTo uint64
+	wall    int64
+	wallAt  ident.Moment
 }
 
 type held struct {
@@ -140,10 +143,11 @@
 	Want    int
 	Image   func() []byte
 	Doors   func() []ident.Addr
+	Wall    func(now ident.Moment) int64
 }
 
 func New(self Self, founders []ident.Addr, got *Recovered, seed int64, now ident.Moment) *State {
-	s := &State{Self: self, Founders: founders, Want: 3, rand: rand.New(rand.NewSource(seed)), found: map[string]*wire.Founding{}, out: &Out{}, Doors: func() []ident.Addr { return nil }}
+	s := &State{Self: self, Founders: founders, Want: 3, rand: rand.New(rand.NewSource(seed)), found: map[string]*wire.Founding{}, out: &Out{}, Doors: func() []ident.Addr { return nil }, Wall: func(ident.Moment) int64 { return 0 }}
 	s.asOf, s.heardLead = now, now
 	if got != nil && got.Snap != nil {
 		s.role = Follower
@@ -567,6 +571,23 @@
 	return true
 }
 
+// Clocks gives the wall clocks that voters told lately, the own one first, and how many voters there are; none without the own one.
+func (s *State) Clocks(now ident.Moment) ([]int64, int) {
+	all := Voters(s.Roster())
+	own := s.Wall(now)
+	if own == 0 || !s.voting() {
+		return nil, len(all)
+	}
+	out := []int64{own}
+	for _, v := range all {
+		l := s.lines[v.Id]
+		if l != nil && l.wall != 0 && now.Sub(l.wallAt) < ClockKept && v.Id != string(s.Self.Voter) {
+			out = append(out, l.wall+int64(now.Sub(l.wallAt)/time.Millisecond))
+		}
+	}
+	return out, len(all)
+}
+
 func (s *State) Needed(now ident.Moment) bool {
 	all := Voters(s.Roster())
 	if !s.voting() || len(all) == 1 {
@@ -805,7 +826,7 @@
 		return
 	}
 	reply := func(ok bool, match, hint uint64) *wire.Frame {
-		return &wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: s.term, Voter: string(s.Self.Voter), Ok: ok, Match: match, Hint: hint, Round: a.Round, Ailing: s.ailing}}}
+		return &wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: s.term, Voter: string(s.Self.Voter), Ok: ok, Match: match, Hint: hint, Round: a.Round, Ailing: s.ailing, WallMs: s.Wall(now)}}}
 	}
 	if a.Term < s.term {
 		s.send(a.LeaderAddr, reply(false, 0, 0))
@@ -887,6 +908,9 @@
 		return
 	}
 	l.heard, l.ailing = now, a.Ailing
+	if a.WallMs != 0 {
+		l.wall, l.wallAt = a.WallMs, now
+	}
 	s.acked(l, a.Round)
 	if a.Ok {
 		l.match = max(l.match, a.Match)
--- a/boot/boot.go
+++ b/boot/boot.go
@@ -54,6 +54,9 @@
 	FileMB   int      `arg:"--ring-file-mb" help:"size of each file in the ring"`
 	Losses   int      `arg:"--losses" help:"disk holders that may be lost at once; twice as many and one vote"`
 	Joins    bool     `arg:"--joins" help:"join a fleet that stands; never form one"`
+
+	ClockFromMs int64 `arg:"--clock-from-ms" help:"for trials of a calendar only: Unix milliseconds from which its clock runs faster"`
+	ClockScale  int64 `arg:"--clock-scale" help:"for trials of a calendar only: how many times faster; the same everywhere"`
 }
 
 type Settings struct {
@@ -76,6 +79,20 @@
 	FileMB    int      `json:"ringFileMB,omitempty"`
 	Losses    int      `json:"losses,omitempty"`
 	Joins     bool     `json:"joins,omitempty"`
+
+	ClockFromMs int64 `json:"clockFromMs,omitempty"`
+	ClockScale  int64 `json:"clockScale,omitempty"`
+}
+
+const clockScaleMost = 100000
+
+// Wall is the calendar's clock: the wall clock, but for trials.
+func (s *Settings) Wall() time.Time {
+	now := time.Now()
+	if s.ClockScale == 0 {
+		return now
+	}
+	return time.UnixMilli(s.ClockFromMs + s.ClockScale*(now.UnixMilli()-s.ClockFromMs))
 }
 
 func (s *Settings) Drain() time.Duration  { return time.Duration(s.DrainMs) * time.Millisecond }
@@ -168,6 +185,12 @@
 			s.Losses = d.Losses
 		}
 		s.Joins = s.Joins || d.Joins
+		if d.ClockFromMs != 0 {
+			s.ClockFromMs = d.ClockFromMs
+		}
+		if d.ClockScale != 0 {
+			s.ClockScale = d.ClockScale
+		}
 	}
 	faults = append(faults, s.check(d)...)
 	return s, faults
@@ -237,6 +260,11 @@
 	if d != nil && (s.Losses < 1 || s.Losses > 4) {
 		say("losses", "must be from 1 to 4; is %d", s.Losses)
 	}
+	if d == nil && (s.ClockFromMs != 0 || s.ClockScale != 0) {
+		say("clockScale", "is for control processes")
+	} else if (s.ClockFromMs != 0) != (s.ClockScale != 0) || s.ClockFromMs < 0 || s.ClockScale < 0 || s.ClockScale > clockScaleMost {
+		say("clockScale", "must be from 1 to %d, with clockFromMs, or both left out; is %d from %d", clockScaleMost, s.ClockScale, s.ClockFromMs)
+	}
 	if s.Joins && len(s.Founders) > 0 {
 		say("joins", "names no founders; holds %d", len(s.Founders))
 	}
@@ -281,6 +309,7 @@
 		{"decisions", fmt.Sprint(s.Decisions), fmt.Sprint(n.Decisions)},
 		{"memoryMB", fmt.Sprint(s.MemoryMB), fmt.Sprint(n.MemoryMB)}, {"growth", fmt.Sprint(s.Growth), fmt.Sprint(n.Growth)},
 		{"losses", fmt.Sprint(s.Losses), fmt.Sprint(n.Losses)}, {"joins", fmt.Sprint(s.Joins), fmt.Sprint(n.Joins)},
+		{"clockFromMs", fmt.Sprint(s.ClockFromMs), fmt.Sprint(n.ClockFromMs)}, {"clockScale", fmt.Sprint(s.ClockScale), fmt.Sprint(n.ClockScale)},
 		{"ringFiles", fmt.Sprint(s.Files), fmt.Sprint(n.Files)}, {"ringFileMB", fmt.Sprint(s.FileMB), fmt.Sprint(n.FileMB)},
 	} {
 		if p.old != p.new {
--- a/control/events.go
+++ b/control/events.go
@@ -25,6 +25,9 @@
 	Generation uint64          `json:"generation"`
 	Error      string          `json:"error,omitempty"`
 	Faults     []desired.Fault `json:"faults,omitempty"`
+	Held       bool            `json:"held,omitempty"`
+	Place      uint64          `json:"place,omitempty"`
+	Until      string          `json:"until,omitempty"`
 }
 
 func (n *Node) events(w http.ResponseWriter, r *http.Request) {
@@ -91,6 +94,12 @@
 	if c.Basis = basis; err != nil {
 		bad("basis", "must be the generation this change stands on")
 	}
+	if v, ok := m["tail"]; ok {
+		k, _ := v.(json.Number)
+		if c.Tail, err = strconv.ParseUint(k.String(), 10, 64); err != nil {
+			bad("tail", "must be a whole number, the end of the queue this change stands on")
+		}
+	}
 	if c.ChangeId, _ = m["changeId"].(string); c.ChangeId == "" || len(c.ChangeId) > 128 {
 		bad("changeId", "must name this change, in at most 128 bytes")
 	}
@@ -103,7 +112,7 @@
 		bad("desired", "must be an object")
 	}
 	for _, k := range slices.Sorted(maps.Keys(m)) {
-		if !slices.Contains([]string{"event", "atMs", "basis", "changeId", "merge", "desired"}, k) {
+		if !slices.Contains([]string{"event", "atMs", "basis", "tail", "changeId", "merge", "desired"}, k) {
 			bad(k, "is not known here")
 		}
 	}
@@ -116,6 +125,8 @@
 	switch ledger.Code(got.Code) {
 	case ledger.Done:
 		t.OK = true
+	case ledger.Held:
+		t.OK, t.Held, t.Place, t.Until = true, true, got.Place, stamp(got.UntilMs)
 	case ledger.Stale:
 		t.Error = "another change came first"
 	case ledger.Invalid:
--- /dev/null
+++ b/control/holdings.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"sloeturn/desired"
+	"sloeturn/duty"
+	"sloeturn/ident"
+)
+
+type stillLine struct {
+	Region string   `json:"region"`
+	Zone   string   `json:"zone,omitempty"`
+	Cells  []string `json:"cells"`
+	State  string   `json:"state"`
+	Number uint64   `json:"number,omitempty"`
+	From   string   `json:"from,omitempty"`
+	Until  string   `json:"until,omitempty"`
+}
+
+type heldLine struct {
+	Place    uint64          `json:"place"`
+	ChangeID string          `json:"changeId"`
+	Author   string          `json:"author,omitempty"`
+	Edition  uint64          `json:"edition,omitempty"`
+	Regions  []string        `json:"regions"`
+	Until    string          `json:"until,omitempty"`
+	InForce  bool            `json:"inForce"`
+	Patch    json.RawMessage `json:"patch"`
+}
+
+type holdings struct {
+	Generation uint64          `json:"generation"`
+	Edition    uint64          `json:"edition"`
+	Basis      string          `json:"basis"`
+	Clock      string          `json:"clock,omitempty"`
+	Calendar   []stillLine     `json:"calendar"`
+	Held       []heldLine      `json:"held"`
+	End        json.RawMessage `json:"end"`
+}
+
+func (s *State) holdings(now ident.Moment) holdings {
+	b := s.Book
+	out := holdings{Generation: uint64(b.Generation), Edition: max(b.EndEdition(), b.Floor), Basis: strings.Trim(mark(uint64(b.Generation), b.Stands()), `"`), Calendar: []stillLine{}, Held: []heldLine{}, End: desired.Write(s.endTree())}
+	wall := s.wall(now)
+	if wall != 0 {
+		out.Clock = stamp(wall)
+	}
+	names := b.OpenRegions()
+	cal := s.current()
+	if cal != nil {
+		names = cal.Regions()
+	}
+	d := b.State(b.Generation)
+	for _, n := range names {
+		l := stillLine{Region: n, State: "free", Cells: []string{}}
+		if d == nil {
+			d = &desired.State{}
+		}
+		if k := d.Regions[n]; k != nil {
+			for _, c := range k.Cells {
+				l.Cells = append(l.Cells, string(c))
+			}
+		}
+		if k := d.Blackouts[n]; k != nil {
+			l.Zone = k.Zone
+		}
+		if p := b.Open(n); p != nil {
+			l.State, l.Number, l.From, l.Until = "still", p.Number, stamp(p.FromMs), stamp(p.UntilMs)
+		} else if p, ok := cal.Next(n, max(wall, b.Periods[n].GetClosedMs())); ok {
+			l.From, l.Until = stamp(p.From), stamp(p.Until)
+		}
+		out.Calendar = append(out.Calendar, l)
+	}
+	for _, h := range b.Held {
+		l := heldLine{Place: h.Place, ChangeID: h.ChangeId, Author: h.Author, Edition: h.Edition, Regions: h.Regions, InForce: h.Applied, Patch: h.Patch}
+		if l.Regions == nil {
+			l.Regions = []string{}
+		}
+		if !h.Applied {
+			_, ms := s.waitsFor(h)
+			l.Until = stamp(ms)
+		}
+		out.Held = append(out.Held, l)
+	}
+	return out
+}
+
+type heldFound struct {
+	holdings
+	ok   bool
+	wait bool
+	lead string
+}
+
+func (n *Node) heldNow() (heldFound, error) {
+	asked := ident.Now()
+	read := func(s *State, now ident.Moment) any {
+		at, ok := s.leads()
+		switch {
+		case ok && at.Before(asked):
+			return heldFound{wait: true}
+		case ok:
+			return heldFound{holdings: s.holdings(now), ok: true}
+		}
+		for _, k := range s.Members.Cards() {
+			if k.Addr == s.leaderAddr() && k.Addr != string(s.Addr) {
+				return heldFound{lead: k.Http}
+			}
+		}
+		return heldFound{}
+	}
+	v, err := n.Query(read)
+	for err == nil && v.(heldFound).wait && ident.Now().Sub(asked) < readWait {
+		time.Sleep(5 * time.Millisecond)
+		v, err = n.Query(read)
+	}
+	if err != nil {
+		return heldFound{}, err
+	}
+	return v.(heldFound), nil
+}
+
+func (n *Node) held(w http.ResponseWriter, r *http.Request) {
+	f, err := n.heldNow()
+	if err != nil {
+		duty.Wrong(w, 503, err.Error(), nil)
+		return
+	}
+	if f.lead != "" && r.Header.Get("Sloeturn-Hop") == "" {
+		n.pass(w, r, f.lead)
+		return
+	}
+	if !f.ok {
+		w.Header().Set("Retry-After", "1")
+		duty.Wrong(w, 503, "no leader to read from just now", nil)
+		return
+	}
+	w.Header().Set("ETag", `"`+f.Basis+`"`)
+	duty.JSON(w, 200, f.holdings)
+}
+
+// End is the state at the end of the queue of held changes, which the next change stands on.
+func (n *Node) End(done context.Context) (doc []byte, ok bool) { return n.newest(done, true) }
--- a/control/http.go
+++ b/control/http.go
@@ -53,6 +53,8 @@
 	mux.HandleFunc("PUT /desired", func(w http.ResponseWriter, r *http.Request) { n.set(w, r, false) })
 	mux.HandleFunc("PATCH /desired", func(w http.ResponseWriter, r *http.Request) { n.set(w, r, true) })
 	mux.HandleFunc("DELETE /desired/trial", func(w http.ResponseWriter, r *http.Request) { n.set(w, r, false) })
+	mux.HandleFunc("DELETE /desired/held/{place}", n.unhold)
+	mux.HandleFunc("GET /desired/held", n.held)
 	mux.HandleFunc("GET /desired", n.get)
 	mux.HandleFunc("GET /desired/history", func(w http.ResponseWriter, r *http.Request) { n.ask(w, history) })
 	mux.HandleFunc("GET /desired/{generation}", n.get)
@@ -86,6 +88,29 @@
 		duty.Wrong(w, 413, "desired state too large or broken off", nil)
 		return
 	}
+	c := &wire.SetDesired{Doc: body, Merge: merge, Withdraw: r.Method == "DELETE"}
+	if only := r.URL.Query().Get("only"); only != "" {
+		c.Only = strings.Split(only, ",")
+	}
+	for i, m := range c.Only {
+		if !desired.NameOK(m) || slices.Contains(c.Only[:i], m) {
+			duty.Wrong(w, 400, "only must name members, each once, by comma", nil)
+			return
+		}
+	}
+	n.change(w, r, c)
+}
+
+func (n *Node) unhold(w http.ResponseWriter, r *http.Request) {
+	place, err := strconv.ParseUint(r.PathValue("place"), 10, 64)
+	if err != nil || place == 0 {
+		duty.Wrong(w, 400, "not a place of a held change", nil)
+		return
+	}
+	n.change(w, r, &wire.SetDesired{TakeOut: place})
+}
+
+func (n *Node) change(w http.ResponseWriter, r *http.Request, c *wire.SetDesired) {
 	tag := strings.Trim(r.Header.Get("If-Match"), `"`)
 	editions, byEdition := r.Header[http.CanonicalHeaderKey(editionBasis)]
 	if tag == "" && !byEdition {
@@ -99,6 +124,17 @@
 	if byEdition {
 		tag = editions[0]
 	}
+	tag, tail, _ := strings.Cut(tag, "+")
+	if tail != "" && !byEdition {
+		t, err := strconv.ParseUint(tail, 10, 64)
+		if err != nil {
+			duty.Wrong(w, 400, "header If-Match must be a generation, and with changes held +TAIL after it", nil)
+			return
+		}
+		c.Tail = t
+	} else if tail != "" {
+		tag = ""
+	}
 	basis, err := strconv.ParseUint(tag, 10, 64)
 	if byEdition && (err != nil || basis > desired.EditionMost) {
 		duty.Wrong(w, 400, "header "+editionBasis+" must be an edition, or 0 for none", nil)
@@ -115,28 +151,30 @@
 	}
 	done, stop := context.WithTimeout(r.Context(), DesiredWait)
 	defer stop()
-	c := &wire.SetDesired{Basis: basis, ByEdition: byEdition, ChangeId: id, Doc: body, Merge: merge, Author: r.Header.Get("Sloeturn-Author"), Withdraw: r.Method == "DELETE"}
-	if only := r.URL.Query().Get("only"); only != "" {
-		c.Only = strings.Split(only, ",")
-	}
-	for i, m := range c.Only {
-		if !desired.NameOK(m) || slices.Contains(c.Only[:i], m) {
-			duty.Wrong(w, 400, "only must name members, each once, by comma", nil)
-			return
-		}
-	}
+	c.Basis, c.ByEdition, c.ChangeId, c.Author = basis, byEdition, id, r.Header.Get("Sloeturn-Author")
 	got := n.Change(done, &wire.Change{Body: &wire.Change_SetDesired{SetDesired: c}}, DesiredWait)
 	switch ledger.Code(got.Code) {
 	case ledger.Done:
-		w.Header().Set("ETag", fmt.Sprintf(`"%d"`, got.Generation))
+		w.Header().Set("ETag", mark(got.Generation, got.Tail))
+		if c.TakeOut != 0 {
+			duty.JSON(w, 200, map[string]any{"generation": got.Generation, "edition": got.Edition, "withdrawn": c.TakeOut, "basis": strings.Trim(mark(got.Generation, got.Tail), `"`)})
+			return
+		}
 		if len(c.Only) > 0 || c.Withdraw {
 			duty.JSON(w, 200, map[string]any{"generation": got.Generation, "edition": got.Edition, "trial": map[bool]string{true: "withdrawn", false: id}[c.Withdraw]})
 			return
 		}
 		duty.JSON(w, 200, map[string]any{"generation": got.Generation, "edition": got.Edition, "inForce": true})
+	case ledger.Held:
+		w.Header().Set("ETag", mark(got.Generation, got.Tail))
+		duty.JSON(w, 202, map[string]any{"held": true, "place": got.Place, "until": stamp(got.UntilMs), "regions": got.Regions, "generation": got.Generation, "edition": got.Edition, "basis": strings.Trim(mark(got.Generation, got.Tail), `"`)})
 	case ledger.Stale:
-		w.Header().Set("ETag", fmt.Sprintf(`"%d"`, got.Generation))
-		duty.JSON(w, 412, map[string]any{"error": "another change came first", "generation": got.Generation, "edition": got.Edition})
+		w.Header().Set("ETag", mark(got.Generation, got.Tail))
+		late := map[string]any{"error": "another change came first", "generation": got.Generation, "edition": got.Edition}
+		if got.Tail > 0 {
+			late["error"], late["basis"] = "another change came first; changes are held, see /desired/held", strings.Trim(mark(got.Generation, got.Tail), `"`)
+		}
+		duty.JSON(w, 412, late)
 	case ledger.Invalid:
 		var faults []desired.Fault
 		for _, f := range got.Faults {
@@ -148,6 +186,13 @@
 	}
 }
 
+func mark(gen, tail uint64) string {
+	if tail > 0 {
+		return fmt.Sprintf(`"%d+%d"`, gen, tail)
+	}
+	return fmt.Sprintf(`"%d"`, gen)
+}
+
 type found struct {
 	doc  []byte
 	gen  uint64
@@ -156,7 +201,7 @@
 	wait bool
 }
 
-func (n *Node) find(want uint64) (found, error) {
+func (n *Node) find(want uint64, end bool) (found, error) {
 	asked := ident.Now()
 	read := func(s *State, now ident.Moment) any {
 		if at, ok := s.leads(); ok && want == 0 && at.Before(asked) {
@@ -177,6 +222,9 @@
 			}
 			return found{}
 		}
+		if end && len(s.Book.Held) > 0 {
+			return found{desired.Write(s.endTree()), uint64(s.Book.Generation), "", true, false}
+		}
 		if l := s.Book.Line(s.Book.Generation); l != nil {
 			return found{l.Doc, l.Generation, "", true, false}
 		}
@@ -193,15 +241,17 @@
 	return v.(found), nil
 }
 
-func (n *Node) Newest(done context.Context) (doc []byte, ok bool) {
-	f, err := n.find(0)
+func (n *Node) Newest(done context.Context) (doc []byte, ok bool) { return n.newest(done, false) }
+
+func (n *Node) newest(done context.Context, end bool) (doc []byte, ok bool) {
+	f, err := n.find(0, end)
 	if err != nil {
 		return nil, false
 	}
 	if f.lead == "" {
 		return f.doc, f.ok
 	}
-	resp, err := n.onward(done, f.lead, "/desired")
+	resp, err := n.onward(done, f.lead, "/desired"+map[bool]string{true: "?end=1"}[end])
 	if err != nil {
 		return nil, false
 	}
@@ -235,7 +285,7 @@
 		}
 		want = g
 	}
-	f, err := n.find(want)
+	f, err := n.find(want, r.URL.Query().Get("end") == "1")
 	if err != nil {
 		duty.Wrong(w, 503, err.Error(), nil)
 		return
@@ -259,7 +309,7 @@
 }
 
 func (n *Node) pass(w http.ResponseWriter, r *http.Request, places string) {
-	resp, err := n.onward(r.Context(), places, r.URL.Path)
+	resp, err := n.onward(r.Context(), places, r.URL.RequestURI())
 	if err != nil {
 		w.Header().Set("Retry-After", "1")
 		duty.Wrong(w, 503, "the leader does not answer just now", nil)
@@ -360,6 +410,9 @@
 		"generation": s.Relay.Core.GetGeneration(), "inForce": s.Relay.Core.GetInForce(), "grown": s.Relay.Core.GetGrown(),
 		"coreAgeMs": now.Sub(s.Relay.CoreAsOf).Milliseconds(), "leader": s.Relay.Core.GetLeader(), "term": s.Relay.Core.GetTerm(), "claims": len(s.Book.Claims),
 	}
+	if open := s.Book.OpenRegions(); len(open) > 0 {
+		out["stillRegions"], out["changesHeld"] = open, len(s.Book.Held)
+	}
 	if t := s.Relay.Core.GetTrial(); t != nil {
 		out["trial"] = map[string]any{"changeId": t.ChangeId, "only": t.Only, "desired": json.RawMessage(t.Doc)}
 	}
@@ -408,6 +461,14 @@
 		p("seats_taken", len(s.Book.Seats))
 		p("claims_kept", len(s.Book.Claims))
 		p("cells_held", len(s.holds))
+		p("blackout_periods_open", len(s.Book.OpenRegions()))
+		p("changes_held", len(s.Book.Held))
+		p("changes_held_bytes", s.Book.HeldBytes())
+		if s.watching {
+			p("calendar_clock_seconds", s.clock.UnixMs/1000)
+			clocks, _ := s.Agree.Clocks(now)
+			p("calendar_clocks_told", len(clocks))
+		}
 		p("core_age_seconds", now.Sub(s.Relay.CoreAsOf).Seconds())
 		if s.Agree != nil {
 			p("agreement_commit", uint64(s.Agree.Commit()))
--- a/control/node.go
+++ b/control/node.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -39,23 +40,25 @@
 	Hub   *wire.Hub
 	Log   log.Logger
 
-	ring   *ringfile.Ring
-	dir    *ringfile.Dir
-	lock   sync.Mutex
-	asks   map[uint64]chan any
-	token  atomic.Uint64
-	ended  chan struct{}
-	over   sync.Once
-	diskIn chan struct{}
-	disk   []agreement.Persist
-	busy   atomic.Int64
-	dead   atomic.Bool
-	Synced atomic.Uint64
-	Slow   atomic.Int64
+	ring    *ringfile.Ring
+	dir     *ringfile.Dir
+	lock    sync.Mutex
+	asks    map[uint64]chan any
+	token   atomic.Uint64
+	ended   chan struct{}
+	over    sync.Once
+	diskIn  chan struct{}
+	disk    []agreement.Persist
+	busy    atomic.Int64
+	dead    atomic.Bool
+	Synced  atomic.Uint64
+	Slow    atomic.Int64
+	Wall    func() time.Time
+	unwatch chan struct{}
 }
 
 func NewNode(b Boot, d Disks, l log.Logger) (*Node, error) {
-	n := &Node{Log: l, Stream: duty.NewStream(b.Decisions, b.Incarnation), asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1)}
+	n := &Node{Log: l, Stream: duty.NewStream(b.Decisions, b.Incarnation), asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1), Wall: time.Now}
 	var got *agreement.Recovered
 	if d.Path != "" {
 		dir, err := ringfile.OpenDir(d.Path)
@@ -178,6 +181,8 @@
 			n.tell(e.Token, e.Reply)
 		case duty.Decision:
 			n.Add(e, now)
+		case Watch:
+			n.watchClock(e.On)
 		case Note:
 			level.Info(n.Log).Log("part", "control", "msg", e.Text)
 		case Exit:
@@ -220,7 +225,39 @@
 	}
 }
 
+// watchClock reads the wall clock for as long as a calendar stands.
+func (n *Node) watchClock(on bool) {
+	if n.unwatch != nil {
+		close(n.unwatch)
+		n.unwatch = nil
+	}
+	if !on {
+		return
+	}
+	end := make(chan struct{})
+	n.unwatch = end
+	go func() {
+		t := time.NewTicker(ClockEvery)
+		defer t.Stop()
+		for {
+			if !n.Offer(Clock{n.Wall().UnixMilli(), ident.Now()}) {
+				level.Warn(n.Log).Log("part", "calendar", "msg", "The wall clock could not be told; this process is too busy.")
+			}
+			select {
+			case <-end:
+				return
+			case <-n.Stopped():
+				return
+			case <-t.C:
+			}
+		}
+	}()
+}
+
 func (n *Node) Change(done context.Context, c *wire.Change, wait time.Duration) *wire.ProposeReply {
+	if d := c.GetSetDesired(); d != nil && bytes.Contains(d.Doc, []byte("blackouts")) {
+		d.TodayMs = n.Wall().UnixMilli()
+	}
 	v := n.call(done, func(t uint64) any { return Change{t, c, wait} })
 	if v == nil {
 		return &wire.ProposeReply{Code: uint32(ledger.Lost)}
--- a/control/serve.go
+++ b/control/serve.go
@@ -22,11 +22,14 @@
 	n, err := NewNode(Boot{
 		Member: ident.Member(set.Name), Addr: ident.Addr(set.Address), HTTP: set.HTTP + "," + set.Operators, Cell: ident.Cell(set.Cell),
 		Incarnation: ident.NewIncarnation(), Seeds: boot.Addrs(set.Seeds), Founders: boot.Addrs(set.Founders), Build: boot.Build, Seed: int64(ident.NewIncarnation()),
-		Decisions: set.Decisions, Tenure: set.Tenure(), Stale: set.Stale(), Drain: set.Drain(), Losses: set.Losses,
+		Decisions: set.Decisions, Tenure: set.Tenure(), Stale: set.Stale(), Drain: set.Drain(), Losses: set.Losses, ClockScale: set.ClockScale,
 	}, Disks{Path: set.Data, Files: set.Files, Size: int64(set.FileMB) << 20}, log)
 	if err != nil {
 		return err
 	}
+	if n.Wall = set.Wall; set.ClockScale != 0 {
+		level.Warn(log).Log("part", "calendar", "msg", "The calendar's clock is sped up; this is for trials only.", "times", set.ClockScale, "now", set.Wall().UTC().Format(time.RFC3339))
+	}
 	if err := n.Open(); err != nil {
 		return err
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sloeturn/agreement"
+	"sloeturn/calendar"
 	"sloeturn/cell"
 	"sloeturn/desired"
 	"sloeturn/duty"
@@ -89,6 +90,7 @@
 	Stale       time.Duration
 	Drain       time.Duration
 	Losses      int
+	ClockScale  int64
 }
 
 func (b Boot) quorumWait() time.Duration {
@@ -170,9 +172,10 @@
 	replay   bool
 	draining bool
 	drainAt  ident.Moment
-	used     float64
-	role     agreement.Role
-	out      []any
+	bound
+	used float64
+	role agreement.Role
+	out  []any
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
@@ -201,6 +204,7 @@
 			}
 			return out
 		}
+		s.Agree.Wall = s.wall
 		s.Agree.Image = func() []byte { return s.Book.Image() }
 		if got != nil && got.Snap != nil {
 			if err := s.load(got.Snap); err != nil {
@@ -271,6 +275,8 @@
 			}
 			s.out = append(s.out, Note{"Draining."})
 		}
+	case Clock:
+		s.clock = e
 	case Query:
 		e.Do(s, now)
 	}
@@ -361,6 +367,11 @@
 		s.pump(now)
 		return
 	}
+	switch c.GetBody().(type) {
+	case *wire.Change_HoldBack, *wire.Change_TakeOut, *wire.Change_PeriodTurn, *wire.Change_Land:
+		s.reply(a, &wire.ProposeReply{Code: uint32(ledger.Invalid)})
+		return
+	}
 	if s.asked[a] {
 		return
 	}
@@ -371,65 +382,97 @@
 }
 
 func (s *State) pump(now ident.Moment) {
-	for len(s.queue) > 0 && uint64(s.Book.Index) >= s.setIndex && s.Agree.Steady(now) {
+	for len(s.queue) > 0 && uint64(s.Book.Index) >= s.setIndex && s.Agree.Steady(now) && s.judge(now) {
 		q := s.queue[0]
 		s.queue = s.queue[1:]
-		if l := s.Book.ByChange(q.set.ChangeId); l != nil {
-			s.inForce(force{ident.Generation(l.Generation), q.asker})
-			continue
-		}
-		if t := s.Book.Trial; t != nil && t.ChangeId == q.set.ChangeId {
-			s.inForce(force{s.Book.Generation, q.asker})
-			continue
-		}
-		edition := s.Book.Edition(s.Book.Generation)
-		if !q.set.ByEdition && q.set.Basis != uint64(s.Book.Generation) || q.set.ByEdition && q.set.Basis != edition {
-			s.decide(duty.Decision{Decision: "refused change", Note: "another change came first: " + q.set.ChangeId})
-			s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation), Edition: edition})
-			continue
-		}
-		var tree any = map[string]any{}
-		var faults []desired.Fault
-		if !q.set.Withdraw {
-			tree, faults = desired.ReadTree(q.set.Doc)
-		}
-		if len(q.set.Only) > 0 && s.Book.Generation == 0 {
-			faults = append(faults, desired.Fault{Path: "", Text: "no desired state is set that a trial could stand beside"})
-		}
-		if len(faults) == 0 && q.set.Merge {
-			var base any = map[string]any{}
-			if l := s.Book.Line(s.Book.Generation); l != nil {
-				base, _ = desired.ReadTree(l.Doc)
-			}
-			tree = desired.Merge(base, tree)
-		}
-		doc := desired.Write(tree)
-		if len(faults) == 0 && !q.set.Withdraw {
-			var d *desired.State
-			if d, faults = desired.Read(doc); len(faults) == 0 {
-				faults = d.Follows(edition)
-			}
+		s.decideOn(q, now)
+	}
+}
+
+func (s *State) decideOn(q desiredAsk, now ident.Moment) {
+	if l := s.Book.ByChange(q.set.ChangeId); l != nil {
+		s.inForce(force{ident.Generation(l.Generation), q.asker})
+		return
+	}
+	if h := s.Book.ByHeld(q.set.ChangeId); h != nil {
+		s.reply(q.asker, s.heldReply(h.Place))
+		return
+	}
+	if t := s.Book.Trial; t != nil && t.ChangeId == q.set.ChangeId {
+		s.inForce(force{s.Book.Generation, q.asker})
+		return
+	}
+	if q.set.TakeOut != 0 && s.Book.TookOut(q.set.ChangeId) {
+		s.takeOut(q, now)
+		return
+	}
+	edition, tail := s.Book.EndEdition(), s.Book.Stands()
+	if !q.set.ByEdition && (q.set.Basis != uint64(s.Book.Generation) || q.set.Tail != tail) || q.set.ByEdition && q.set.Basis != edition {
+		s.decide(duty.Decision{Decision: "refused change", Note: "another change came first: " + q.set.ChangeId})
+		s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation), Edition: edition, Tail: tail})
+		return
+	}
+	if q.set.TakeOut != 0 {
+		s.takeOut(q, now)
+		return
+	}
+	var tree any = map[string]any{}
+	var faults []desired.Fault
+	if !q.set.Withdraw {
+		tree, faults = desired.ReadTree(q.set.Doc)
+	}
+	if len(q.set.Only) > 0 && s.Book.Generation == 0 {
+		faults = append(faults, desired.Fault{Path: "", Text: "no desired state is set that a trial could stand beside"})
+	}
+	if len(faults) == 0 && q.set.Merge {
+		tree = desired.Merge(s.endTree(), tree)
+	}
+	doc := desired.Write(tree)
+	var d *desired.State
+	if len(faults) == 0 && !q.set.Withdraw {
+		if d, faults = desired.Read(doc); len(faults) == 0 {
+			faults = append(d.Follows(max(edition, s.Book.Floor)), s.dated(d, q.set.TodayMs)...)
 		}
-		if len(faults) > 0 {
-			s.decide(duty.Decision{Decision: "refused change", Note: fmt.Sprintf("%s: %d faults, first %s %s", q.set.ChangeId, len(faults), faults[0].Path, faults[0].Text)})
-			r := &wire.ProposeReply{Code: uint32(ledger.Invalid), Generation: uint64(s.Book.Generation), Edition: edition}
-			for _, f := range faults {
-				r.Faults = append(r.Faults, &wire.Fault{Path: f.Path, Text: f.Text})
-			}
-			s.reply(q.asker, r)
-			continue
+	}
+	busy := len(s.Book.Held) > 0 || len(s.Book.OpenRegions()) > 0
+	if t := len(q.set.Only) > 0 || q.set.Withdraw; len(faults) == 0 && busy && t {
+		var docs [][]byte
+		if len(q.set.Only) > 0 {
+			docs = append(docs, doc)
 		}
-		i, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(s.Book.Generation), ChangeId: q.set.ChangeId, Doc: doc, Author: q.set.Author, Only: q.set.Only, Withdraw: q.set.Withdraw}}}, now)
-		if ok {
-			s.waits[i] = q.asker
-			s.setIndex = i
+		if s.Book.Trial != nil {
+			docs = append(docs, s.Book.Trial.Doc)
 		}
+		faults = s.stillTrial(docs...)
+	}
+	if len(faults) > 0 {
+		s.refuse(q, faults...)
+		return
+	}
+	if busy && len(q.set.Only) == 0 && !q.set.Withdraw {
+		s.place(q, tree, d, now)
+		return
+	}
+	s.log(q, &wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(s.Book.Generation), ChangeId: q.set.ChangeId, Doc: doc, Author: q.set.Author, Only: q.set.Only, Withdraw: q.set.Withdraw, Turn: s.Book.Turn}}}, now)
+}
+
+// dated checks the calendar of a state, against the clock at the door the change came through.
+func (s *State) dated(d *desired.State, today int64) []desired.Fault {
+	c, faults := s.calendarOf(d)
+	if c == nil || len(faults) > 0 || today == 0 {
+		return faults
+	}
+	before, _ := desired.Read(desired.Write(s.endTree()))
+	old := (*calendar.Calendar)(nil)
+	if before != nil && len(before.Blackouts) > 0 {
+		old, _ = calendar.Read(before)
 	}
+	return c.Past(old, today)
 }
 
 func (s *State) inForce(f force) {
 	if s.Book.InForce >= f.gen {
-		s.reply(f.asker, &wire.ProposeReply{Code: uint32(ledger.Done), Generation: uint64(f.gen), Edition: s.Book.Edition(f.gen)})
+		s.reply(f.asker, &wire.ProposeReply{Code: uint32(ledger.Done), Generation: uint64(f.gen), Edition: s.Book.Edition(f.gen), Tail: s.Book.Stands()})
 		return
 	}
 	s.forces = append(s.forces, f)
@@ -442,10 +485,12 @@
 	delete(s.waits, e.Index)
 	delete(s.asked, a)
 	if ok && s.Agree.Role() == agreement.Leader && e.Term == uint64(s.Agree.Term()) {
-		if e.Change.GetSetDesired() != nil && r.Code == ledger.Done {
+		if (e.Change.GetSetDesired() != nil || e.Change.GetHoldBack() != nil) && r.Code == ledger.Done {
 			s.inForce(force{r.Generation, a})
+		} else if r.Code == ledger.Held {
+			s.reply(a, s.heldReply(r.Place))
 		} else {
-			p := &wire.ProposeReply{Code: uint32(r.Code), Generation: uint64(r.Generation), Edition: s.Book.Edition(r.Generation), Seat: uint32(r.Seat), Visit: string(r.Visit), Status: r.Status}
+			p := &wire.ProposeReply{Code: uint32(r.Code), Generation: uint64(r.Generation), Edition: s.Book.Edition(r.Generation), Seat: uint32(r.Seat), Visit: string(r.Visit), Status: r.Status, Place: r.Place, Tail: s.Book.Stands()}
 			s.reply(a, p)
 		}
 	}
@@ -797,6 +842,7 @@
 	}
 	s.Relay.Tick(s.Members.Ring(), 0, targets, now)
 	s.look(now)
+	s.watch(now)
 	s.cells(now)
 	if s.leading() {
 		s.assign(now)
@@ -941,6 +987,7 @@
 	case *wire.Change_Roster:
 		d.Decision, d.Note = "roster", fmt.Sprintf("%d voters of %d", len(agreement.Voters(c.Roster)), len(c.Roster.Voters))
 	default:
+		s.loggedHeld(e, r)
 		return
 	}
 	s.decide(d)
--- a/duty/loop.go
+++ b/duty/loop.go
@@ -52,6 +52,8 @@
 
 func (l *Loop) Stop() { l.once.Do(func() { close(l.done) }) }
 
+func (l *Loop) Stopped() <-chan struct{} { return l.done }
+
 func (l *Loop) Put(e any) bool {
 	select {
 	case l.ring <- e:
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sort"
 
 	"github.com/ansel1/merry/v2"
@@ -25,10 +26,11 @@
 	Full
 	Lost
 	Waiting
+	Held
 )
 
 func (c Code) String() string {
-	names := [...]string{"done", "not leader", "stale", "invalid", "no seat", "claimed", "full", "lost", "waiting"}
+	names := [...]string{"done", "not leader", "stale", "invalid", "no seat", "claimed", "full", "lost", "waiting", "held"}
 	return names[min(int(c), len(names)-1)]
 }
 
@@ -48,6 +50,7 @@
 	Visit      ident.Visit
 	Status     uint32
 	Faults     []desired.Fault
+	Place      uint64
 }
 
 type Lot struct {
@@ -68,6 +71,12 @@
 	Holds      map[ident.Cell]*wire.Hold
 	Claims     map[string]*wire.ClaimLine
 	Trial      *wire.Trial
+	Held       []*wire.Held
+	Periods    map[string]*wire.Period
+	Turn       uint64
+	Tail       uint64
+	Floor      uint64
+	TakenOut   []string
 
 	order  deque.Deque[*wire.ClaimLine]
 	states map[ident.Generation]*desired.State
@@ -76,10 +85,11 @@
 
 func NewBook() *Book {
 	return &Book{
-		Seats:  map[ident.Seat]*wire.Seat{},
-		Holds:  map[ident.Cell]*wire.Hold{},
-		Claims: map[string]*wire.ClaimLine{},
-		states: map[ident.Generation]*desired.State{},
+		Seats:   map[ident.Seat]*wire.Seat{},
+		Holds:   map[ident.Cell]*wire.Hold{},
+		Claims:  map[string]*wire.ClaimLine{},
+		Periods: map[string]*wire.Period{},
+		states:  map[ident.Generation]*desired.State{},
 	}
 }
 
@@ -106,6 +116,14 @@
 		return b.release(c.Release)
 	case *wire.Change_Outcome:
 		return b.outcome(c.Outcome)
+	case *wire.Change_HoldBack:
+		return b.holdBack(c.HoldBack)
+	case *wire.Change_TakeOut:
+		return b.takeOut(c.TakeOut)
+	case *wire.Change_PeriodTurn:
+		return b.periodTurn(c.PeriodTurn)
+	case *wire.Change_Land:
+		return b.land(c.Land)
 	case *wire.Change_Roster, *wire.Change_Noop:
 		b.turn()
 	}
@@ -128,7 +146,7 @@
 
 func (b *Book) ByChange(id string) *wire.DesiredLine {
 	for i := len(b.History) - 1; i >= 0; i-- {
-		if b.History[i].ChangeId == id {
+		if b.History[i].ChangeId == id || slices.Contains(b.History[i].Changes, id) {
 			return b.History[i]
 		}
 	}
@@ -165,7 +183,7 @@
 	if l := b.ByChange(c.ChangeId); l != nil {
 		return Result{Code: Done, Generation: ident.Generation(l.Generation)}
 	}
-	if c.Basis != uint64(b.Generation) {
+	if !b.fits(c.Basis, c.Turn) {
 		return Result{Code: Stale, Generation: b.Generation}
 	}
 	b.Trial = nil
@@ -178,12 +196,7 @@
 		b.turn()
 		return Result{Generation: b.Generation}
 	}
-	b.Generation++
-	b.History = append(b.History, &wire.DesiredLine{Generation: uint64(b.Generation), ChangeId: c.ChangeId, Doc: c.Doc, Author: c.Author, Stamp: b.Stamp})
-	for len(b.History) > HistoryKept && b.History[0].Generation < uint64(b.Grown) {
-		delete(b.states, ident.Generation(b.History[0].Generation))
-		b.History = append([]*wire.DesiredLine(nil), b.History[1:]...)
-	}
+	b.next(&wire.DesiredLine{ChangeId: c.ChangeId, Doc: c.Doc, Author: c.Author})
 	b.turn()
 	return Result{Generation: b.Generation}
 }
@@ -397,7 +410,10 @@
 }
 
 func (b *Book) Image() []byte {
-	m := &wire.Image{Stamp: b.Stamp, Index: uint64(b.Index), Version: b.Version, Generation: uint64(b.Generation), InForce: uint64(b.InForce), Grown: uint64(b.Grown), Epoch: uint64(b.Epoch), History: b.History, Trial: b.Trial}
+	m := &wire.Image{Stamp: b.Stamp, Index: uint64(b.Index), Version: b.Version, Generation: uint64(b.Generation), InForce: uint64(b.InForce), Grown: uint64(b.Grown), Epoch: uint64(b.Epoch), History: b.History, Trial: b.Trial, Held: b.Held, Turn: b.Turn, Tail: b.Tail, Floor: b.Floor, TakenOut: b.TakenOut}
+	for _, n := range ident.Keys(b.Periods) {
+		m.Periods = append(m.Periods, b.Periods[n])
+	}
 	c := b.Core()
 	m.Seats, m.Holds = c.Seats, c.Holds
 	for i := 0; i < b.order.Len(); i++ {
@@ -421,6 +437,10 @@
 	b.Stamp, b.Index, b.Version = m.Stamp, ident.Index(m.Index), m.Version
 	b.Generation, b.InForce, b.Grown = ident.Generation(m.Generation), ident.Generation(m.InForce), ident.Generation(m.Grown)
 	b.Epoch, b.History, b.Trial = ident.Epoch(m.Epoch), m.History, m.Trial
+	b.Held, b.Turn, b.Tail, b.Floor, b.TakenOut = m.Held, m.Turn, m.Tail, m.Floor, m.TakenOut
+	for _, p := range m.Periods {
+		b.Periods[p.Region] = p
+	}
 	for _, s := range m.Seats {
 		b.Seats[ident.Seat(s.Seat)] = s
 	}
