Simulate: the scene holiday, and what it found in the closing

An end must now be told by a majority without a break for 5 s; a leader whose clock alone is behind hands leadership on, or it would hold on for ever. A change proposed just before a period and agreed only in it would have moved routes in the period: a leader gives no fresh word while such a change is on its way and a period is about to open.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -69,17 +69,18 @@
 }
 
 type line struct {
-	addr    string
-	next    uint64
-	match   uint64
-	round   uint64
-	heard   ident.Moment
-	ailing  bool
-	snapAt  ident.Moment
-	reset   uint64
-	resetTo uint64
-	wall    int64
-	wallAt  ident.Moment
+	addr      string
+	next      uint64
+	match     uint64
+	round     uint64
+	heard     ident.Moment
+	ailing    bool
+	snapAt    ident.Moment
+	reset     uint64
+	resetTo   uint64
+	wall      int64
+	wallAt    ident.Moment
+	wallRound uint64
 }
 
 type held struct {
@@ -908,8 +909,8 @@
 		return
 	}
 	l.heard, l.ailing = now, a.Ailing
-	if a.WallMs != 0 {
-		l.wall, l.wallAt = a.WallMs, now
+	if a.WallMs != 0 && a.Round >= l.wallRound {
+		l.wall, l.wallAt, l.wallRound = a.WallMs, now, a.Round
 	}
 	s.acked(l, a.Round)
 	if a.Ok {
--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -18,6 +18,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"sloeturn/calendar"
 	"sloeturn/desired"
 	"sloeturn/ident"
 	"sloeturn/nginximport"
@@ -58,35 +59,38 @@
 
 func init() {
 	queries = map[string]query{
-		"help":      {"", "this list", help},
-		"members":   {"", "members, their cells and states", members},
-		"fleet":     {"", "every node: ready or why not, seat, generation, parent, age of its news", nodes},
-		"seats":     {"", "seats, who holds them, what they confirmed", seats},
-		"fences":    {"", "each node's pools beside their caps", pools},
-		"pools":     {"[NODE]", "the same, for one node", pools},
-		"tree":      {"", "the tree that news goes down, and how old it is at each node", tree},
-		"ledger":    {"", "for each backend: connections held, what the fences allow at most, what it accepts", book},
-		"visit":     {"VISIT", "a visit's decisions, from whichever node it went through", visit},
-		"cells":     {"", "cells, holders, epochs, age of their news", cells},
-		"backends":  {"", "backends and their soundness", backends},
-		"disks":     {"", "disk holders: role, commit, ailing, ring", disks},
-		"history":   {"", "generations kept", history},
-		"show":      {"[GENERATION]", "a desired state", show},
-		"replay":    {"FILE [POSITION]", "play events from a file, offline, and print the decisions", replayFile},
-		"import":    {"FILE TENANT NODES", "turn an nginx file into a desired state, offline; lists what it did not take", importFile},
-		"check":     {"FILE", "check a desired state, offline", checkFile},
-		"diff":      {"FILE", "what FILE would change", diff},
-		"apply":     {"FILE", "make FILE the desired state", change("PUT")},
-		"merge":     {"FILE", "merge FILE into the desired state", change("PATCH")},
-		"try":       {"FILE MEMBER...", "let some nodes try FILE; the rest stay as they are", try},
-		"withdraw":  {"", "end the trial", withdraw},
-		"promote":   {"", "make what is tried the desired state of all", promote},
-		"rollback":  {"GENERATION", "make an earlier generation the desired state again", rollback},
-		"routes":    {"", "routes, their lanes by weight, shots and times", routes},
-		"route":     {"HOST PATH", "which route and lanes a visit would take", route},
-		"free":      {"SEAT", "free a seat whose holder's sockets are gone", free},
-		"drain":     {"MEMBER", "ask a member to drain and end", drain},
-		"decisions": {"MEMBER [LANE]", "a member's latest decisions", decisions},
+		"help":          {"", "this list", help},
+		"members":       {"", "members, their cells and states", members},
+		"fleet":         {"", "every node: ready or why not, seat, generation, parent, age of its news", nodes},
+		"seats":         {"", "seats, who holds them, what they confirmed", seats},
+		"fences":        {"", "each node's pools beside their caps", pools},
+		"pools":         {"[NODE]", "the same, for one node", pools},
+		"tree":          {"", "the tree that news goes down, and how old it is at each node", tree},
+		"ledger":        {"", "for each backend: connections held, what the fences allow at most, what it accepts", book},
+		"visit":         {"VISIT", "a visit's decisions, from whichever node it went through", visit},
+		"cells":         {"", "cells, holders, epochs, age of their news", cells},
+		"backends":      {"", "backends and their soundness", backends},
+		"disks":         {"", "disk holders: role, commit, ailing, ring", disks},
+		"history":       {"", "generations kept", history},
+		"show":          {"[GENERATION]", "a desired state", show},
+		"replay":        {"FILE [POSITION]", "play events from a file, offline, and print the decisions", replayFile},
+		"import":        {"FILE TENANT NODES", "turn an nginx file into a desired state, offline; lists what it did not take", importFile},
+		"check":         {"FILE", "check a desired state, offline", checkFile},
+		"diff":          {"FILE", "what FILE would change", diff},
+		"apply":         {"FILE", "make FILE the desired state", change("PUT")},
+		"merge":         {"FILE", "merge FILE into the desired state", change("PATCH")},
+		"try":           {"FILE MEMBER...", "let some nodes try FILE; the rest stay as they are", try},
+		"withdraw":      {"", "end the trial", withdraw},
+		"promote":       {"", "make what is tried the desired state of all", promote},
+		"rollback":      {"GENERATION", "make an earlier generation the desired state again", rollback},
+		"held":          {"", "changes held back until their regions' blackout days end", held},
+		"withdraw-held": {"PLACE", "take a held change out of the queue; to replace it, apply another after", withdrawHeld},
+		"calendar":      {"", "regions, whether they stand still, and until or from when", calendars},
+		"routes":        {"", "routes, their lanes by weight, shots and times", routes},
+		"route":         {"HOST PATH", "which route and lanes a visit would take", route},
+		"free":          {"SEAT", "free a seat whose holder's sockets are gone", free},
+		"drain":         {"MEMBER", "ask a member to drain and end", drain},
+		"decisions":     {"MEMBER [LANE]", "a member's latest decisions", decisions},
 	}
 }
 
@@ -480,7 +484,7 @@
 	}
 	for _, r := range rows {
 		if r["leader"] == true {
-			s.table(list(r["history"]), "generation", "changeId", "author", "bytes")
+			s.table(list(r["history"]), "generation", "changeId", "author", "bytes", "changes")
 			return good, nil
 		}
 	}
@@ -609,6 +613,26 @@
 		s.faults(faults)
 		return unsound, nil
 	}
+	cal, faults := calendar.Read(d)
+	if len(faults) > 0 {
+		s.faults(faults)
+		return unsound, nil
+	}
+	for _, f := range cal.Past(nil, time.Now().UnixMilli()) {
+		fmt.Fprintf(s.out, "refused if it is new: %s %s\n", f.Path, f.Text)
+	}
+	for _, n := range cal.Regions() {
+		at := time.Now().UnixMilli()
+		for i := 0; i < 3; i++ {
+			p, ok := cal.Next(n, at)
+			if !ok {
+				break
+			}
+			z := cal.Zone(n)
+			fmt.Fprintf(s.out, "region %s: still from %s until %s\n", n, time.UnixMilli(p.From).In(z).Format(time.RFC3339), time.UnixMilli(p.Until).In(z).Format(time.RFC3339))
+			at = p.Until
+		}
+	}
 	seats, sums := d.Seats(), d.Slots()
 	if d.Fleet.Open {
 		fmt.Fprintf(s.out, "open fleet: %d seats, as many as the caps allow\n", seats)
@@ -658,7 +682,7 @@
 	if err != nil {
 		return wrong, err
 	}
-	now, gen, err := s.state("")
+	now, gen, err := s.end()
 	if err != nil {
 		return failed, err
 	}
@@ -677,6 +701,112 @@
 	return good, nil
 }
 
+type holdings struct {
+	Generation uint64
+	Edition    uint64
+	Basis      string
+	Clock      string
+	Calendar   []map[string]any
+	Held       []map[string]any
+	End        json.RawMessage
+}
+
+// holdings reads the queue of held changes; a fleet too old to have one has nothing held.
+func (s *shell) holdings() (holdings, error) {
+	var h holdings
+	last := error(ErrDoors)
+	end := time.Now().Add(leaderWait)
+	for i := 0; time.Now().Before(end); i++ {
+		if i > 0 && i%len(s.doors) == 0 {
+			time.Sleep(200 * time.Millisecond)
+		}
+		d := s.doors[i%len(s.doors)]
+		resp, err := web.Get("http://" + d + "/desired/held")
+		if err != nil {
+			last = merry.Wrap(ErrAsk, merry.WithCause(err))
+			continue
+		}
+		err = json.NewDecoder(resp.Body).Decode(&h)
+		resp.Body.Close()
+		if err == nil && resp.StatusCode == 200 {
+			return h, nil
+		}
+		last = merry.Wrap(ErrAsk, merry.AppendMessagef("%s answered %d", d, resp.StatusCode))
+		if resp.StatusCode != 503 {
+			break
+		}
+	}
+	return h, last
+}
+
+// end is the state that the next change stands on, and its name.
+func (s *shell) end() ([]byte, string, error) {
+	b, gen, err := s.state("")
+	if err != nil {
+		return nil, "", err
+	}
+	h, err := s.holdings()
+	if err != nil || len(h.Held) == 0 {
+		return b, gen, nil
+	}
+	s.note("%d changes are held; this stands on the last of them", len(h.Held))
+	return h.End, h.Basis, nil
+}
+
+func held(s *shell, w []string) (int, error) {
+	if len(w) > 0 {
+		return wrong, merry.Errorf("held takes no words; --filter TEXT picks rows")
+	}
+	h, err := s.holdings()
+	if err != nil {
+		return failed, err
+	}
+	for _, r := range h.Held {
+		b, _ := json.Marshal(r["patch"])
+		if r["patch"] = string(b); r["inForce"] == true {
+			r["until"] = "in force"
+		}
+	}
+	s.table(h.Held, "place", "until", "regions", "edition", "changeId", "author", "patch")
+	s.note("in force: generation %d; a change stands on %s", h.Generation, h.Basis)
+	return good, nil
+}
+
+func withdrawHeld(s *shell, w []string) (int, error) {
+	place, err := one(w, "place")
+	if err != nil {
+		return wrong, err
+	}
+	if n, err := strconv.ParseUint(place, 10, 64); err != nil || n == 0 {
+		return wrong, merry.Errorf("%q is not a place", place)
+	}
+	h, err := s.holdings()
+	if err != nil {
+		return failed, err
+	}
+	return s.put("DELETE", "/desired/held/"+place, nil, h.Basis)
+}
+
+func calendars(s *shell, w []string) (int, error) {
+	if len(w) > 0 {
+		return wrong, merry.Errorf("calendar takes no words; --filter TEXT picks rows")
+	}
+	h, err := s.holdings()
+	if err != nil {
+		return failed, err
+	}
+	s.table(h.Calendar, "region", "state", "from", "until", "number", "zone", "cells")
+	switch {
+	case len(h.Calendar) == 0:
+		s.note("no calendar is given")
+	case h.Clock == "":
+		s.note("the leader has no clock to judge by just now")
+	default:
+		s.note("%d changes held; the leader's clock says %s", len(h.Held), h.Clock)
+	}
+	return good, nil
+}
+
 func (s *shell) put(method, path string, b []byte, gen string) (int, error) {
 	id := fmt.Sprintf("shell-%d-%d", os.Getpid(), time.Now().UnixNano())
 	last := error(ErrDoors)
@@ -700,6 +830,11 @@
 			Generation uint64
 			Edition    uint64
 			Trial      string
+			Place      uint64
+			Until      string
+			Regions    []string
+			Withdrawn  uint64
+			Basis      string
 			Error      string
 			Faults     []desired.Fault
 		}
@@ -707,14 +842,24 @@
 		resp.Body.Close()
 		switch resp.StatusCode {
 		case 200:
+			if v.Withdrawn > 0 {
+				s.note("place %d is withdrawn; a change stands on %s now", v.Withdrawn, v.Basis)
+				return good, nil
+			}
 			if v.Trial != "" {
 				s.note("trial %s; generation %d stays in force", v.Trial, v.Generation)
 				return good, nil
 			}
 			s.note("generation %d is in force, after %v", v.Generation, time.Since(start).Round(time.Millisecond))
 			return good, nil
+		case 202:
+			s.note("held in place %d until %s, for %s stands still; generation %d stays in force", v.Place, v.Until, strings.Join(v.Regions, ", "), v.Generation)
+			return good, nil
 		case 412:
 			s.note("another change came first: the fleet stands at generation %d, edition %d", v.Generation, v.Edition)
+			if v.Basis != "" {
+				s.note("changes are held; the next stands on %s", v.Basis)
+			}
 			return late, nil
 		case 422:
 			s.faults(v.Faults)
@@ -731,7 +876,7 @@
 		if err != nil {
 			return wrong, err
 		}
-		_, gen, err := s.state("")
+		_, gen, err := s.end()
 		if err != nil {
 			return failed, err
 		}
@@ -747,7 +892,7 @@
 	if err != nil {
 		return wrong, err
 	}
-	_, gen, err := s.state("")
+	_, gen, err := s.end()
 	if err != nil {
 		return failed, err
 	}
@@ -755,7 +900,7 @@
 }
 
 func withdraw(s *shell, w []string) (int, error) {
-	_, gen, err := s.state("")
+	_, gen, err := s.end()
 	if err != nil {
 		return failed, err
 	}
@@ -775,10 +920,19 @@
 	if err != nil {
 		return failed, merry.Wrap(ErrAsk, merry.WithCause(err))
 	}
-	_, gen, err := s.state("")
+	now, _, err := s.state("")
 	if err != nil {
 		return failed, err
 	}
+	end, gen, err := s.end()
+	if err != nil {
+		return failed, err
+	}
+	if !bytes.Equal(now, end) {
+		from, _ := desired.ReadTree(now)
+		to, _ := desired.ReadTree(b)
+		return s.put("PATCH", "/desired", desired.Write(desired.Diff(from, to)), gen)
+	}
 	return s.put("PUT", "/desired", b, gen)
 }
 
@@ -791,11 +945,15 @@
 	if err != nil {
 		return failed, err
 	}
-	now, gen, err := s.state("")
+	now, gen, err := s.end()
 	if err != nil {
 		return failed, err
 	}
-	if e := desired.EditionOf(now); e > 0 {
+	h, err := s.holdings()
+	if err != nil {
+		h.Edition = 0
+	}
+	if e := max(desired.EditionOf(now), h.Edition); e > 0 {
 		tree, _ := desired.ReadTree(b)
 		next := strconv.FormatUint(e+1, 10)
 		b = desired.Write(desired.Merge(tree, map[string]any{"edition": json.Number(next)}))
--- a/cmd/seeds/main.go
+++ b/cmd/seeds/main.go
@@ -18,7 +18,7 @@
 	From    int64  `arg:"--from" default:"1" help:"first seed"`
 	Count   int    `arg:"--count" default:"100" help:"how many seeds"`
 	Seconds int    `arg:"--seconds" default:"30" help:"simulated seconds of faults for each seed"`
-	Weak    string `arg:"--weak" help:"take one guard out: claims, gate, fence, ack, sync, told, identity, fresh, answers, drain, check, basis, seat, stands, law, budget, patience, will"`
+	Weak    string `arg:"--weak" help:"take one guard out: claims, gate, fence, ack, sync, told, identity, fresh, answers, drain, check, basis, seat, stands, law, budget, patience, will, still, clock"`
 	Scene   string `arg:"--scene" help:"instead of mixed faults: one scene, or 'list'"`
 	Scale   []int  `arg:"--scale" help:"instead: traffic and times at these multiples of today's machines"`
 	Trace   bool   `arg:"--trace" help:"print the whole trace of the first seed"`
@@ -58,7 +58,7 @@
 	var lock sync.Mutex
 	var wait sync.WaitGroup
 	var bad []*simulate.Result
-	faults, broken := map[string]int{}, map[string]int{}
+	faults, broken, tally := map[string]int{}, map[string]int{}, map[string]int{}
 	var worst, gap, back, blind time.Duration
 	served, most, ratio, shares := 0, 0, 1.0, 0.0
 	for i := 0; i < runtime.NumCPU(); i++ {
@@ -87,6 +87,9 @@
 					ratio = min(ratio, r.Ratio)
 				}
 				shares += r.Share
+				for _, k := range []string{"held", "withdrawn", "landed"} {
+					tally[k] += r.Count[k]
+				}
 				served, most = served+r.Count["served"], max(most, r.Most)
 				if a.All {
 					fmt.Println(r)
@@ -114,6 +117,9 @@
 	}
 	fmt.Printf("faults caused: %v\n", faults)
 	fmt.Printf("%d seeds in %v: %d served, worst refusal %v, longest time with nothing served %v, longest way back %v, most connections at one backend %d of %d, least ratio %.3f, longest without a cell's news %v\n", a.Count, time.Since(start).Round(time.Millisecond), served, worst, gap, back, most, simulate.Cap, ratio, blind)
+	if tally["landed"] > 0 {
+		fmt.Printf("changes held %d, withdrawn %d, landed %d\n", tally["held"], tally["withdrawn"], tally["landed"])
+	}
 	if shares > 0 {
 		fmt.Printf("mean share served %.4f\n", shares/float64(a.Count))
 	}
--- a/control/held.go
+++ b/control/held.go
@@ -23,6 +23,8 @@
 	JudgeEvery = 200 * time.Millisecond
 	LeadLeast  = 10 * time.Second
 	ClockSlack = 5 * time.Minute
+	PastFor    = 5 * time.Second
+	PastGap    = time.Second
 )
 
 type (
@@ -33,11 +35,16 @@
 	Watch struct{ On bool }
 )
 
+type span struct{ from, last ident.Moment }
+
 type bound struct {
 	clock    Clock
 	watching bool
 	judgeAt  ident.Moment
 	mute     bool
+	muteAt   ident.Moment
+	turning  bool
+	past     map[string]span
 	landTurn uint64
 	cal      *calendar.Calendar
 	calOf    map[string]*desired.Blackout
@@ -49,7 +56,30 @@
 
 // lead is how long before its first moment a period opens, so that no change made before it is still on its way when it begins.
 func (s *State) lead() int64 {
-	return max(LeadLeast, 2*s.Relay.Tenure).Milliseconds() * s.scale()
+	return max(LeadLeast, 2*s.Relay.Tenure, s.Relay.Stale+s.Relay.Tenure).Milliseconds() * s.scale()
+}
+
+// quiet says that a period is about to begin while a change made before it is not yet agreed; no fresh word goes out then, lest nodes enter the period on the old routes and get the new ones in it.
+func (s *State) quiet(now ident.Moment) bool {
+	if !s.watching || uint64(s.Book.Index) >= s.setIndex || s.turning {
+		return false
+	}
+	cal := s.current()
+	if cal == nil {
+		return false
+	}
+	clocks, _ := s.Agree.Clocks(now)
+	for _, n := range cal.Regions() {
+		if s.Book.Open(n) != nil {
+			continue
+		}
+		for _, ms := range clocks {
+			if p, ok := cal.At(n, ms+s.lead()); ok && p.Until > s.Book.Periods[n].GetClosedMs() {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (s *State) slack() int64 { return ClockSlack.Milliseconds() * s.scale() }
@@ -119,7 +149,7 @@
 func (s *State) turn(region string, kind uint32, p calendar.Period, now ident.Moment) {
 	i, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_PeriodTurn{PeriodTurn: &wire.PeriodTurn{Turn: s.Book.Turn, Region: region, Kind: kind, FromMs: p.From, UntilMs: p.Until}}}, now)
 	if ok {
-		s.setIndex = i
+		s.setIndex, s.turning = i, true
 	}
 }
 
@@ -133,13 +163,21 @@
 	}
 	clocks, voters := s.Agree.Clocks(now)
 	most := voters/2 + 1
-	if mute := len(clocks) < most; mute != s.mute {
-		s.mute = mute
-		s.out = append(s.out, Note{map[bool]string{true: "No majority tells its wall clock; changes wait.", false: "A majority tells its wall clock."}[mute]})
-	}
-	if s.mute {
+	if len(clocks) < most {
+		s.past = nil
+		if s.muteAt == 0 {
+			s.muteAt = now
+		}
+		if !s.mute && now.Sub(s.muteAt) > ClockStale {
+			s.mute = true
+			s.out = append(s.out, Note{"No majority of voters tells its wall clock; changes wait."})
+		}
 		return false
 	}
+	if s.muteAt = 0; s.mute {
+		s.mute = false
+		s.out = append(s.out, Note{"A majority of voters tells its wall clock again."})
+	}
 	names := s.Book.OpenRegions()
 	cal := s.current()
 	if cal != nil {
@@ -150,7 +188,16 @@
 		}
 	}
 	for _, n := range names {
-		if kind, p := s.period(n, cal, clocks, voters); kind != 0 {
+		if s.lasts(n+" behind", s.behind(n, clocks, most), now) && s.Agree.Resign(now) {
+			s.past = nil
+			s.out = append(s.out, Note{"Hands leadership on: this wall clock is behind a majority's at the end of " + n + "'s period."})
+			return false
+		}
+		kind, p := s.period(n, cal, clocks, voters)
+		if !s.lasts(n, kind == ledger.Closed, now) && kind == ledger.Closed {
+			continue
+		}
+		if kind != 0 {
 			s.turn(n, kind, p, now)
 			return false
 		}
@@ -158,6 +205,30 @@
 	return !s.landing(now)
 }
 
+// behind says whether the leader's clock alone keeps a period from closing.
+func (s *State) behind(name string, clocks []int64, most int) bool {
+	p := s.Book.Open(name)
+	return p != nil && clocks[0] < p.UntilMs && count(clocks, func(ms int64) bool { return ms >= p.UntilMs }) >= most
+}
+
+// lasts says whether a period's end has been told without a break for longer than any reading is kept, so that no two clocks that leapt one after the other make a majority.
+func (s *State) lasts(name string, past bool, now ident.Moment) bool {
+	if !past {
+		delete(s.past, name)
+		return false
+	}
+	if s.past == nil {
+		s.past = map[string]span{}
+	}
+	k, ok := s.past[name]
+	if !ok || now.Sub(k.last) > PastGap {
+		k.from = now
+	}
+	k.last = now
+	s.past[name] = k
+	return now.Sub(k.from) >= PastFor
+}
+
 func count(clocks []int64, f func(ms int64) bool) int {
 	n := 0
 	for _, ms := range clocks {
@@ -297,7 +368,7 @@
 	}
 	i, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_Land{Land: &wire.Land{Basis: uint64(s.Book.Generation), Turn: s.Book.Turn, Doc: doc, Places: places}}}, now)
 	if ok {
-		s.setIndex = i
+		s.setIndex, s.turning = i, false
 	}
 	return ok
 }
@@ -379,7 +450,7 @@
 func (s *State) log(q desiredAsk, c *wire.Change, now ident.Moment) {
 	if i, ok := s.Agree.Propose(c, now); ok {
 		s.waits[i] = q.asker
-		s.setIndex = i
+		s.setIndex, s.turning = i, false
 	}
 }
 
@@ -513,7 +584,7 @@
 		}
 		s.told(kind, e, r, fmt.Sprintf("%s, its number %d, from %s until %s", c.PeriodTurn.Region, p.GetNumber(), stamp(p.GetFromMs()), stamp(p.GetUntilMs())))
 	case *wire.Change_Land:
-		s.told("landed", e, r, fmt.Sprintf("%d held changes as generation %d", len(c.Land.Places), s.Book.Generation))
+		s.told("landed", e, r, fmt.Sprintf("%d changes together as generation %d", len(c.Land.Places), s.Book.Generation))
 	}
 }
 
--- a/control/http.go
+++ b/control/http.go
@@ -350,10 +350,12 @@
 		ChangeID   string `json:"changeId"`
 		Author     string `json:"author,omitempty"`
 		Bytes      int    `json:"bytes"`
+
+		Changes []string `json:"changes,omitempty"`
 	}
 	out := []line{}
 	for _, l := range s.Book.History {
-		out = append(out, line{l.Generation, l.ChangeId, l.Author, len(l.Doc)})
+		out = append(out, line{l.Generation, l.ChangeId, l.Author, len(l.Doc), l.Changes})
 	}
 	return map[string]any{"member": s.Member, "leader": s.leading(), "history": out}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -561,13 +561,13 @@
 	s.decide(duty.Decision{Decision: "role", To: s.role.String(), Note: fmt.Sprintf("term %d", s.Agree.Term())})
 	s.out = append(s.out, Note{"Now " + s.role.String() + "."})
 	s.waits, s.asked = map[uint64]asker{}, map[asker]bool{}
-	s.forces, s.queue, s.setIndex = nil, nil, 0
+	s.forces, s.queue, s.setIndex, s.past = nil, nil, 0, nil
 	s.genAt = now
 }
 
 func (s *State) publish(now ident.Moment) {
 	at, ok := s.Agree.AsOf()
-	if !ok {
+	if !ok || s.quiet(now) {
 		return
 	}
 	c := s.Book.Core()
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -375,6 +375,7 @@
 	if g := uint64(n.state.Relay.DocGen); g < w.acked {
 		w.Break("older generation served", "%s sends under %d after %d was acknowledged", n.p.Name, g, w.acked)
 	}
+	w.still(n.p)
 	b := w.byPlace[l.place]
 	w.at(n.wait(), func() { b.take(t, l) })
 }
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -72,6 +72,7 @@
 	}
 	w.Run(2 * time.Second)
 	w.lastLook()
+	w.landed(r)
 	for i := 1; i < len(w.Served); i++ {
 		r.Gap = max(r.Gap, w.Served[i].Sub(w.Served[i-1]))
 	}
--- a/simulate/scene.go
+++ b/simulate/scene.go
@@ -323,6 +323,9 @@
 			}
 		})
 	}},
+	{Name: "holiday", Text: "two regions' blackout days overlap, while clocks leap, operators race, leaders, disks and nodes go at each boundary", config: func(c *Config) { c.scale = dayScale }, play: func(w *World, r *Result, gen *uint64) {
+		w.holiday(r, gen)
+	}},
 	{Name: "class-hangs", Text: "the work of one service hangs, at one half of the run only", config: func(c *Config) { c.Backends, c.Slots = 8, 12 }, play: func(w *World, r *Result, gen *uint64) {
 		w.isolates(r, serviceName(0), func(on bool) {
 			for _, b := range w.Backends {
