--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -35,3 +36,17 @@
 	require.Equal(t, "a", s.Cell)
 	require.Equal(t, "debug", s.LogLevel)
 }
+
+func TestTheTrialClockIsCheckedAndRunsFromItsMoment(t *testing.T) {
+	f := Flags{Name: "one", Cell: "a", Address: "127.0.0.1:1", HTTP: "127.0.0.1:2", Operators: "127.0.0.1:3", Seeds: []string{"127.0.0.2:1"}}
+	for _, d := range []DiskFlags{{ClockScale: 5}, {ClockFromMs: 5}, {ClockScale: -1, ClockFromMs: 5}, {ClockScale: 1 << 20, ClockFromMs: 5}} {
+		_, faults := Read(f, &d)
+		require.Len(t, faults, 1)
+		require.Equal(t, "clockScale", faults[0].Path)
+	}
+	s, faults := Read(f, &DiskFlags{ClockScale: 1000, ClockFromMs: time.Now().UnixMilli() - 60000})
+	require.Empty(t, faults)
+	require.InDelta(t, 1000*60, s.Wall().Sub(time.UnixMilli(s.ClockFromMs)).Seconds(), 60)
+	s.ClockScale = 0
+	require.InDelta(t, 0, time.Since(s.Wall()).Seconds(), 1)
+}
--- a/cmd/fleetrun/fault.go
+++ b/cmd/fleetrun/fault.go
@@ -21,6 +21,7 @@
 }
 
 var faults = map[string]fault{
+	"holiday": {true, func(done context.Context, f *fleet) (string, error) { return f.holiday(done) }},
 	"kill-node": {true, func(done context.Context, f *fleet) (string, error) {
 		p := f.data[0]
 		p.kill()
--- a/cmd/fleetrun/main.go
+++ b/cmd/fleetrun/main.go
@@ -24,6 +24,7 @@
 	Skew       float64 `arg:"--skew" default:"1.7" help:"how uneven the load of kept connections is; 1 is even"`
 	Faults     string  `arg:"--faults" help:"faults to cause one after another, by comma; 'list' names them"`
 	Over       bool    `arg:"--over" help:"do not wait for one fault to end before the next begins"`
+	Clock      int64   `arg:"--clock-scale" help:"how many times faster the calendar's clock runs, for the fault holiday; 5760 is a day in 15 s"`
 	Gap        int     `arg:"--gap" default:"10" help:"seconds between faults"`
 	Hollow     string  `arg:"--hollow" help:"instead: a hollow fleet in this process; base, grown, whole, parted, or the variables to vary one by one, by comma, or all"`
 	Size       string  `arg:"--size" help:"with --hollow: name=number, by comma, over the size it starts from"`
@@ -113,7 +114,7 @@
 
 func drive(p *plan, a args, dir string, faults []string) int {
 	led := &ledger{runs: map[string]int{}, visits: map[string]time.Time{}, broken: &broken{}}
-	f := newFleet(p, a.Bin, dir, a.Skew, led)
+	f := newFleet(p, a.Bin, dir, a.Skew, a.Clock, led)
 	f.req.scale, f.next = a.Scale, a.Next
 	start := time.Now()
 	if err := f.start(); err != nil {
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -247,3 +247,47 @@
 	require.Nil(t, h.State(3))
 	require.Equal(t, uint64(42), h.Edition(3))
 }
+
+func TestPeriodsAndHeldChangesLiveThroughAnImage(t *testing.T) {
+	h := &hand{Book: NewBook()}
+	h.set(1, 1, 9)
+	old, err := ReadBook(h.Image())
+	require.NoError(t, err)
+	require.Empty(t, old.Held)
+	require.Zero(t, old.Turn)
+	turn := func(kind uint32, until int64) Code {
+		return h.do(&wire.Change{Body: &wire.Change_PeriodTurn{PeriodTurn: &wire.PeriodTurn{Turn: h.Turn, Region: "r", Kind: kind, FromMs: 10, UntilMs: until}}}).Code
+	}
+	hold := func(id string, doc string) Result {
+		return h.do(&wire.Change{Body: &wire.Change_HoldBack{HoldBack: &wire.HoldBack{Basis: uint64(h.Generation), Turn: h.Turn, Doc: []byte(doc), Held: &wire.Held{ChangeId: id, Patch: []byte("{}"), Edition: 7}}}})
+	}
+	require.Equal(t, Stale, turn(Closed, 0))
+	require.Equal(t, Done, turn(Opened, 20))
+	require.Equal(t, Stale, turn(Opened, 30))
+	require.Equal(t, Stale, turn(TakenBack, 30))
+	require.Equal(t, Stale, turn(9, 30))
+	require.Equal(t, Done, turn(Lengthened, 25))
+	require.Equal(t, Held, hold("one", "").Code)
+	require.Equal(t, uint64(1), hold("one", "").Place)
+	require.Equal(t, Done, hold("two", string(h.Line(1).Doc)).Code)
+	require.Equal(t, Held, hold("three", "").Code)
+	stale := h.do(&wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(h.Generation), ChangeId: "beside"}}})
+	require.Equal(t, Stale, stale.Code)
+	require.Equal(t, Done, h.do(&wire.Change{Body: &wire.Change_TakeOut{TakeOut: &wire.TakeOut{Basis: uint64(h.Generation), Turn: h.Turn, Place: 3, ChangeId: "out"}}}).Code)
+	b, err := ReadBook(h.Image())
+	require.NoError(t, err)
+	require.Equal(t, h.Image(), b.Image())
+	require.Equal(t, []string{"r"}, b.OpenRegions())
+	require.True(t, b.TookOut("out"))
+	require.Equal(t, uint64(7), b.Floor)
+	require.Len(t, b.Held, 2)
+	h.Book = b
+	require.Equal(t, Done, turn(Closed, 0))
+	require.Equal(t, Stale, turn(Opened, 25))
+	require.Equal(t, Stale, h.do(&wire.Change{Body: &wire.Change_Land{Land: &wire.Land{Basis: 1, Turn: h.Turn}}}).Code)
+	r := h.do(&wire.Change{Body: &wire.Change_Land{Land: &wire.Land{Basis: 2, Turn: h.Turn, Doc: h.Line(1).Doc, Places: []uint64{1}}}})
+	require.Equal(t, ident.Generation(3), r.Generation)
+	require.Empty(t, h.Held)
+	require.Equal(t, uint64(3), h.ByChange("one").Generation)
+	require.Equal(t, Done, hold("one", "").Code)
+}
--- a/simulate/seeds_test.go
+++ b/simulate/seeds_test.go
@@ -38,7 +38,7 @@
 		"ack": "older generation served", "wrong-answers told": "told not run, but it ran", "hands identity": "ran on a service nobody allowed",
 		"check": "invalid desired state took effect", "races basis": "both racers heard yes", "sync": "acknowledged generation missing",
 		"wrong-answers answers": "garbled answer passed on", "stops drain": "planned stop cut a visit", "restarts seat": "a dead self took a seat", "hands stands": "ran on a service nobody allowed",
-		"peak law": "too many connections", "tries budget": "too many further tries", "waits patience": "refusal late", "handover will": "a planned hand-over left a gap",
+		"peak law": "too many connections", "tries budget": "too many further tries", "waits patience": "refusal late", "handover will": "a planned hand-over left a gap", "holiday still": "routing moved in a blackout period", "holiday clock": "routing moved in a blackout period",
 	} {
 		t.Run(weak, func(t *testing.T) {
 			t.Parallel()
