--- a/cell/state.go
+++ b/cell/state.go
@@ -141,6 +141,8 @@
 	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}, ended: map[ident.Addr]ending{}, pulse: 1}
 }
 
+func (s *Soundness) Pulse() uint64 { return s.pulse }
+
 func (s *Soundness) Upto() uint64 { return s.ver }
 
 func Part(addr string) int { return int(ident.Hash(addr) % Parts) }
@@ -345,6 +347,13 @@
 			delete(s.ended, a)
 		}
 	}
+	due := false
+	for _, b := range s.table {
+		due = due || now.Sub(b.Heard) > BeatSilence || Work(b, now) != b.Work
+	}
+	if !due {
+		return
+	}
 	for _, b := range s.Lines() {
 		if now.Sub(b.Heard) > BeatSilence {
 			s.drop(b.Addr)
@@ -456,6 +465,11 @@
 	tombs tombs
 	rev   uint64
 	asks  int
+
+	rollSum uint64
+
+	Turns  uint64
+	Leaves uint64
 }
 
 func NewCopy(c ident.Cell) *Copy {
@@ -478,6 +492,7 @@
 		c.Upto, c.tombs, c.Pulse = 0, tombs{from: n.Upto}, 0
 		c.Known = false
 		c.rev++
+		c.Turns++
 		if len(n.Ranges) < Parts {
 			return true
 		}
@@ -495,11 +510,13 @@
 		here := map[string]bool{}
 		for _, b := range r.Backends {
 			here[b.Addr] = true
+			c.turned(c.Table[ident.Addr(b.Addr)], b)
 		}
 		for _, a := range ident.Keys(c.Table) {
 			if Part(string(a)) == int(r.Part) {
 				delete(c.Table, a)
 				if !here[string(a)] {
+					c.Turns++
 					c.tombs.add(string(a), n.Upto)
 				}
 			}
@@ -512,8 +529,8 @@
 		c.rev++
 	}
 	c.Upto = max(c.Upto, n.Upto)
-	if r := (Roll{n.Nodes, n.Wants}); !n.NodesSame && r.Sum() != c.Roll.Sum() {
-		c.Roll = r
+	if r := (Roll{n.Nodes, n.Wants}); !n.NodesSame && r.Sum() != c.sumOfRoll() {
+		c.Roll, c.rollSum = r, r.Sum()
 		c.rev++
 	}
 	c.Pulse = max(c.Pulse, n.Pulse)
@@ -521,6 +538,17 @@
 	return true
 }
 
+func (c *Copy) sumOfRoll() uint64 {
+	if c.rollSum == 0 {
+		c.rollSum = c.Roll.Sum()
+	}
+	return c.rollSum
+}
+
+func (c *Copy) Stand(pulse uint64, asOf ident.Moment) {
+	c.Pulse, c.AsOf = max(c.Pulse, pulse), max(c.AsOf, asOf)
+}
+
 func (c *Copy) delta(n *wire.CellNews) {
 	for _, g := range n.Gone {
 		a := ident.Addr(g.Addr)
@@ -528,6 +556,7 @@
 			c.sums[Part(g.Addr)] -= Sum(b.Addr, b.Version)
 			delete(c.Table, a)
 			c.rev++
+			c.Turns++
 		}
 		if g.Version > c.Upto {
 			c.tombs.add(g.Addr, g.Version)
@@ -543,15 +572,67 @@
 			c.sums[Part(b.Addr)] -= Sum(b.Addr, old.Version)
 		}
 		c.sums[Part(b.Addr)] += Sum(b.Addr, b.Version)
+		c.turned(old, b)
 		c.Table[a] = b
 		c.rev++
 	}
 }
 
+func (c *Copy) turned(old, b *wire.Backend) {
+	if old != nil && old.Incarnation == b.Incarnation && old.State == b.State {
+		return
+	}
+	c.Turns++
+	if b.State == Leaving {
+		c.Leaves++
+	}
+}
+
+func (c *Copy) Keep() *wire.CellKept {
+	k := &wire.CellKept{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Pulse: c.Pulse, Upto: c.Upto}
+	for _, a := range ident.Keys(c.Table) {
+		if b := c.Table[a]; !strings.HasPrefix(b.Incarnation, Bare) || b.State == Leaving {
+			k.Backends = append(k.Backends, b)
+		}
+	}
+	return k
+}
+
+func Kept(k *wire.CellKept) *Copy {
+	c := NewCopy(ident.Cell(k.Cell))
+	c.Epoch, c.Pulse, c.Upto = ident.Epoch(k.Epoch), k.Pulse, k.Upto
+	c.tombs.from = k.Upto
+	for _, b := range k.Backends {
+		if a := ident.Addr(b.Addr); c.Table[a] == nil {
+			c.Table[a] = b
+			c.sums[Part(b.Addr)] += Sum(b.Addr, b.Version)
+		}
+	}
+	return c
+}
+
+func (c *Copy) Old() *wire.CellNews {
+	return &wire.CellNews{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Pulse: c.Pulse, Upto: c.Upto, Ranges: c.Ranges(nil), Old: true}
+}
+
+func (c *Copy) Remember(n *wire.CellNews) {
+	e := ident.Epoch(n.Epoch)
+	if e < c.Epoch || e == c.Epoch && (c.Known || n.Upto <= c.Upto) {
+		return
+	}
+	k := &wire.CellKept{Cell: string(c.Cell), Epoch: n.Epoch, Pulse: n.Pulse, Upto: n.Upto}
+	for _, r := range n.Ranges {
+		k.Backends = append(k.Backends, r.Backends...)
+	}
+	old := *c
+	*c = *Kept(k)
+	c.rev, c.asks, c.Turns, c.Leaves = old.rev+1, old.asks, old.Turns+1, old.Leaves
+}
+
 const WholeEvery = 16
 
 func (c *Copy) Have() *wire.CellHave {
-	h := &wire.CellHave{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Upto: c.Upto, NodesSum: c.Roll.Sum()}
+	h := &wire.CellHave{Cell: string(c.Cell), Epoch: uint64(c.Epoch), Upto: c.Upto, NodesSum: c.sumOfRoll()}
 	if c.asks%WholeEvery == 0 || !c.Known {
 		h.Digests = c.Digests()
 	}
--- a/control/held.go
+++ b/control/held.go
@@ -559,7 +559,7 @@
 	s.log(q, &wire.Change{Body: &wire.Change_TakeOut{TakeOut: c}}, now)
 }
 
-func (s *State) told(kind string, e *wire.Entry, r ledger.Result, text string) {
+func (s *State) tells(kind string, e *wire.Entry, r ledger.Result, text string) {
 	s.decide(duty.Decision{Index: e.Index, Decision: kind, Note: strings.TrimSpace(r.Code.String() + " " + text)})
 	if r.Code == ledger.Done || r.Code == ledger.Held {
 		s.out = append(s.out, Note{strings.ToUpper(kind[:1]) + kind[1:] + ": " + text + "."})
@@ -570,21 +570,21 @@
 	switch c := e.Change.GetBody().(type) {
 	case *wire.Change_HoldBack:
 		if h := c.HoldBack.Held; r.Code == ledger.Held {
-			s.told("held", e, r, fmt.Sprintf("%s in place %d for %s", h.GetChangeId(), r.Place, strings.Join(h.GetRegions(), " ")))
+			s.tells("held", e, r, fmt.Sprintf("%s in place %d for %s", h.GetChangeId(), r.Place, strings.Join(h.GetRegions(), " ")))
 		} else {
 			s.decide(duty.Decision{Index: e.Index, Decision: "desired", Note: r.Code.String() + " " + h.GetChangeId()})
 		}
 	case *wire.Change_TakeOut:
-		s.told("withdrawn", e, r, fmt.Sprintf("place %d by %s", c.TakeOut.Place, c.TakeOut.ChangeId))
+		s.tells("withdrawn", e, r, fmt.Sprintf("place %d by %s", c.TakeOut.Place, c.TakeOut.ChangeId))
 	case *wire.Change_PeriodTurn:
 		p := s.Book.Periods[c.PeriodTurn.Region]
 		kind := map[uint32]string{ledger.Opened: "period opened", ledger.Doubted: "period opened", ledger.Lengthened: "period lengthened", ledger.Closed: "period closed", ledger.TakenBack: "period taken back"}[c.PeriodTurn.Kind]
 		if kind == "" {
 			kind = "period turned"
 		}
-		s.told(kind, e, r, fmt.Sprintf("%s, its number %d, from %s until %s", c.PeriodTurn.Region, p.GetNumber(), stamp(p.GetFromMs()), stamp(p.GetUntilMs())))
+		s.tells(kind, e, r, fmt.Sprintf("%s, its number %d, from %s until %s", c.PeriodTurn.Region, p.GetNumber(), stamp(p.GetFromMs()), stamp(p.GetUntilMs())))
 	case *wire.Change_Land:
-		s.told("landed", e, r, fmt.Sprintf("%d changes together as generation %d", len(c.Land.Places), s.Book.Generation))
+		s.tells("landed", e, r, fmt.Sprintf("%d changes together as generation %d", len(c.Land.Places), s.Book.Generation))
 	}
 }
 
--- a/control/node.go
+++ b/control/node.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"sloeturn/agreement"
+	"sloeturn/boot"
 	"sloeturn/duty"
 	"sloeturn/ident"
 	"sloeturn/ledger"
@@ -21,8 +22,9 @@
 )
 
 const (
-	stallAfter = 300 * time.Millisecond
-	calmPause  = 20 * time.Millisecond
+	stallAfter  = 300 * time.Millisecond
+	calmPause   = 30 * time.Millisecond
+	insistEvery = 200 * time.Millisecond
 )
 
 var ErrStart = merry.Sentinel("control: cannot start")
@@ -49,6 +51,8 @@
 	over    sync.Once
 	diskIn  chan struct{}
 	disk    []agreement.Persist
+	shelf   *ringfile.Shelf
+	shelve  chan []byte
 	busy    atomic.Int64
 	dead    atomic.Bool
 	Synced  atomic.Uint64
@@ -58,7 +62,7 @@
 }
 
 func NewNode(b Boot, d Disks, l log.Logger) (*Node, error) {
-	n := &Node{Log: l, Stream: duty.NewStream(b.Decisions, b.Incarnation), asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1), Wall: time.Now}
+	n := &Node{Log: l, Stream: duty.NewStream(b.Decisions, b.Incarnation), asks: map[uint64]chan any{}, ended: make(chan struct{}), diskIn: make(chan struct{}, 1), shelve: make(chan []byte, 1), Wall: time.Now}
 	var got *agreement.Recovered
 	if d.Path != "" {
 		dir, err := ringfile.OpenDir(d.Path)
@@ -74,6 +78,14 @@
 			level.Warn(l).Log("part", "ring", "msg", "The last record was torn and is dropped.")
 		}
 		n.dir, n.ring, got = dir, ring, rec
+		if n.shelf, b.Shelf, err = ringfile.OpenShelf(dir); err != nil {
+			level.Warn(l).Log("part", "shelf", "msg", "Copies of the cells are not kept.", "why", err)
+		} else {
+			b.Shelves = true
+			for _, why := range n.shelf.Passed {
+				level.Warn(l).Log("part", "shelf", "msg", "A file of kept copies is passed over.", "why", why)
+			}
+		}
 		b.Voter = ident.Voter(string(b.Member) + "/" + dir.ID)
 	}
 	s, err := New(b, got, ident.Now())
@@ -97,18 +109,41 @@
 		go n.keep()
 		go n.watch()
 	}
+	if n.shelf != nil {
+		go n.lay()
+	}
 	return nil
 }
 
 func (n *Node) Close() {
 	n.Stop()
 	n.Hub.Close()
+	if n.shelf != nil {
+		n.shelf.Close()
+	}
 	if n.ring != nil {
 		n.ring.Close()
 		n.dir.Close()
 	}
 }
 
+func (n *Node) lay() {
+	for {
+		select {
+		case <-n.ended:
+			return
+		case doc := <-n.shelve:
+			err := n.shelf.Save(doc)
+			if err != nil {
+				level.Warn(n.Log).Log("part", "shelf", "msg", "Copies of the cells could not be kept.", "why", err)
+			}
+			if !n.Put(Shelved{err == nil}) {
+				return
+			}
+		}
+	}
+}
+
 func (n *Node) Ended() <-chan struct{} { return n.ended }
 
 func (n *Node) keep() {
@@ -117,7 +152,7 @@
 		list := n.disk
 		n.disk = nil
 		n.lock.Unlock()
-		if len(list) == 0 || n.dead.Load() {
+		if len(list) == 0 {
 			continue
 		}
 		var recs []*wire.Record
@@ -128,11 +163,8 @@
 		n.busy.Store(int64(start))
 		err := n.ring.Write(recs)
 		n.busy.Store(0)
-		if err != nil {
-			level.Error(n.Log).Log("part", "ring", "msg", "The disk failed; this voter no longer answers.", "why", err)
-			n.dead.Store(true)
-			n.Put(Disk{true})
-			continue
+		if err != nil && !n.insist(err) {
+			return
 		}
 		took := int64(ident.Now().Sub(start))
 		n.Slow.Store(max(n.Slow.Load(), took))
@@ -141,6 +173,23 @@
 	}
 }
 
+func (n *Node) insist(err error) bool {
+	level.Error(n.Log).Log("part", "ring", "msg", "The disk refuses; this voter does not answer until it writes again.", "why", boot.Why(err))
+	n.dead.Store(true)
+	n.Put(Disk{true})
+	for err != nil {
+		select {
+		case <-n.ended:
+			return false
+		case <-time.After(insistEvery):
+		}
+		err = n.ring.Write(nil)
+	}
+	n.dead.Store(false)
+	level.Info(n.Log).Log("part", "ring", "msg", "The disk writes again.")
+	return true
+}
+
 func (n *Node) watch() {
 	t := time.NewTicker(100 * time.Millisecond)
 	defer t.Stop()
@@ -175,6 +224,8 @@
 			case n.diskIn <- struct{}{}:
 			default:
 			}
+		case Shelve:
+			n.shelve <- e.Doc
 		case Announced:
 			n.tell(e.Token, e)
 		case Changed:
--- a/control/state.go
+++ b/control/state.go
@@ -32,9 +32,16 @@
 	HeldMost     = 600 * time.Millisecond
 	HeirWait     = 600 * time.Millisecond
 	DeafWait     = 4 * time.Second
+	UnseenWait   = 600 * time.Millisecond
 	AnnounceWait = time.Second
 	DesiredWait  = 15 * time.Second
 	HopsMost     = 2
+	ParkMost     = 600 * time.Millisecond
+	ParkedMost   = 1024
+	OnwardEvery  = 200 * time.Millisecond
+	EagerFor     = 3 * time.Second
+	ShelveEvery  = 500 * time.Millisecond
+	ShelveWait   = 150 * time.Millisecond
 )
 
 type (
@@ -45,6 +52,7 @@
 		Used float64
 	}
 	Disk     struct{ Ailing bool }
+	Shelved  struct{ OK bool }
 	Announce struct {
 		Token    uint64
 		Announce *wire.Announce
@@ -70,8 +78,9 @@
 		Token uint64
 		Reply *wire.ProposeReply
 	}
-	Note struct{ Text string }
-	Exit struct{}
+	Shelve struct{ Doc []byte }
+	Note   struct{ Text string }
+	Exit   struct{}
 )
 
 type Boot struct {
@@ -91,6 +100,8 @@
 	Drain       time.Duration
 	Losses      int
 	ClockScale  int64
+	Shelf       []byte
+	Shelves     bool
 }
 
 func (b Boot) quorumWait() time.Duration {
@@ -101,17 +112,20 @@
 }
 
 type hold struct {
-	epoch ident.Epoch
-	start ident.Moment
-	sound *cell.Soundness
-	heir  *wire.Card
-	will  *wire.Bequest
-	sent  ident.Moment
-	named ident.Moment
-	begun bool
-	turns int
-	dealt ident.Moment
-	vows  []*vow
+	epoch  ident.Epoch
+	start  ident.Moment
+	sound  *cell.Soundness
+	heir   *wire.Card
+	will   *wire.Bequest
+	sent   ident.Moment
+	named  ident.Moment
+	begun  bool
+	turns  int
+	dealt  ident.Moment
+	rolls  int
+	copied int
+	vows   []*vow
+	kept   uint64
 }
 
 type seen struct {
@@ -140,6 +154,16 @@
 	id uint64
 }
 
+type parked struct {
+	pending
+	what *wire.Announce
+}
+
+type errand struct {
+	parked
+	sent ident.Moment
+}
+
 type vow struct {
 	pending
 	upto uint64
@@ -167,24 +191,29 @@
 	markAt   ident.Moment
 	genAt    ident.Moment
 	genSeen  ident.Generation
-	passes   map[uint64]pending
+	passes   map[uint64]errand
+	parked   []parked
 	passID   uint64
 	replay   bool
 	draining bool
 	drainAt  ident.Moment
 	bound
-	used float64
-	role agreement.Role
-	out  []any
+	used  float64
+	role  agreement.Role
+	born  ident.Moment
+	told  map[string]bool
+	shelf shelf
+	out   []any
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]pending{}}
+	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
 	s.Relay.Terms(b.Tenure, b.Stale)
 	s.Mail = relay.NewCourier(uint64(b.Incarnation))
+	s.unshelve()
 	if b.Voter != "" {
 		s.Agree = agreement.New(agreement.Self{Voter: b.Voter, Member: b.Member, Addr: b.Addr}, b.Founders, got, b.Seed, now)
 		if b.Losses > 0 {
@@ -237,15 +266,7 @@
 
 func (s *State) leading() bool { return s.Agree != nil && s.Agree.Firm() }
 
-func (s *State) heads() []string {
-	var out []string
-	for _, c := range s.Members.Ring() {
-		if c.Role == member.Control {
-			out = append(out, c.Addr)
-		}
-	}
-	return out
-}
+func (s *State) heads() []string { return s.Members.Heads() }
 
 func (s *State) Step(now ident.Moment, e any) {
 	s.Relay.Woke(now)
@@ -262,6 +283,8 @@
 			s.out = append(s.out, Note{map[bool]string{true: "The disk is ailing; leadership is given up.", false: "The disk is well again."}[e.Ailing]})
 		}
 		s.Agree.Disk(e.Ailing, now)
+	case Shelved:
+		s.shelved(e.OK, now)
 	case Announce:
 		s.announce(e.Token, e.Announce, now)
 	case Change:
@@ -292,15 +315,18 @@
 func (s *State) got(f *wire.Frame, now ident.Moment) {
 	switch b := f.Body.(type) {
 	case *wire.Frame_Heartbeat:
-		s.Members.Heartbeat(b.Heartbeat, now)
+		s.Members.Heartbeat(b.Heartbeat, f.From, f.Addr, now)
 	case *wire.Frame_Table:
 		s.Members.Table(b.Table, f.Addr, now)
 	case *wire.Frame_Ask:
 		s.Relay.Heard(b.Ask)
 		s.witness(f.Addr, b.Ask, now)
-		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_News{News: s.answer(b.Ask, now)}})
+		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_News{News: s.answer(f.Addr, b.Ask, now)}})
 	case *wire.Frame_News:
-		s.Relay.News(b.News, f.Addr, now)
+		if s.Relay.News(b.News, f.Addr, now) {
+			s.told[f.Addr] = true
+			s.shelve(now)
+		}
 	case *wire.Frame_Announce:
 		s.announceFrom(f.Addr, b.Announce, now)
 	case *wire.Frame_Bequest:
@@ -309,7 +335,7 @@
 		r := b.AnnounceReply
 		if p, ok := s.passes[r.Token]; ok {
 			delete(s.passes, r.Token)
-			s.announced(p, r.Code, r.Text)
+			s.announced(p.pending, r.Code, r.Text)
 		}
 	case *wire.Frame_Propose:
 		s.propose(asker{b.Propose.Token, f.Addr}, b.Propose.Change, now)
@@ -592,7 +618,7 @@
 	return h
 }
 
-func (s *State) answer(a *wire.Ask, now ident.Moment) *wire.News {
+func (s *State) answer(from string, a *wire.Ask, now ident.Moment) *wire.News {
 	n := s.Relay.Answer(a, now)
 	have := map[string]*wire.CellHave{}
 	for _, h := range a.Cells {
@@ -612,22 +638,29 @@
 	sort.Strings(names)
 	for _, c := range names {
 		h := s.active(ident.Cell(c), now)
-		if h == nil {
+		if h == nil || a.Only && have[c] == nil {
 			continue
 		}
 		n.Cells = append(n.Cells, h.sound.News(have[c], now))
 	}
+	if s.head(from) {
+		n.Cells = append(n.Cells, s.olds(have)...)
+	}
 	return n
 }
 
 func (s *State) announce(token uint64, a *wire.Announce, now ident.Moment) {
-	if a.State == cell.Ready && s.Relay.Dazed(now) {
+	if s.old(a, now) {
 		s.announced(pending{now, "", token}, 503, "this process stood still just now; the beat may be an old one")
 		return
 	}
 	s.route(pending{now, "", token}, a, now)
 }
 
+func (s *State) old(a *wire.Announce, now ident.Moment) bool {
+	return a.State == cell.Ready && s.Relay.Dazed(now)
+}
+
 func (s *State) announceFrom(from string, a *wire.Announce, now ident.Moment) {
 	s.route(pending{now, from, a.Token}, a, now)
 }
@@ -649,25 +682,34 @@
 		}
 		s.moved(h)
 		s.copyCell(c, h, now)
-		if a.State == cell.Ready || s.witnesses() == 0 {
+		if a.State == cell.Ready || s.witnesses() == 0 && !s.Shelves {
 			s.announced(p, 200, "")
 			return
 		}
 		h.vows = append(h.vows, &vow{p, h.sound.Upto(), map[string]bool{}})
+		s.shelve(now)
 		return
 	}
 	if h := s.holds[c]; h != nil && h.heir != nil {
-		s.onward(p, a, h.heir.Addr)
+		s.onward(p, a, h.heir.Addr, now)
 		return
 	}
 	if h := s.holds[c]; h != nil && now.Sub(s.Relay.CoreAsOf) < relay.CellTenure {
 		if h.sound.Hear(a, now) && a.State == cell.Ready {
 			s.announced(p, 200, "")
 		} else {
-			s.announced(p, 503, "the holder of cell "+a.Cell+" starts in a moment")
+			s.park(p, a, "the holder of cell "+a.Cell+" starts in a moment", now)
 		}
 		return
 	}
+	if to := s.holderAddr(a); to != "" {
+		s.onward(p, a, to, now)
+		return
+	}
+	s.park(p, a, "cell "+a.Cell+" has no holder just now", now)
+}
+
+func (s *State) holderAddr(a *wire.Announce) string {
 	for _, h := range s.Relay.Core.GetHolds() {
 		if h.Cell != a.Cell {
 			continue
@@ -676,10 +718,44 @@
 		if card == nil || h.Holder == string(s.Member) || a.Hops >= HopsMost {
 			break
 		}
-		s.onward(p, a, card.Addr)
+		return card.Addr
+	}
+	return ""
+}
+
+func (s *State) park(p pending, a *wire.Announce, why string, now ident.Moment) {
+	if now.Sub(p.at) >= ParkMost || len(s.parked) >= ParkedMost || s.draining {
+		s.announced(p, 503, why)
 		return
 	}
-	s.announced(p, 503, "cell "+a.Cell+" has no holder just now")
+	s.parked = append(s.parked, parked{p, a})
+}
+
+func (s *State) unpark(now ident.Moment) {
+	list := s.parked
+	s.parked = nil
+	for _, k := range list {
+		h := s.holds[ident.Cell(k.what.Cell)]
+		switch {
+		case s.old(k.what, now):
+			s.announced(k.pending, 503, "this process stood still just now; the beat may be an old one")
+		case h != nil && h.heir == nil && now.Before(h.start) && now.Sub(k.at) < ParkMost:
+			s.parked = append(s.parked, k)
+		default:
+			s.route(k.pending, k.what, now)
+		}
+	}
+	for _, id := range ident.Keys(s.passes) {
+		p := s.passes[id]
+		if now.Sub(p.sent) < OnwardEvery || now.Sub(p.at) > ParkMost || s.old(p.what, now) {
+			continue
+		}
+		p.sent = now
+		s.passes[id] = p
+		if to := s.holderAddr(p.what); to != "" {
+			s.forward(id, p.what, to)
+		}
+	}
 }
 
 func (s *State) witnesses() int {
@@ -693,11 +769,7 @@
 }
 
 func (s *State) witness(from string, a *wire.Ask, now ident.Moment) {
-	head := false
-	for _, c := range s.Members.Ring() {
-		head = head || c.Addr == from && c.Role == member.Control
-	}
-	if !head {
+	if !slices.Contains(s.heads(), from) {
 		return
 	}
 	for _, c := range a.Cells {
@@ -719,7 +791,7 @@
 	keep := h.vows[:0]
 	for _, v := range h.vows {
 		switch {
-		case len(v.has) >= need:
+		case len(v.has) >= need && (!s.Shelves || h.kept >= v.upto || now.Sub(v.at) > ShelveWait):
 			s.announced(v.pending, 200, "")
 		case now.Sub(v.at) > HeldMost:
 			s.announced(v.pending, 503, "heard, but not yet by those that must not forget it; say it again")
@@ -730,11 +802,15 @@
 	h.vows = keep
 }
 
-func (s *State) onward(p pending, a *wire.Announce, to string) {
+func (s *State) onward(p pending, a *wire.Announce, to string, now ident.Moment) {
 	s.passID++
-	s.passes[s.passID] = p
+	s.passes[s.passID] = errand{parked{p, a}, now}
+	s.forward(s.passID, a, to)
+}
+
+func (s *State) forward(id uint64, a *wire.Announce, to string) {
 	n := proto.Clone(a).(*wire.Announce)
-	n.Token, n.Hops = s.passID, a.Hops+1
+	n.Token, n.Hops = id, a.Hops+1
 	s.send(to, &wire.Frame{Body: &wire.Frame_Announce{Announce: n}})
 }
 
@@ -797,7 +873,7 @@
 	}
 	s.wills[c] = q
 	s.Mail.Hint(s.leaderAddr())
-	s.Mail.Post(&wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: q.Cell, Holder: string(s.Member), Incarnation: uint64(s.Incarnation), Basis: q.Epoch}}}, now.Add(CedeEvery), nil, s.heads(), now)
+	s.Mail.Post(&wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: q.Cell, Holder: string(s.Member), Incarnation: uint64(s.Incarnation), Basis: q.Epoch, Addr: string(s.Addr)}}}, now.Add(CedeEvery), nil, s.heads(), now)
 }
 
 func (s *State) copyCell(c ident.Cell, h *hold, now ident.Moment) {
@@ -806,7 +882,13 @@
 		k = cell.NewCopy(c)
 		s.Relay.Cells[c] = k
 	}
-	k.Take(h.sound.News(k.Have(), now), now)
+	if h.copied == h.rolls && k.Known && k.Epoch == h.epoch && k.Upto == h.sound.Upto() {
+		k.Stand(h.sound.Pulse(), now)
+		return
+	}
+	if k.Take(h.sound.News(k.Have(), now), now) {
+		h.copied = h.rolls
+	}
 }
 
 func (s *State) tick(now ident.Moment) {
@@ -821,18 +903,14 @@
 		p := s.passes[id]
 		if now.Sub(p.at) > AnnounceWait {
 			delete(s.passes, id)
-			s.announced(p, 503, "the cell's holder did not answer")
+			s.announced(p.pending, 503, "the cell's holder did not answer")
 		}
 	}
+	s.unpark(now)
 	if s.Agree != nil {
 		s.Agree.Tick(now)
 	}
-	var targets []string
-	for _, a := range heads {
-		if a != string(s.Addr) {
-			targets = append(targets, a)
-		}
-	}
+	targets := s.others()
 	if len(targets) == 0 {
 		for _, a := range s.Seeds {
 			if a != s.Addr {
@@ -840,6 +918,7 @@
 			}
 		}
 	}
+	s.Relay.Eager = now.Sub(s.born) < EagerFor
 	s.Relay.Tick(s.Members.Ring(), 0, targets, now)
 	s.look(now)
 	s.watch(now)
@@ -848,11 +927,9 @@
 		s.assign(now)
 		s.marks(now)
 	}
-	s.Members.Update(func(c *wire.Card) {
-		c.Leaving = s.draining
-		c.Ready = s.Relay.CoreFresh(now)
-	}, now)
+	s.Members.Say(s.Relay.CoreFresh(now), s.draining, now)
 	s.Members.Tick(now)
+	s.shelve(now)
 	if s.draining {
 		s.finish(now)
 	}
@@ -925,6 +1002,7 @@
 		r.Wants = append(r.Wants, &wire.Wants{Service: v, ByNode: by[v], Only: only})
 	}
 	if r.Sum() != h.sound.Roll.Sum() {
+		h.rolls++
 		s.decide(duty.Decision{Decision: "dealt", Cell: string(h.sound.Cell), Note: strings.Join(nodes, " ") + " " + r.Text()})
 	}
 	h.sound.Roll = r
@@ -1019,7 +1097,7 @@
 	for _, c := range ident.Keys(mine) {
 		m, h := mine[c], s.holds[c]
 		if h == nil {
-			h = &hold{epoch: ident.Epoch(m.Epoch), start: now.Add(relay.CellTenure), sound: cell.New(c, ident.Epoch(m.Epoch))}
+			h = &hold{rolls: 1, epoch: ident.Epoch(m.Epoch), start: now.Add(relay.CellTenure), sound: cell.New(c, ident.Epoch(m.Epoch))}
 			if q := s.wills[c]; q != nil && q.Epoch == m.Before {
 				h.start, h.sound = now, cell.Inherit(q, h.epoch, now)
 			}
@@ -1027,11 +1105,14 @@
 			s.holds[c] = h
 			s.out = append(s.out, Note{"Holds cell " + string(c) + " soon."})
 		}
+		if now.Before(h.start) && s.follows(m) {
+			h.start = now
+		}
 		s.cede(c, h, now)
 		if s.active(c, now) == nil {
 			continue
 		}
-		if k := s.Relay.Cells[c]; !h.begun && k != nil && k.Epoch < h.epoch {
+		if k := s.Relay.Cells[c]; !h.begun && k != nil && k.Epoch < h.epoch && (k.Known || uint64(k.Epoch) >= min(m.Since, m.Before)) {
 			h.sound.Recall(k, now)
 		}
 		h.begun = true
@@ -1088,6 +1169,9 @@
 		if h != nil {
 			k := s.Members.Card(ident.Member(h.Holder))
 			heard := max(s.holdAt[c], s.Agree.LedSince())
+			if k == nil && now.Sub(s.Agree.LedSince()) < UnseenWait {
+				continue
+			}
 			if n := s.Relay.Cells[c]; n != nil {
 				heard = max(heard, n.AsOf)
 			}
@@ -1104,7 +1188,7 @@
 			basis = h.Epoch
 		}
 		s.holdAt[c] = now
-		s.Agree.Propose(&wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: name, Holder: pick.Id, Incarnation: pick.Incarnation, Basis: basis}}}, now)
+		s.Agree.Propose(&wire.Change{Body: &wire.Change_CellHold{CellHold: &wire.CellHold{Cell: name, Holder: pick.Id, Incarnation: pick.Incarnation, Basis: basis, Addr: pick.Addr}}}, now)
 	}
 }
 
--- a/data/http.go
+++ b/data/http.go
@@ -162,7 +162,7 @@
 	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), lanePath), "/")
 	if view.desired == nil {
-		no(503, "no desired state read yet", 2*time.Second)
+		no(503, "no desired state read yet", n.early(start))
 		return
 	}
 	lane := view.desired.Lanes[ident.Lane(name)]
@@ -232,6 +232,7 @@
 		k.end = ident.Now()
 		n.lock.Unlock()
 		n.forget(id)
+		n.forget(k.twin)
 	}()
 	if !n.Offer(Arrive{a}) {
 		no("node busy", time.Second)
--- a/relay/state.go
+++ b/relay/state.go
@@ -12,17 +12,24 @@
 )
 
 const (
-	AskEvery   = 150 * time.Millisecond
-	AskWait    = 300 * time.Millisecond
-	Roots      = 2
-	Fan        = 4
-	ClimbFor   = 5 * time.Second
-	PoorAge    = time.Second
-	CoreTenure = 5 * time.Second
-	CellTenure = 1200 * time.Millisecond
-	CellFresh  = 1500 * time.Millisecond
-	Asleep     = 400 * time.Millisecond
-	Daze       = time.Second
+	AskEvery    = 150 * time.Millisecond
+	AskWait     = 300 * time.Millisecond
+	AskPatience = 2 * time.Second
+	AskKept     = 5 * time.Second
+	FirstTook   = 150 * time.Millisecond
+	Roots       = 2
+	Fan         = 4
+	ClimbFor    = 5 * time.Second
+	PoorAge     = time.Second
+	CoreTenure  = 5 * time.Second
+	CellTenure  = 1200 * time.Millisecond
+	CellFresh   = 1500 * time.Millisecond
+	EagerEvery  = 50 * time.Millisecond
+	EagerAsks   = 3
+	WholeEvery  = 8
+	Overdue     = 3 * AskEvery
+	Asleep      = 400 * time.Millisecond
+	Daze        = time.Second
 )
 
 type State struct {
@@ -30,6 +37,7 @@
 	Control bool
 	Tenure  time.Duration
 	Stale   time.Duration
+	Eager   bool
 
 	Core      *wire.Core
 	CoreAsOf  ident.Moment
@@ -41,9 +49,14 @@
 	Cells     map[ident.Cell]*cell.Copy
 
 	confirms map[string]*wire.Confirm
+	changes  uint64
+	changed  map[string]uint64
+	told     map[string]*told
 	asks     map[uint64]ask
 	token    uint64
+	took     time.Duration
 	askAt    ident.Moment
+	turn     int
 	climb    int
 	climbAt  ident.Moment
 	ringRev  uint64
@@ -56,12 +69,20 @@
 }
 
 type ask struct {
-	at ident.Moment
-	to string
+	at   ident.Moment
+	to   string
+	upto uint64
+	all  int
+	late bool
+}
+
+type told struct {
+	upto uint64
+	asks int
 }
 
 func New(self ident.Member, control bool) *State {
-	return &State{Self: self, Control: control, Tenure: CoreTenure, Stale: CoreTenure, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, asks: map[uint64]ask{}}
+	return &State{Self: self, Control: control, Tenure: CoreTenure, Stale: CoreTenure, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, took: FirstTook}
 }
 
 func (s *State) Revision() uint64 {
@@ -141,45 +162,79 @@
 		if old.Turn > c.Turn {
 			last = old
 		}
+		if c.Staged <= old.Staged && c.Shrunk <= old.Shrunk && last.Turn == old.Turn {
+			return
+		}
 		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk), Turn: last.Turn, Wants: last.Wants}
 	}
 	s.confirms[c.Member] = c
+	s.changes++
+	s.changed[c.Member] = s.changes
 }
 
 func (s *State) ConfirmOf(m string) *wire.Confirm { return s.confirms[m] }
 
-func (s *State) list() []*wire.Confirm {
+func (s *State) list(from uint64) (out []*wire.Confirm, all int) {
 	held := map[string]uint64{}
 	for _, v := range s.Core.GetSeats() {
 		held[v.Member] = v.Incarnation
 	}
-	out := make([]*wire.Confirm, 0, len(s.confirms))
 	for m, c := range s.confirms {
 		if s.CoreKnown && held[m] != c.Incarnation && m != string(s.Self) {
 			if held[m] != 0 {
 				delete(s.confirms, m)
+				delete(s.changed, m)
 			}
 			continue
 		}
-		out = append(out, c)
+		if all++; s.changed[m] > from {
+			out = append(out, c)
+		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Member < out[j].Member })
-	return out
+	return out, all
+}
+
+func (s *State) wanted(of ident.Member, now ident.Moment) (list []*wire.CellHave, only bool) {
+	holders := map[string]string{}
+	only = s.Control && of != "" && s.CoreKnown && len(s.Core.Holds) > 0
+	for _, h := range s.Core.GetHolds() {
+		holders[h.Cell] = h.Holder
+		k := s.Cells[ident.Cell(h.Cell)]
+		only = only && k != nil && k.Known
+	}
+	for _, c := range s.cellNames() {
+		k := s.Cells[c]
+		if holder := holders[string(c)]; only && holder != "" && holder != string(of) && now.Sub(k.AsOf) <= Overdue {
+			continue
+		}
+		list = append(list, k.Have())
+	}
+	return list, only
 }
 
-func (s *State) AskTo(to string, now ident.Moment) {
+func (s *State) AskTo(to string, of ident.Member, now ident.Moment) {
 	s.token++
-	s.asks[s.token] = ask{now, to}
-	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: s.list()}
+	t := s.told[to]
+	if t == nil {
+		t = &told{}
+		s.told[to] = t
+	}
+	if t.asks++; t.asks%WholeEvery == 0 {
+		t.upto = 0
+	}
+	confirms, all := s.list(t.upto)
+	s.asks[s.token] = ask{at: now, to: to, upto: s.changes, all: all}
+	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: confirms}
 	if s.CoreKnown {
 		a.Core = s.Core.Version
 	}
-	for _, k := range s.cellNames() {
-		a.Cells = append(a.Cells, s.Cells[k].Have())
-	}
+	a.Cells, a.Only = s.wanted(of, now)
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: a}}})
 }
 
+func (s *State) Hasten() { s.askAt = 0 }
+
 func (s *State) cellNames() []ident.Cell {
 	return ident.Keys(s.Cells)
 }
@@ -208,6 +263,7 @@
 	}
 	if !s.CoreKnown || core.Version > s.Core.Version {
 		s.Core = core
+		s.told = map[string]*told{}
 		s.rev++
 	} else if core.LeaderAddr != s.Core.LeaderAddr || core.Term > s.Core.Term {
 		s.Core = core
@@ -219,12 +275,18 @@
 	return true
 }
 
-func (s *State) News(n *wire.News, from string, now ident.Moment) {
+func (s *State) News(n *wire.News, from string, now ident.Moment) bool {
 	a, ok := s.asks[n.Token]
 	if !ok || a.to != from {
-		return
+		return false
 	}
 	delete(s.asks, n.Token)
+	s.took += (now.Sub(a.at) - s.took) / 4
+	if t := s.told[from]; t != nil {
+		if t.upto = max(t.upto, a.upto); int(n.Heard) < a.all {
+			t.upto = 0
+		}
+	}
 	s.poor = true
 	if n.HasCore {
 		at := a.at.Add(-time.Duration(max(0, n.CoreAgeNs)))
@@ -241,12 +303,17 @@
 			k = cell.NewCopy(ident.Cell(c.Cell))
 			s.Cells[k.Cell] = k
 		}
+		if c.Old {
+			k.Remember(c)
+			continue
+		}
 		k.Take(c, a.at.Add(-time.Duration(max(0, c.AgeNs))))
 	}
+	return true
 }
 
 func (s *State) Answer(a *wire.Ask, now ident.Moment) *wire.News {
-	n := &wire.News{Token: a.Token}
+	n := &wire.News{Token: a.Token, Heard: uint32(len(s.confirms))}
 	if s.CoreKnown {
 		n.HasCore = true
 		n.CoreAgeNs = int64(now.Sub(s.CoreAsOf))
@@ -263,7 +330,7 @@
 	}
 	for _, k := range s.cellNames() {
 		c := s.Cells[k]
-		if !c.Known {
+		if !c.Known || a.Only && have[string(k)] == nil {
 			continue
 		}
 		if h := have[string(k)]; h != nil && (h.Epoch > uint64(c.Epoch) || h.Epoch == uint64(c.Epoch) && h.Upto > c.Upto) {
@@ -275,48 +342,77 @@
 }
 
 func Path(ring []*wire.Card, self ident.Member) []string {
-	var nodes, heads []*wire.Card
-	at := -1
+	home := ""
 	for _, c := range ring {
-		if c.Role == member.Control {
-			heads = append(heads, c)
-			continue
-		}
 		if c.Id == string(self) {
-			at = len(nodes)
+			home = c.Cell
+		}
+	}
+	var nodes, near, far []string
+	at := -1
+	for _, c := range ring {
+		switch {
+		case c.Role == member.Control && c.Cell == home:
+			near = append(near, c.Addr)
+		case c.Role == member.Control:
+			far = append(far, c.Addr)
+		case c.Cell == home:
+			if c.Id == string(self) {
+				at = len(nodes)
+			}
+			nodes = append(nodes, c.Addr)
 		}
-		nodes = append(nodes, c)
 	}
 	var out []string
 	for i := at; i >= Roots; {
 		i = (i - Roots) / Fan
-		out = append(out, nodes[i].Addr)
+		out = append(out, nodes[i])
 	}
-	if len(heads) > 0 {
-		k := int(ident.Hash(string(self)) % uint64(len(heads)))
-		for i := range heads {
-			out = append(out, heads[(k+i)%len(heads)].Addr)
-		}
+	return append(append(out, turned(near, self)...), turned(far, self)...)
+}
+
+func turned(heads []string, self ident.Member) []string {
+	if len(heads) == 0 {
+		return nil
 	}
-	return out
+	k := int(ident.Hash(string(self)) % uint64(len(heads)))
+	return append(append([]string(nil), heads[k:]...), heads[:k]...)
 }
 
 func (s *State) Tick(ring []*wire.Card, rev uint64, targets []string, now ident.Moment) {
-	for t, a := range s.asks {
-		if now.Sub(a.at) > AskWait {
-			delete(s.asks, t)
-			if a.to == s.parent {
-				s.poor = true
-			}
-		}
+	s.overdue(now)
+	every := AskEvery
+	if s.Eager {
+		every = EagerEvery
 	}
-	if now.Sub(s.askAt) < AskEvery {
+	if now.Sub(s.askAt) < every {
 		return
 	}
 	s.askAt = now
 	if s.Control {
+		who := map[string]ident.Member{}
+		for _, c := range ring {
+			who[c.Addr] = ident.Member(c.Id)
+		}
 		for _, t := range targets {
-			s.AskTo(t, now)
+			if s.waits(t) < s.most() {
+				s.AskTo(t, who[t], now)
+			}
+		}
+		return
+	}
+	if s.Eager && len(targets) > 0 {
+		if s.CoreKnown {
+			if s.turn++; s.turn%2 == 0 || s.Core.LeaderAddr == "" {
+				targets = targets[s.turn/2%len(targets):][:1]
+			} else {
+				targets = []string{s.Core.LeaderAddr}
+			}
+		}
+		for _, t := range targets {
+			if s.waits(t) < s.most() {
+				s.AskTo(t, "", now)
+			}
 		}
 		return
 	}
@@ -337,8 +433,42 @@
 	if len(path) == 0 {
 		return
 	}
-	s.parent = path[s.climb%len(path)]
-	s.AskTo(s.parent, now)
+	if s.parent = path[s.climb%len(path)]; s.waits(s.parent) < s.most() {
+		s.AskTo(s.parent, "", now)
+	}
+}
+
+func (s *State) overdue(now ident.Moment) {
+	wait := min(max(AskWait, 4*s.took), AskPatience)
+	for t, a := range s.asks {
+		switch {
+		case now.Sub(a.at) > AskKept:
+			delete(s.asks, t)
+		case !a.late && now.Sub(a.at) > wait:
+			a.late = true
+			s.asks[t] = a
+			if a.to == s.parent {
+				s.poor = true
+			}
+		}
+	}
+}
+
+func (s *State) most() int {
+	if s.Eager {
+		return EagerAsks
+	}
+	return 1
+}
+
+func (s *State) waits(to string) int {
+	n := 0
+	for _, a := range s.asks {
+		if a.to == to && !a.late {
+			n++
+		}
+	}
+	return n
 }
 
 func (s *State) Flush() []wire.Send {
--- a/wire/link_test.go
+++ b/wire/link_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"bytes"
+	"context"
+	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 )
@@ -36,3 +41,66 @@
 	_, err = ReadFrame(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff, 0}))
 	require.ErrorIs(t, err, ErrFrame)
 }
+
+func TestATerseLinkSaysWhoSpeaksOnce(t *testing.T) {
+	took := make(chan *Frame, 8)
+	hub := func(name string) *Hub {
+		ear, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		h := &Hub{Name: name, Addr: ear.Addr().String(), Incarnation: 7, Log: log.NewNopLogger(), Take: func(f *Frame) { took <- f }}
+		ear.Close()
+		require.NoError(t, h.Open())
+		t.Cleanup(h.Close)
+		return h
+	}
+	a, b := hub("a"), hub("b")
+	for token := range uint64(2) {
+		a.Send(b.Addr, &Frame{Body: &Frame_Ask{Ask: &Ask{Token: token}}})
+		f := <-took
+		require.Equal(t, []any{"a", a.Addr, uint64(7), token}, []any{f.From, f.Addr, f.Incarnation, f.GetAsk().Token})
+	}
+	require.Less(t, a.Bytes.Load(), uint64(30), "two frames without a stamp")
+
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ear.Close()
+	a.Send(ear.Addr().String(), &Frame{Body: &Frame_Ask{Ask: &Ask{Token: 9}}})
+	c, err := ear.Accept()
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, WriteFrame(c, &Frame{From: "old", Body: &Frame_Hello{Hello: &Hello{Least: 2, Most: 2}}}))
+	for range 2 {
+		f, err := ReadFrame(c)
+		require.NoError(t, err)
+		require.Equal(t, "a", f.From, "an older build is told with each frame")
+	}
+}
+
+func TestAPeerThatSpeaksIsDialledAtOnce(t *testing.T) {
+	took := make(chan *Frame, 8)
+	hub := func(name string, dial func(context.Context, string) (net.Conn, error)) *Hub {
+		ear, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		h := &Hub{Name: name, Addr: ear.Addr().String(), Incarnation: 7, Log: log.NewNopLogger(), Take: func(f *Frame) { took <- f }, dial: dial}
+		ear.Close()
+		require.NoError(t, h.Open())
+		t.Cleanup(h.Close)
+		return h
+	}
+	var dials atomic.Int64
+	a := hub("a", func(done context.Context, to string) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			<-done.Done()
+			return nil, done.Err()
+		}
+		return (&net.Dialer{}).DialContext(done, "tcp", to)
+	})
+	b := hub("b", nil)
+	start := time.Now()
+	a.Send(b.Addr, &Frame{Body: &Frame_Ask{Ask: &Ask{Token: 9}}})
+	time.Sleep(20 * time.Millisecond)
+	b.Send(a.Addr, &Frame{Body: &Frame_Ask{Ask: &Ask{Token: 5}}})
+	seen := []uint64{(<-took).GetAsk().Token, (<-took).GetAsk().Token}
+	require.ElementsMatch(t, []uint64{9, 5}, seen, "what was to be sent is not lost")
+	require.Less(t, time.Since(start), 200*time.Millisecond)
+}
