--- a/cmd/fleetrun/holiday.go
+++ b/cmd/fleetrun/holiday.go
@@ -53,6 +53,15 @@
 	return nil, err
 }
 
+func (f *fleet) queueSoon(done context.Context) (q *queue, err error) {
+	for i := 0; i < 50; i++ {
+		if q, err = f.queue(); err == nil || !pause(done, 200*time.Millisecond) {
+			break
+		}
+	}
+	return q, err
+}
+
 // ask makes one change through whichever control process answers, under one change id.
 func (f *fleet) ask(done context.Context, method, path, doc, basis, id string) (code int, out map[string]any) {
 	for i := 0; done.Err() == nil; i++ {
@@ -73,7 +82,7 @@
 	return 0, nil
 }
 
-// held watches each node's generation against the leader's; a node may lag a landing by the tenure, and never serves another within a period.
+// watchHoliday holds each node's generation against the leader's; a node may lag a landing by the tenure, and never serves another within a period.
 func (f *fleet) watchHoliday(done context.Context, seen func(q *queue)) (looks int) {
 	c := http.Client{Timeout: time.Second}
 	steady, since := uint64(0), time.Now()
@@ -119,7 +128,7 @@
 	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	q, err := f.queue()
+	q, err := f.queueSoon(done)
 	if err != nil {
 		return "", err
 	}
@@ -208,7 +217,7 @@
 	pause(done, 8*time.Second)
 	stop()
 	n := <-looks
-	q, err = f.queue()
+	q, err = f.queueSoon(done)
 	if err != nil {
 		return "", err
 	}
--- a/control/held.go
+++ b/control/held.go
@@ -358,9 +358,12 @@
 	if len(s.Book.Held) == 0 || s.landTurn == s.Book.Turn+1 {
 		return false
 	}
-	doc, places := s.free(false)
-	if len(places) == 0 {
-		doc, places = s.free(true)
+	var doc []byte
+	var places []uint64
+	for _, way := range []int{byRegion, oneByOne, inOrder} {
+		if doc, places = s.free(way); len(places) > 0 {
+			break
+		}
 	}
 	if len(places) == 0 {
 		s.landTurn = s.Book.Turn + 1
@@ -373,33 +376,43 @@
 	return ok
 }
 
-func (s *State) free(inOrder bool) ([]byte, []uint64) {
+const (
+	byRegion = iota
+	oneByOne
+	inOrder
+)
+
+// free gives the state in which all that is held and free is in force. Taken all at once, a state between two changes need not be sound; where that fails they are tried one by one, and at last no later one before an earlier.
+func (s *State) free(way int) ([]byte, []uint64) {
 	from := s.Book.State(s.Book.Generation)
 	t, at := s.inForceTree(), from
 	var places []uint64
 	left := false
 	for _, h := range s.Book.Held {
 		next := desired.Merge(t, tree(h.Patch))
-		if h.Applied {
-			if d, _, faults := s.sound(next); len(faults) == 0 {
-				t, at = next, d
-			}
-			continue
-		}
-		if left && inOrder {
-			continue
-		}
-		d, _, faults := s.sound(next)
-		if len(faults) > 0 {
+		switch {
+		case way == byRegion && h.Applied:
+			t = next
+		case way == byRegion && !slices.ContainsFunc(h.Regions, func(n string) bool { return s.Book.Open(n) != nil }):
+			t, places = next, append(places, h.Place)
+		case way == byRegion || way == inOrder && left && !h.Applied:
 			left = true
-			continue
-		}
-		if _, still := s.touched(at, d); len(still) > 0 {
-			left = true
-			continue
+		default:
+			d, _, faults := s.sound(next)
+			if len(faults) == 0 && !h.Applied {
+				_, still := s.touched(at, d)
+				left = left || len(still) > 0
+				if len(still) > 0 {
+					continue
+				}
+				places = append(places, h.Place)
+			}
+			if len(faults) > 0 {
+				left = left || !h.Applied
+				continue
+			}
+			t, at = next, d
 		}
-		t, at = next, d
-		places = append(places, h.Place)
 	}
 	if !left {
 		t = edited(t, s.Book.EndEdition())
--- a/control/held_test.go
+++ b/control/held_test.go
@@ -199,6 +199,61 @@
 	require.Nil(t, s.Routes["rx"])
 }
 
+func TestWhatIsSoundOnlyTogetherLandsTogether(t *testing.T) {
+	d := season(t)
+	d.at(1)
+	d.code(d.sets("less", `{"edition":2,"lanes":{"ln":{"slots":90}}}`), ledger.Held)
+	d.code(d.sets("more", `{"edition":3,"services":{"n":{"maxConnections":300}}}`), ledger.Held)
+	d.code(d.sets("nodes", `{"edition":4,"fleet":{"nodes":3}}`), ledger.Done)
+	g := d.Book.Generation
+	d.at(80)
+	require.Empty(t, d.Book.Held)
+	require.Equal(t, g+1, d.Book.Generation)
+	s := d.Book.State(g + 1)
+	require.Equal(t, []int{90, 300, 3}, []int{s.Lanes["ln"].Slots, s.Services["n"].MaxConnections, s.Fleet.Nodes})
+}
+
+func TestNoFreshWordGoesOutWhileAChangeFromBeforeIsOnItsWayIntoAPeriod(t *testing.T) {
+	d := season(t)
+	d.ms = eve - 10500
+	d.ticks(200 * time.Millisecond)
+	require.False(t, d.quiet(d.now))
+	d.setIndex, d.turning = uint64(d.Book.Index)+1, false
+	require.False(t, d.quiet(d.now))
+	d.ms += 600
+	d.Step(d.now, Clock{d.ms, d.now})
+	require.True(t, d.quiet(d.now))
+	as := d.Relay.CoreAsOf
+	d.now = d.now.Add(100 * time.Millisecond)
+	d.Settle(d.now)
+	require.Equal(t, as, d.Relay.CoreAsOf)
+	d.setIndex = 0
+	require.False(t, d.quiet(d.now))
+	d.Settle(d.now)
+	require.Greater(t, d.Relay.CoreAsOf, as)
+}
+
+func TestALeaderWhoseClockAloneIsBehindHandsLeadershipOn(t *testing.T) {
+	d := season(t)
+	d.at(1)
+	h := func(hours float64) int64 { return eve + int64(hours*3600*1000) }
+	require.True(t, d.behind("north", []int64{h(47), h(49), h(49)}, 2))
+	require.False(t, d.behind("north", []int64{h(47), h(47), h(49)}, 2))
+	require.False(t, d.behind("north", []int64{h(49), h(49), h(47)}, 2))
+	require.False(t, d.behind("south", []int64{h(47), h(99), h(99)}, 2))
+	now := d.now
+	require.False(t, d.lasts("x", true, now))
+	require.False(t, d.lasts("x", true, now.Add(900*time.Millisecond)))
+	require.False(t, d.lasts("x", true, now.Add(3*time.Second)), "a gap begins it anew")
+	require.False(t, d.lasts("x", true, now.Add(4*time.Second)))
+	for i := time.Duration(5); i < 8; i++ {
+		require.False(t, d.lasts("x", true, now.Add(i*time.Second)))
+	}
+	require.True(t, d.lasts("x", true, now.Add(8*time.Second)))
+	require.False(t, d.lasts("x", false, now.Add(9*time.Second)))
+	require.False(t, d.lasts("x", true, now.Add(9*time.Second)))
+}
+
 func TestACalendarMayGrowAtOnceAndShrinkOnlyAfter(t *testing.T) {
 	d := season(t)
 	d.at(1)
