--- a/control/held.go
+++ b/control/held.go
@@ -59,8 +59,8 @@
 	return max(LeadLeast, 2*s.Relay.Tenure, s.Relay.Stale+s.Relay.Tenure).Milliseconds() * s.scale()
 }
 
-// quiet says that a period is about to begin while a change made before it is not yet agreed; no fresh word goes out then, lest nodes enter the period on the old routes and get the new ones in it.
-func (s *State) quiet(now ident.Moment) bool {
+// hush says that a period is about to begin while a change made before it is not yet agreed; no fresh word goes out then, lest nodes enter the period on the old routes and get the new ones in it.
+func (s *State) hush(now ident.Moment) bool {
 	if !s.watching || uint64(s.Book.Index) >= s.setIndex || s.turning {
 		return false
 	}
--- a/control/held_test.go
+++ b/control/held_test.go
@@ -217,18 +217,18 @@
 	d := season(t)
 	d.ms = eve - 10500
 	d.ticks(200 * time.Millisecond)
-	require.False(t, d.quiet(d.now))
+	require.False(t, d.hush(d.now))
 	d.setIndex, d.turning = uint64(d.Book.Index)+1, false
-	require.False(t, d.quiet(d.now))
+	require.False(t, d.hush(d.now))
 	d.ms += 600
 	d.Step(d.now, Clock{d.ms, d.now})
-	require.True(t, d.quiet(d.now))
+	require.True(t, d.hush(d.now))
 	as := d.Relay.CoreAsOf
 	d.now = d.now.Add(100 * time.Millisecond)
 	d.Settle(d.now)
 	require.Equal(t, as, d.Relay.CoreAsOf)
 	d.setIndex = 0
-	require.False(t, d.quiet(d.now))
+	require.False(t, d.hush(d.now))
 	d.Settle(d.now)
 	require.Greater(t, d.Relay.CoreAsOf, as)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -593,7 +593,7 @@
 
 func (s *State) publish(now ident.Moment) {
 	at, ok := s.Agree.AsOf()
-	if !ok || s.quiet(now) {
+	if !ok || s.hush(now) {
 		return
 	}
 	c := s.Book.Core()
