--- a/control/held.go
+++ b/control/held.go
@@ -325,6 +325,36 @@
 	return d, doc, faults
 }
 
+// withCalendar lays the calendar that stands onto a whole state whose writer knows of none.
+func (s *State) withCalendar(t any) any {
+	if !s.bounded() {
+		return t
+	}
+	m, ok := t.(map[string]any)
+	if !ok || m["regions"] != nil || m["blackouts"] != nil {
+		return t
+	}
+	end := s.endTree().(map[string]any)
+	patch := map[string]any{}
+	for _, k := range []string{"regions", "blackouts"} {
+		if v, ok := end[k]; ok {
+			patch[k] = v
+		}
+	}
+	old, _ := end["services"].(map[string]any)
+	now, _ := m["services"].(map[string]any)
+	services := map[string]any{}
+	for n, v := range old {
+		if o, ok := v.(map[string]any); ok && o["regions"] != nil && now[n] != nil {
+			services[n] = map[string]any{"regions": o["regions"]}
+		}
+	}
+	if len(services) > 0 {
+		patch["services"] = services
+	}
+	return desired.Merge(t, patch)
+}
+
 // touched names the regions that a change from a to b touches, and of these those that stand still just now.
 func (s *State) touched(a, b *desired.State) (all, still []string) {
 	all = desired.Touched(a, b)
--- a/control/held_test.go
+++ b/control/held_test.go
@@ -254,6 +254,29 @@
 	require.False(t, d.lasts("x", true, now.Add(9*time.Second)))
 }
 
+func TestAWriterThatKnowsNoCalendarKeepsIt(t *testing.T) {
+	d := season(t)
+	whole := tree([]byte(calm)).(map[string]any)
+	delete(whole, "regions")
+	delete(whole, "blackouts")
+	for _, v := range whole["services"].(map[string]any) {
+		delete(v.(map[string]any), "regions")
+	}
+	whole["edition"] = number(2)
+	put := func(id string) *wire.ProposeReply {
+		return d.put(&wire.SetDesired{ChangeId: id, Basis: uint64(d.Book.Generation), Tail: d.Book.Stands(), KeepCalendar: true, Doc: desired.Write(whole)})
+	}
+	d.code(put("whole"), ledger.Done)
+	s := d.Book.State(d.Book.Generation)
+	require.Len(t, s.Blackouts, 2)
+	require.Equal(t, []string{"north"}, s.Services["n"].Regions)
+	d.at(1)
+	whole["edition"] = number(3)
+	whole["lanes"].(map[string]any)["ln"].(map[string]any)["weight"] = number(7)
+	d.code(put("held"), ledger.Held)
+	require.Equal(t, []string{"north"}, d.Book.Held[0].Regions)
+}
+
 func TestACalendarMayGrowAtOnceAndShrinkOnlyAfter(t *testing.T) {
 	d := season(t)
 	d.at(1)
--- a/control/state.go
+++ b/control/state.go
@@ -453,6 +453,9 @@
 	if len(faults) == 0 && q.set.Merge {
 		tree = desired.Merge(s.endTree(), tree)
 	}
+	if len(faults) == 0 && q.set.KeepCalendar {
+		tree = s.withCalendar(tree)
+	}
 	doc := desired.Write(tree)
 	var d *desired.State
 	if len(faults) == 0 && !q.set.Withdraw {
