--- a/forward/state.go
+++ b/forward/state.go
@@ -521,6 +521,7 @@
 	}
 }
 
+// again gives a visit that a backend answered or lost a new time to wait.
 func (s *State) again(v *Visit, now ident.Moment) bool {
 	return s.shoot(v, now, now.Add(Patience(v.Rule)))
 }
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -82,6 +82,8 @@
 	Quiet    bool
 	Skew     float64
 	scale    int64
+	Routed   bool
+	Stale    time.Duration
 	scene    *Scene
 }
 
@@ -112,6 +114,8 @@
 	skew     time.Duration
 	held     []func()
 	disk     *disk
+	hurt     ident.Moment
+	at       ident.Generation
 	leap     int64
 	watching int
 }
@@ -163,6 +167,7 @@
 	pounces  int
 	seated   map[string]uint64
 	season   *season
+	road     *road
 }
 
 func (w *World) at(d time.Duration, do func()) {
@@ -243,7 +248,7 @@
 	if p.up {
 		return
 	}
-	p.up, p.frozen, p.held = true, false, nil
+	p.up, p.frozen, p.held, p.at = true, false, nil, 0
 	p.life++
 	if p.seeds == nil {
 		p.seeds = w.seeds()
@@ -253,7 +258,7 @@
 	w.lives[uint64(inc)] = len(w.lives)
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
-		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
+		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
 		s, err := control.New(b, p.disk.recover(), p.clock())
 		if err != nil {
 			w.Break("disk unreadable", "%s: %v", p.Name, err)
@@ -261,7 +266,7 @@
 		}
 		p.control = s
 	} else {
-		p.node = newNode(p, data.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Build: "sim"})
+		p.node = newNode(p, data.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Build: "sim", Stale: w.Stale})
 	}
 	life := p.life
 	var tick func()
