--- a/simulate/holiday.go
+++ b/simulate/holiday.go
@@ -178,8 +178,10 @@
 		}
 		switch code {
 		case ledger.Held:
+			if k.code != ledger.Held {
+				w.Count["held"]++
+			}
 			k.code, k.place = code, r.Place
-			w.Count["held"]++
 			w.at(3*time.Second, func() { w.again(k, c) })
 		case ledger.Done:
 			k.code, k.gen, k.done = code, r.Generation, true
