--- a/control/held.go
+++ b/control/held.go
@@ -385,7 +385,7 @@
 
 // landing proposes the one generation for all that is held and free.
 func (s *State) landing(now ident.Moment) bool {
-	if len(s.Book.Held) == 0 || s.landTurn == s.Book.Turn+1 {
+	if s.landTurn == s.Book.Turn+1 || !slices.ContainsFunc(s.Book.Held, s.waitsForNone) {
 		return false
 	}
 	var doc []byte
@@ -406,6 +406,10 @@
 	return ok
 }
 
+func (s *State) waitsForNone(h *wire.Held) bool {
+	return !h.Applied && !slices.ContainsFunc(h.Regions, func(n string) bool { return s.Book.Open(n) != nil })
+}
+
 const (
 	byRegion = iota
 	oneByOne
@@ -423,9 +427,9 @@
 		switch {
 		case way == byRegion && h.Applied:
 			t = next
-		case way == byRegion && !slices.ContainsFunc(h.Regions, func(n string) bool { return s.Book.Open(n) != nil }):
+		case way == byRegion && s.waitsForNone(h):
 			t, places = next, append(places, h.Place)
-		case way == byRegion || way == inOrder && left && !h.Applied:
+		case !h.Applied && (!s.waitsForNone(h) || way == inOrder && left):
 			left = true
 		default:
 			d, _, faults := s.sound(next)
