--- a/control/state.go
+++ b/control/state.go
@@ -346,6 +346,9 @@
 
 func (s *State) agreed(f *wire.Frame, now ident.Moment) {
 	if s.Agree == nil {
+		if q := f.GetFounding(); q != nil && !q.Answer {
+			s.send(q.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: &wire.Founding{Member: string(s.Member), Addr: string(s.Addr), Blank: true, Answer: true}}})
+		}
 		return
 	}
 	switch b := f.Body.(type) {
@@ -962,6 +965,11 @@
 	h.sound.Roll = r
 }
 
+func (s *State) quiet(v ident.Service) bool {
+	d := s.Relay.Desired
+	return d != nil && d.Services[v] != nil && d.Services[v].Named
+}
+
 func (s *State) lined(v string) bool {
 	d := s.Relay.Desired
 	return d != nil && d.Services[ident.Service(v)] != nil && d.Services[ident.Service(v)].Line > 0
@@ -1054,6 +1062,7 @@
 			if q := s.wills[c]; q != nil && q.Epoch == m.Before {
 				h.start, h.sound = now, cell.Inherit(q, h.epoch, now)
 			}
+			h.sound.Quiet = s.quiet
 			delete(s.wills, c)
 			s.holds[c] = h
 			s.out = append(s.out, Note{"Holds cell " + string(c) + " soon."})
@@ -1095,6 +1104,23 @@
 	}
 }
 
+func (s *State) keepers(list []*wire.Card) []*wire.Card {
+	disk := map[string]bool{}
+	for _, v := range s.Agree.Roster().GetVoters() {
+		disk[v.Member] = true
+	}
+	var out []*wire.Card
+	for _, c := range list {
+		if disk[c.Id] {
+			out = append(out, c)
+		}
+	}
+	if len(out) == 0 {
+		return list
+	}
+	return out
+}
+
 func (s *State) assign(now ident.Moment) {
 	homes := map[string][]*wire.Card{}
 	all := s.standing()
@@ -1132,9 +1158,10 @@
 				continue
 			}
 		}
-		pick := all[int(ident.Hash(name)%uint64(len(all)))]
+		list := s.keepers(all)
+		pick := list[int(ident.Hash(name)%uint64(len(list)))]
 		if l := homes[name]; len(l) > 0 {
-			pick = l[0]
+			pick = s.keepers(l)[0]
 		}
 		basis := uint64(0)
 		if h != nil {
--- a/data/node.go
+++ b/data/node.go
@@ -70,6 +70,7 @@
 
 const (
 	surplusMost = 4
+	readerSize  = 4 << 10
 	eagerPause  = 20 * time.Millisecond
 	calmPause   = 50 * time.Millisecond
 )
@@ -369,7 +370,7 @@
 			n.Put(LinkFailed{e.Visit, e.Shot, e.Key, true})
 			return
 		}
-		c = &conn{Conn: raw, read: bufio.NewReaderSize(raw, 16<<10), key: e.Key, life: e.Backend.Life}
+		c = &conn{Conn: raw, read: bufio.NewReaderSize(raw, readerSize), key: e.Key, life: e.Backend.Life}
 	}
 	n.lock.Lock()
 	k := n.calls[e.Visit]
--- a/forward/state.go
+++ b/forward/state.go
@@ -462,7 +462,7 @@
 		delete(s.visits, id)
 		return
 	}
-	if v.GiveUpAt.After(now) && s.another(v, now) {
+	if v.GiveUpAt.After(now) && s.shoot(v, now, v.GiveUpAt) {
 		s.passed(now)
 		return
 	}
@@ -523,20 +523,16 @@
 
 // again gives a visit that a backend answered or lost a new time to wait.
 func (s *State) again(v *Visit, now ident.Moment) bool {
-	asked, until := v.asked, v.GiveUpAt
-	v.asked, v.GiveUpAt = now, now.Add(Patience(v.Rule))
-	if !s.another(v, now) {
-		v.asked, v.GiveUpAt = asked, until
-		return false
-	}
-	return true
+	return s.shoot(v, now, now.Add(Patience(v.Rule)))
 }
 
-func (s *State) another(v *Visit, now ident.Moment) bool {
+func (s *State) shoot(v *Visit, now, until ident.Moment) bool {
 	if v.Told || v.Left || v.mate != "" || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || v.Rule.Route != "" && !v.Arrived.Add(v.Rule.Work).After(now) || !s.further(v.Rule.Service) {
 		return false
 	}
 	v.skip[v.Backend.Addr] = true
+	v.asked = until.Add(-Patience(v.Rule))
+	v.GiveUpAt = until
 	s.move(v, Waiting, "further shot")
 	s.ask(v, now)
 	return true
