--- a/agreement/state.go
+++ b/agreement/state.go
@@ -49,10 +49,10 @@
 }
 
 type Recovered struct {
-	Term    uint64
-	Voted   string
-	Snap    *wire.Snap
-	Entries []*wire.Entry
+	Term     uint64
+	Voted    string
+	Snapshot *wire.Snapshot
+	Entries  []*wire.Entry
 }
 
 type Persist struct {
@@ -64,11 +64,11 @@
 	Sends   []wire.Send
 	Persist *Persist
 	Applied []*wire.Entry
-	Loaded  *wire.Snap
+	Loaded  *wire.Snapshot
 	Turned  bool
 }
 
-type line struct {
+type progress struct {
 	addr      string
 	next      uint64
 	match     uint64
@@ -97,15 +97,15 @@
 	Self     Self
 	Founders []ident.Addr
 
-	role   Role
-	term   uint64
-	voted  string
-	snap   *wire.Snap
-	log    []*wire.Entry
-	commit uint64
-	done   uint64
-	synced uint64
-	rand   *rand.Rand
+	role     Role
+	term     uint64
+	voted    string
+	snapshot *wire.Snapshot
+	log      []*wire.Entry
+	commit   uint64
+	applied  uint64
+	synced   uint64
+	rand     *rand.Rand
 
 	leader     string
 	leaderAddr string
@@ -118,7 +118,7 @@
 	known      *wire.Roster
 	knownAt    uint64
 
-	lines    map[string]*line
+	progress map[string]*progress
 	rounds   deque.Deque[round]
 	roundNow uint64
 	asOf     ident.Moment
@@ -129,14 +129,14 @@
 	stampAt  ident.Moment
 	stamp    uint64
 
-	seq     uint64
-	seqDone uint64
-	vowAt   uint64
-	wait    deque.Deque[held]
-	marks   deque.Deque[[2]uint64]
-	recs    []*wire.Record
-	out     *Out
-	ailing  bool
+	seq         uint64
+	seqDone     uint64
+	hardStateAt uint64
+	wait        deque.Deque[held]
+	marks       deque.Deque[[2]uint64]
+	recs        []*wire.Record
+	out         *Out
+	ailing      bool
 
 	foundAt ident.Moment
 	found   map[string]*wire.Founding
@@ -150,18 +150,18 @@
 func New(self Self, founders []ident.Addr, got *Recovered, seed int64, now ident.Moment) *State {
 	s := &State{Self: self, Founders: founders, Want: 3, rand: rand.New(rand.NewSource(seed)), found: map[string]*wire.Founding{}, out: &Out{}, Doors: func() []ident.Addr { return nil }, Wall: func(ident.Moment) int64 { return 0 }}
 	s.asOf, s.heardLead = now, now
-	if got != nil && got.Snap != nil {
+	if got != nil && got.Snapshot != nil {
 		s.role = Follower
-		s.term, s.voted, s.snap = got.Term, got.Voted, got.Snap
-		if s.snap.LastTerm > s.term {
-			s.term = s.snap.LastTerm
+		s.term, s.voted, s.snapshot = got.Term, got.Voted, got.Snapshot
+		if s.snapshot.LastTerm > s.term {
+			s.term = s.snapshot.LastTerm
 		}
 		for _, e := range got.Entries {
 			if e.Index == s.last()+1 {
 				s.log = append(s.log, e)
 			}
 		}
-		s.commit, s.done = s.snap.LastIndex, s.snap.LastIndex
+		s.commit, s.applied = s.snapshot.LastIndex, s.snapshot.LastIndex
 		s.synced = s.last()
 		s.stamp = s.lastStamp()
 		s.heardLead = now.Add(-ElectLeast)
@@ -180,11 +180,11 @@
 func (s *State) Last() ident.Index          { return ident.Index(s.last()) }
 func (s *State) Ailing() bool               { return s.ailing }
 func (s *State) LedSince() ident.Moment     { return s.ledSince }
-func (s *State) Firm() bool                 { return s.role == Leader && s.commit >= s.first && s.done >= s.first }
+func (s *State) Firm() bool                 { return s.role == Leader && s.commit >= s.first && s.applied >= s.first }
 func (s *State) Steady(n ident.Moment) bool { return s.Firm() && s.quitAt == 0 }
-func (s *State) Snap() *wire.Snap           { return s.snap }
+func (s *State) Snapshot() *wire.Snapshot   { return s.snapshot }
 func (s *State) Match(v ident.Voter) uint64 {
-	if l := s.lines[string(v)]; l != nil {
+	if l := s.progress[string(v)]; l != nil {
 		return l.match
 	}
 	return 0
@@ -198,10 +198,10 @@
 }
 
 func (s *State) base() uint64 {
-	if s.snap == nil {
+	if s.snapshot == nil {
 		return 0
 	}
-	return s.snap.LastIndex
+	return s.snapshot.LastIndex
 }
 
 func (s *State) last() uint64 { return s.base() + uint64(len(s.log)) }
@@ -215,10 +215,10 @@
 
 func (s *State) termAt(i uint64) (uint64, bool) {
 	if i == s.base() {
-		if s.snap == nil {
+		if s.snapshot == nil {
 			return 0, true
 		}
-		return s.snap.LastTerm, true
+		return s.snapshot.LastTerm, true
 	}
 	if e := s.entry(i); e != nil {
 		return e.Term, true
@@ -232,8 +232,8 @@
 	if len(s.log) > 0 {
 		return s.log[len(s.log)-1].Stamp
 	}
-	if s.snap != nil {
-		return s.snap.Stamp
+	if s.snapshot != nil {
+		return s.snapshot.Stamp
 	}
 	return 0
 }
@@ -251,8 +251,8 @@
 			return r, s.log[i].Index
 		}
 	}
-	if s.snap != nil {
-		return s.snap.Roster, s.snap.LastIndex
+	if s.snapshot != nil {
+		return s.snapshot.Roster, s.snapshot.LastIndex
 	}
 	return &wire.Roster{}, 0
 }
@@ -265,7 +265,7 @@
 			return r
 		}
 	}
-	return s.snap.Roster
+	return s.snapshot.Roster
 }
 
 func Voters(r *wire.Roster) []*wire.Voter {
@@ -315,9 +315,9 @@
 	s.wait.PushBack(held{s.seq + 1, wire.Send{To: to, Frame: f}})
 }
 
-func (s *State) vow() {
-	s.vowAt = s.seq + 1
-	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Vow{Vow: &wire.Vow{Term: s.term, Voted: s.voted}}})
+func (s *State) saveHardState() {
+	s.hardStateAt = s.seq + 1
+	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_HardState{HardState: &wire.HardState{Term: s.term, Voted: s.voted}}})
 }
 
 func (s *State) enter(r Role) {
@@ -329,34 +329,34 @@
 
 func (s *State) toTerm(t uint64, now ident.Moment) {
 	s.term, s.voted, s.leader, s.leaderAddr = t, "", "", ""
-	s.vow()
-	s.toFollower(now)
+	s.saveHardState()
+	s.becomeFollower(now)
 }
 
-func (s *State) toFollower(now ident.Moment) {
+func (s *State) becomeFollower(now ident.Moment) {
 	s.enter(Follower)
 	s.quitAt = 0
-	s.lines = nil
+	s.progress = nil
 	s.setElect(now)
 }
 
-func (s *State) form(r *wire.Roster, now ident.Moment) {
-	s.adopt(&wire.Snap{LastIndex: 1, LastTerm: 1, Roster: r})
+func (s *State) bootstrap(r *wire.Roster, now ident.Moment) {
+	s.adopt(&wire.Snapshot{LastIndex: 1, LastTerm: 1, Roster: r})
 	s.term = 1
-	s.vow()
+	s.saveHardState()
 	s.enter(Follower)
 	s.setElect(now)
 }
 
-func (s *State) adopt(p *wire.Snap) {
-	s.snap = &wire.Snap{LastIndex: p.LastIndex, LastTerm: p.LastTerm, Roster: p.Roster, Image: p.Image, Stamp: p.Stamp}
+func (s *State) adopt(p *wire.Snapshot) {
+	s.snapshot = &wire.Snapshot{LastIndex: p.LastIndex, LastTerm: p.LastTerm, Roster: p.Roster, Image: p.Image, Stamp: p.Stamp}
 	s.log, s.known = nil, nil
 	s.clip(p.LastIndex)
-	s.commit, s.done = p.LastIndex, p.LastIndex
+	s.commit, s.applied = p.LastIndex, p.LastIndex
 	s.synced = p.LastIndex
 	s.stamp = max(s.stamp, p.Stamp)
-	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Snap{Snap: s.snap}})
-	s.out.Loaded = s.snap
+	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Snapshot{Snapshot: s.snapshot}})
+	s.out.Loaded = s.snapshot
 }
 
 func (s *State) Founding(f *wire.Founding, now ident.Moment) {
@@ -388,7 +388,7 @@
 	}
 	sort.Slice(r.Voters, func(i, j int) bool { return r.Voters[i].Id < r.Voters[j].Id })
 	if find(r, string(s.Self.Voter)) != nil {
-		s.form(r, now)
+		s.bootstrap(r, now)
 	}
 }
 
@@ -433,7 +433,7 @@
 	s.add(&wire.Change{Body: &wire.Change_Roster{Roster: n}})
 }
 
-func (s *State) tidy(now ident.Moment) {
+func (s *State) reconfigure(now ident.Moment) {
 	r, at := s.rosterAt()
 	if at > s.commit || !s.Firm() || s.quitAt != 0 {
 		return
@@ -441,7 +441,7 @@
 	voters := Voters(r)
 	ready := ""
 	for _, v := range r.Voters {
-		l := s.lines[v.Id]
+		l := s.progress[v.Id]
 		if v.Learner && l != nil && l.match+Caught >= s.last() && now.Sub(l.heard) < time.Second && !l.ailing {
 			ready = v.Id
 		}
@@ -461,7 +461,7 @@
 	live := 0
 	gone := ""
 	for _, v := range voters {
-		l := s.lines[v.Id]
+		l := s.progress[v.Id]
 		if v.Id == string(s.Self.Voter) {
 			live++
 			continue
@@ -520,15 +520,15 @@
 		if v.Id == string(s.Self.Voter) {
 			continue
 		}
-		if l := s.lines[v.Id]; l != nil {
+		if l := s.progress[v.Id]; l != nil {
 			l.addr = v.Addr
 			continue
 		}
-		s.lines[v.Id] = &line{addr: v.Addr, next: s.last() + 1, heard: s.beatAt}
+		s.progress[v.Id] = &progress{addr: v.Addr, next: s.last() + 1, heard: s.beatAt}
 	}
-	for id := range s.lines {
+	for id := range s.progress {
 		if find(r, id) == nil {
-			delete(s.lines, id)
+			delete(s.progress, id)
 		}
 	}
 }
@@ -561,7 +561,7 @@
 	}
 	best, most := "", uint64(0)
 	for _, v := range Voters(s.Roster()) {
-		l := s.lines[v.Id]
+		l := s.progress[v.Id]
 		if l != nil && !l.ailing && now.Sub(l.heard) < 500*time.Millisecond && l.match >= most {
 			best, most = v.Id, l.match
 		}
@@ -570,8 +570,8 @@
 		return false
 	}
 	s.quitAt = now
-	s.lead(now)
-	s.send(s.lines[best].addr, &wire.Frame{Body: &wire.Frame_Handoff{Handoff: &wire.Handoff{Term: s.term, Target: best}}})
+	s.heartbeat(now)
+	s.send(s.progress[best].addr, &wire.Frame{Body: &wire.Frame_Handoff{Handoff: &wire.Handoff{Term: s.term, Target: best}}})
 	return true
 }
 
@@ -584,7 +584,7 @@
 	}
 	out := []int64{own}
 	for _, v := range all {
-		l := s.lines[v.Id]
+		l := s.progress[v.Id]
 		if l != nil && l.wall != 0 && now.Sub(l.wallAt) < ClockKept && v.Id != string(s.Self.Voter) {
 			out = append(out, l.wall+int64(now.Sub(l.wallAt)/time.Millisecond))
 		}
@@ -602,7 +602,7 @@
 	}
 	n := 0
 	for _, v := range all {
-		if l := s.lines[v.Id]; l != nil && l.round > 0 && !l.ailing && now.Sub(l.heard) < time.Second {
+		if l := s.progress[v.Id]; l != nil && l.round > 0 && !l.ailing && now.Sub(l.heard) < time.Second {
 			n++
 		}
 	}
@@ -645,12 +645,12 @@
 		}
 		if now.Sub(s.asOf) > QuorumLost && now.Sub(s.ledSince) > QuorumLost {
 			s.leader, s.leaderAddr = "", ""
-			s.toFollower(now)
+			s.becomeFollower(now)
 			return
 		}
 		if now.Sub(s.beatAt) >= BeatEvery {
-			s.tidy(now)
-			s.lead(now)
+			s.reconfigure(now)
+			s.heartbeat(now)
 		}
 	default:
 		if now.Sub(s.heardLead) > 2*time.Second && now.Sub(s.foundAt) > time.Second {
@@ -680,7 +680,7 @@
 	if !pre {
 		s.term, s.voted = term, string(s.Self.Voter)
 		s.leader, s.leaderAddr = "", ""
-		s.vow()
+		s.saveHardState()
 		s.enter(Candidate)
 		s.setElect(now)
 	}
@@ -706,7 +706,7 @@
 		if find(v.Roster, v.Target) == nil || find(v.Roster, v.Target).Learner {
 			return
 		}
-		s.form(v.Roster, now)
+		s.bootstrap(v.Roster, now)
 	}
 	fresh := s.role == Leader || now.Sub(s.heardLead) < ElectLeast
 	if fresh && !v.Handoff && v.Candidate != s.leader {
@@ -726,7 +726,7 @@
 	ok := v.Term == s.term && newer && (s.voted == "" || s.voted == v.Candidate)
 	if ok && s.voted == "" {
 		s.voted = v.Candidate
-		s.vow()
+		s.saveHardState()
 	}
 	if ok {
 		s.setElect(now)
@@ -765,41 +765,41 @@
 		s.campaign(now, false, false)
 		return
 	}
-	s.reign(now)
+	s.becomeLeader(now)
 }
 
-func (s *State) reign(now ident.Moment) {
+func (s *State) becomeLeader(now ident.Moment) {
 	s.votes = nil
 	s.enter(Leader)
 	s.leader, s.leaderAddr = string(s.Self.Voter), string(s.Self.Addr)
-	s.lines = map[string]*line{}
+	s.progress = map[string]*progress{}
 	s.rounds.Clear()
 	s.asOf, s.ledSince, s.beatAt, s.quitAt = now, now, now, 0
 	s.stampAt = now
 	s.stamp = s.lastStamp()
 	s.refit()
 	s.first = s.add(&wire.Change{Body: &wire.Change_Noop{Noop: &wire.Noop{}}})
-	s.lead(now)
+	s.heartbeat(now)
 }
 
-func (s *State) lead(now ident.Moment) {
+func (s *State) heartbeat(now ident.Moment) {
 	s.beatAt = now
 	s.roundNow++
 	s.rounds.PushBack(round{s.roundNow, now})
 	for s.rounds.Len() > 256 {
 		s.rounds.PopFront()
 	}
-	for _, id := range ident.Keys(s.lines) {
-		s.feed(id, s.lines[id], now, true)
+	for _, id := range ident.Keys(s.progress) {
+		s.feed(id, s.progress[id], now, true)
 	}
 }
 
-func (s *State) feed(id string, l *line, now ident.Moment, beat bool) {
+func (s *State) feed(id string, l *progress, now ident.Moment, beat bool) {
 	if l.next <= s.base() {
-		if s.snap != nil && (l.snapAt == 0 || now.Sub(l.snapAt) > time.Second) {
+		if s.snapshot != nil && (l.snapAt == 0 || now.Sub(l.snapAt) > time.Second) {
 			l.snapAt = now
-			p := s.snap
-			s.send(l.addr, &wire.Frame{Body: &wire.Frame_Snap{Snap: &wire.Snap{Term: s.term, Leader: string(s.Self.Voter), LeaderAddr: string(s.Self.Addr), LastIndex: p.LastIndex, LastTerm: p.LastTerm, Roster: p.Roster, Image: p.Image, Stamp: p.Stamp, Round: s.roundNow, Target: id}}})
+			p := s.snapshot
+			s.send(l.addr, &wire.Frame{Body: &wire.Frame_Snapshot{Snapshot: &wire.Snapshot{Term: s.term, Leader: string(s.Self.Voter), LeaderAddr: string(s.Self.Addr), LastIndex: p.LastIndex, LastTerm: p.LastTerm, Roster: p.Roster, Image: p.Image, Stamp: p.Stamp, Round: s.roundNow, Target: id}}})
 			return
 		}
 		if !beat {
@@ -845,7 +845,7 @@
 	if a.Term > s.term {
 		s.toTerm(a.Term, now)
 	} else if s.role != Follower {
-		s.toFollower(now)
+		s.becomeFollower(now)
 	}
 	s.leader, s.leaderAddr, s.heardLead, s.stands = a.Leader, a.LeaderAddr, now, 0
 	s.setElect(now)
@@ -881,12 +881,12 @@
 		s.commit = c
 	}
 	s.sendSynced(a.LeaderAddr, reply(true, match, 0))
-	if s.seqDone >= s.vowAt && (s.seqDone < s.seq || len(s.recs) > 0) {
+	if s.seqDone >= s.hardStateAt && (s.seqDone < s.seq || len(s.recs) > 0) {
 		s.send(a.LeaderAddr, reply(true, 0, 0))
 	}
 }
 
-func (s *State) Snapped(p *wire.Snap, now ident.Moment) {
+func (s *State) InstallSnapshot(p *wire.Snapshot, now ident.Moment) {
 	if p.Target != string(s.Self.Voter) || p.Term < s.term {
 		return
 	}
@@ -899,7 +899,7 @@
 		s.adopt(p)
 	}
 	s.enter(Follower)
-	s.sendSynced(p.LeaderAddr, &wire.Frame{Body: &wire.Frame_SnapReply{SnapReply: &wire.SnapReply{Term: s.term, Voter: string(s.Self.Voter), Match: max(p.LastIndex, s.commit), Round: p.Round}}})
+	s.sendSynced(p.LeaderAddr, &wire.Frame{Body: &wire.Frame_SnapshotReply{SnapshotReply: &wire.SnapshotReply{Term: s.term, Voter: string(s.Self.Voter), Match: max(p.LastIndex, s.commit), Round: p.Round}}})
 }
 
 func (s *State) AppendReply(a *wire.AppendReply, now ident.Moment) {
@@ -907,7 +907,7 @@
 		s.toTerm(a.Term, now)
 		return
 	}
-	l := s.lines[a.Voter]
+	l := s.progress[a.Voter]
 	if s.role != Leader || a.Term != s.term || l == nil {
 		return
 	}
@@ -938,12 +938,12 @@
 	s.feed(a.Voter, l, now, false)
 }
 
-func (s *State) SnapReply(a *wire.SnapReply, now ident.Moment) {
+func (s *State) SnapshotReply(a *wire.SnapshotReply, now ident.Moment) {
 	if a.Term > s.term {
 		s.toTerm(a.Term, now)
 		return
 	}
-	l := s.lines[a.Voter]
+	l := s.progress[a.Voter]
 	if s.role != Leader || a.Term != s.term || l == nil {
 		return
 	}
@@ -954,7 +954,7 @@
 	s.advance()
 }
 
-func (s *State) acked(l *line, n uint64) {
+func (s *State) acked(l *progress, n uint64) {
 	l.round = max(l.round, n)
 	s.freshen()
 }
@@ -964,7 +964,7 @@
 	for _, v := range Voters(s.Roster()) {
 		if v.Id == string(s.Self.Voter) {
 			got = append(got, s.roundNow)
-		} else if l := s.lines[v.Id]; l != nil {
+		} else if l := s.progress[v.Id]; l != nil {
 			got = append(got, l.round)
 		} else {
 			got = append(got, 0)
@@ -985,7 +985,7 @@
 	for _, v := range Voters(s.Roster()) {
 		if v.Id == string(s.Self.Voter) {
 			got = append(got, s.synced)
-		} else if l := s.lines[v.Id]; l != nil {
+		} else if l := s.progress[v.Id]; l != nil {
 			got = append(got, l.match)
 		} else {
 			got = append(got, 0)
@@ -1013,17 +1013,17 @@
 }
 
 func (s *State) Compact(force bool) {
-	if s.Image == nil || s.done <= s.base() || !force && s.done < s.base()+2*KeepEntries {
+	if s.Image == nil || s.applied <= s.base() || !force && s.applied < s.base()+2*KeepEntries {
 		return
 	}
-	cut := s.done
+	cut := s.applied
 	t, _ := s.termAt(cut)
 	roster := s.rosterBy(cut)
 	stamp := s.entry(cut).Stamp
 	s.known = nil
 	s.log = append([]*wire.Entry(nil), s.log[cut-s.base():]...)
-	s.snap = &wire.Snap{LastIndex: cut, LastTerm: t, Roster: roster, Image: s.Image(), Stamp: stamp}
-	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Snap{Snap: s.snap}})
+	s.snapshot = &wire.Snapshot{LastIndex: cut, LastTerm: t, Roster: roster, Image: s.Image(), Stamp: stamp}
+	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Snapshot{Snapshot: s.snapshot}})
 	for _, e := range s.log {
 		s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Entry{Entry: e}})
 	}
@@ -1034,8 +1034,8 @@
 		if len(Voters(s.Roster())) == 1 {
 			s.asOf = now
 		}
-		for _, id := range ident.Keys(s.lines) {
-			s.feed(id, s.lines[id], now, false)
+		for _, id := range ident.Keys(s.progress) {
+			s.feed(id, s.progress[id], now, false)
 		}
 	}
 	if len(s.recs) > 0 {
@@ -1056,9 +1056,9 @@
 		s.wait.PopFront()
 		s.out.Sends = append(s.out.Sends, h.send)
 	}
-	for s.done < s.commit {
-		e := s.entry(s.done + 1)
-		s.done++
+	for s.applied < s.commit {
+		e := s.entry(s.applied + 1)
+		s.applied++
 		s.out.Applied = append(s.out.Applied, e)
 	}
 	out := s.out
@@ -1071,7 +1071,7 @@
 	fmt.Fprintf(&b, "%s term %d base %d last %d synced %d commit %d first %d seq %d done %d quit %d ailing %v", s.role, s.term, s.base(), s.last(), s.synced, s.commit, s.first, s.seq, s.seqDone, s.quitAt, s.ailing)
 	for _, v := range s.Roster().GetVoters() {
 		fmt.Fprintf(&b, " [%s learner %v", v.Id, v.Learner)
-		if l := s.lines[v.Id]; l != nil {
+		if l := s.progress[v.Id]; l != nil {
 			fmt.Fprintf(&b, " next %d match %d round %d ailing %v", l.next, l.match, l.round, l.ailing)
 		}
 		b.WriteString("]")
--- a/agreement/state_test.go
+++ b/agreement/state_test.go
@@ -31,7 +31,7 @@
 	}
 	t := &table{all: map[string]*State{}, now: ident.Moment(1e12)}
 	for _, i := range up {
-		got := &Recovered{Term: 4, Snap: &wire.Snap{LastIndex: 7, LastTerm: 4, Roster: r}}
+		got := &Recovered{Term: 4, Snapshot: &wire.Snapshot{LastIndex: 7, LastTerm: 4, Roster: r}}
 		t.all[fmt.Sprint("a", i)] = New(Self{Voter: ident.Voter(fmt.Sprint("v", i)), Addr: ident.Addr(fmt.Sprint("a", i))}, nil, got, seed*10+int64(i), t.now)
 	}
 	return t
@@ -128,7 +128,7 @@
 			if s == lead {
 				continue
 			}
-			got := &Recovered{Term: s.term, Voted: s.voted, Snap: s.snap, Entries: s.log}
+			got := &Recovered{Term: s.term, Voted: s.voted, Snapshot: s.snapshot, Entries: s.log}
 			w.all[a] = New(s.Self, nil, got, seed, w.now)
 			break
 		}
--- a/control/shelf_test.go
+++ b/control/shelf_test.go
@@ -66,10 +66,10 @@
 	got := &agreement.Recovered{}
 	for _, r := range d.records {
 		switch b := r.Body.(type) {
-		case *wire.Record_Vow:
-			got.Term, got.Voted = b.Vow.Term, b.Vow.Voted
-		case *wire.Record_Snap:
-			got.Snap = b.Snap
+		case *wire.Record_HardState:
+			got.Term, got.Voted = b.HardState.Term, b.HardState.Voted
+		case *wire.Record_Snapshot:
+			got.Snapshot = b.Snapshot
 		case *wire.Record_Entry:
 			got.Entries = append(got.Entries, proto.Clone(b.Entry).(*wire.Entry))
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -235,8 +235,8 @@
 		}
 		s.Agree.Wall = s.wall
 		s.Agree.Image = func() []byte { return s.Book.Image() }
-		if got != nil && got.Snap != nil {
-			if err := s.load(got.Snap); err != nil {
+		if got != nil && got.Snapshot != nil {
+			if err := s.load(got.Snapshot); err != nil {
 				return nil, err
 			}
 		}
@@ -244,7 +244,7 @@
 	return s, nil
 }
 
-func (s *State) load(p *wire.Snap) error {
+func (s *State) load(p *wire.Snapshot) error {
 	b, err := ledger.ReadBook(p.Image)
 	if err != nil {
 		return err
@@ -366,10 +366,10 @@
 		s.Agree.Append(b.Append, now)
 	case *wire.Frame_AppendReply:
 		s.Agree.AppendReply(b.AppendReply, now)
-	case *wire.Frame_Snap:
-		s.Agree.Snapped(b.Snap, now)
-	case *wire.Frame_SnapReply:
-		s.Agree.SnapReply(b.SnapReply, now)
+	case *wire.Frame_Snapshot:
+		s.Agree.InstallSnapshot(b.Snapshot, now)
+	case *wire.Frame_SnapshotReply:
+		s.Agree.SnapshotReply(b.SnapshotReply, now)
 	case *wire.Frame_Handoff:
 		s.Agree.Handoff(b.Handoff, now)
 	case *wire.Frame_Founding:
--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -65,7 +65,7 @@
 	lsn    uint64
 	live   uint64
 	synced uint64
-	vow    *wire.Vow
+	vow    *wire.HardState
 	owed   []*wire.Record
 	Torn   bool
 }
@@ -228,7 +228,7 @@
 	}
 	r.synced = lsn - 1
 	r.lsn = lsn
-	if got.Snap == nil && got.Term == 0 {
+	if got.Snapshot == nil && got.Term == 0 {
 		return nil, nil
 	}
 	return got, nil
@@ -247,9 +247,9 @@
 func (r *Ring) replay(got *agreement.Recovered, rec *wire.Record, lsn uint64, started *bool) {
 	*started = true
 	switch b := rec.Body.(type) {
-	case *wire.Record_Vow:
-		got.Term, got.Voted = b.Vow.Term, b.Vow.Voted
-		r.vow = b.Vow
+	case *wire.Record_HardState:
+		got.Term, got.Voted = b.HardState.Term, b.HardState.Voted
+		r.vow = b.HardState
 	case *wire.Record_Entry:
 		for n := len(got.Entries); n > 0 && got.Entries[n-1].Index >= b.Entry.Index; n-- {
 			got.Entries = got.Entries[:n-1]
@@ -259,8 +259,8 @@
 		for n := len(got.Entries); n > 0 && got.Entries[n-1].Index >= b.Cut; n-- {
 			got.Entries = got.Entries[:n-1]
 		}
-	case *wire.Record_Snap:
-		got.Snap, got.Entries = b.Snap, nil
+	case *wire.Record_Snapshot:
+		got.Snapshot, got.Entries = b.Snapshot, nil
 		r.live = lsn
 	}
 }
@@ -303,16 +303,16 @@
 
 func (r *Ring) write(recs []*wire.Record, m *mark) (kept int, err error) {
 	for i, rec := range recs {
-		if v := rec.GetVow(); v != nil {
+		if v := rec.GetHardState(); v != nil {
 			r.vow = v
 		}
 		from := r.lsn
 		if err := r.put(rec); err != nil {
 			return kept, err
 		}
-		if rec.GetSnap() != nil {
+		if rec.GetSnapshot() != nil {
 			if r.vow != nil {
-				if err := r.put(&wire.Record{Body: &wire.Record_Vow{Vow: r.vow}}); err != nil {
+				if err := r.put(&wire.Record{Body: &wire.Record_HardState{HardState: r.vow}}); err != nil {
 					return kept, err
 				}
 			}
--- a/ringfile/ring_test.go
+++ b/ringfile/ring_test.go
@@ -52,11 +52,11 @@
 }
 
 func snap(i uint64, size int) *wire.Record {
-	return &wire.Record{Body: &wire.Record_Snap{Snap: &wire.Snap{LastIndex: i, LastTerm: 1, Image: make([]byte, size)}}}
+	return &wire.Record{Body: &wire.Record_Snapshot{Snapshot: &wire.Snapshot{LastIndex: i, LastTerm: 1, Image: make([]byte, size)}}}
 }
 
 func vow(term uint64) *wire.Record {
-	return &wire.Record{Body: &wire.Record_Vow{Vow: &wire.Vow{Term: term, Voted: "a"}}}
+	return &wire.Record{Body: &wire.Record_HardState{HardState: &wire.HardState{Term: term, Voted: "a"}}}
 }
 
 func reopen(t *testing.T, d memDir) (*Ring, *agreement.Recovered) {
@@ -94,7 +94,7 @@
 				}
 				d.powerLoss(rnd)
 				r, got = reopen(t, d)
-				require.Equal(t, base, got.Snap.LastIndex, "seed %d", seed)
+				require.Equal(t, base, got.Snapshot.LastIndex, "seed %d", seed)
 				require.Equal(t, term, got.Term)
 				require.GreaterOrEqual(t, len(got.Entries), int(last-base))
 				for i, e := range got.Entries {
@@ -213,7 +213,7 @@
 			var got *agreement.Recovered
 			ring, got, err = Open(moody{d, &left}, 4, 4096)
 			require.NoError(t, err, "seed %d step %d", seed, step)
-			top := got.Snap.LastIndex
+			top := got.Snapshot.LastIndex
 			if n := len(got.Entries); n > 0 {
 				top = got.Entries[n-1].Index
 			}
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -474,10 +474,10 @@
 
 func (d *disk) trim() {
 	for i := len(d.kept) - 1; i > 0; i-- {
-		if d.kept[i].GetSnap() != nil {
+		if d.kept[i].GetSnapshot() != nil {
 			var vow *wire.Record
 			for _, r := range d.kept[:i] {
-				if r.GetVow() != nil {
+				if r.GetHardState() != nil {
 					vow = r
 				}
 			}
@@ -499,10 +499,10 @@
 	got := &agreement.Recovered{}
 	for _, r := range d.kept {
 		switch b := r.Body.(type) {
-		case *wire.Record_Vow:
-			got.Term, got.Voted = b.Vow.Term, b.Vow.Voted
-		case *wire.Record_Snap:
-			got.Snap, got.Entries = b.Snap, nil
+		case *wire.Record_HardState:
+			got.Term, got.Voted = b.HardState.Term, b.HardState.Voted
+		case *wire.Record_Snapshot:
+			got.Snapshot, got.Entries = b.Snapshot, nil
 		case *wire.Record_Cut:
 			for n := len(got.Entries); n > 0 && got.Entries[n-1].Index >= b.Cut; n-- {
 				got.Entries = got.Entries[:n-1]
--- a/wire/sample/samples.go
+++ b/wire/sample/samples.go
@@ -26,8 +26,8 @@
 		&Frame{Body: &Frame_VoteReply{VoteReply: &VoteReply{Term: 2, Granted: true, Voter: "c/d"}}},
 		&Frame{Body: &Frame_Append{Append: &Append{Term: 2, Entries: []*Entry{entry}}}},
 		&Frame{Body: &Frame_AppendReply{AppendReply: &AppendReply{Term: 1, Voter: "c/d", Ok: true, Match: 9}}},
-		&Frame{Body: &Frame_Snap{Snap: &Snap{Term: 2, LastIndex: 5, LastTerm: 1, Target: "c/d", Image: []byte{1, 2}}}},
-		&Frame{Body: &Frame_SnapReply{SnapReply: &SnapReply{Term: 1, Voter: "c/d", Match: 5}}},
+		&Frame{Body: &Frame_Snapshot{Snapshot: &Snapshot{Term: 2, LastIndex: 5, LastTerm: 1, Target: "c/d", Image: []byte{1, 2}}}},
+		&Frame{Body: &Frame_SnapshotReply{SnapshotReply: &SnapshotReply{Term: 1, Voter: "c/d", Match: 5}}},
 		&Frame{Body: &Frame_Handoff{Handoff: &Handoff{Term: 1, Target: "c/d"}}},
 		&Frame{Body: &Frame_Founding{Founding: &Founding{Voter: "c/e", Addr: "10.0.0.2:1", Blank: true}}},
 	)
