--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -71,6 +71,7 @@
 		"cells":         {"", "cells, holders, epochs, age of their news", cells},
 		"backends":      {"", "backends and their soundness", backends},
 		"disks":         {"", "disk holders: role, commit, ailing, ring", disks},
+		"quorum":        {"", "voters and learners: who leads, who lags by how much, who is silent, since when there is no majority", quorum},
 		"history":       {"", "generations kept", history},
 		"show":          {"[GENERATION]", "a desired state", show},
 		"replay":        {"FILE [POSITION]", "play events from a file, offline, and print the decisions", replayFile},
@@ -477,6 +478,27 @@
 	return s.ended(mute)
 }
 
+func quorum(s *shell, w []string) (int, error) {
+	rows, mute, err := s.each("control", "/fleet")
+	if err != nil {
+		return failed, err
+	}
+	s.table(rows, "member", "role", "ownTerm", "last", "commit", "applied", "noQuorumMs", "diskAiling", "ringUsed")
+	leads := func(r map[string]any) bool { return r["role"] == "leader" && num(r["noQuorumMs"]) == 0 }
+	var best map[string]any
+	for _, r := range rows {
+		if best == nil || leads(r) && !leads(best) || leads(r) == leads(best) && num(r["ownTerm"]) > num(best["ownTerm"]) {
+			best = r
+		}
+	}
+	s.table(list(best["roster"]), "voter", "member", "learner", "leads", "state", "match", "lag", "silentMs", "ailing", "address")
+	if !leads(best) {
+		s.note("no leader with a majority; the roster is %s's own word; no answer from %s", str(best["member"]), strings.Join(mute, ", "))
+		return failed, nil
+	}
+	return s.ended(mute)
+}
+
 func history(s *shell, w []string) (int, error) {
 	rows, mute, err := s.each("control", "/desired/history")
 	if err != nil {
--- a/control/http.go
+++ b/control/http.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"sloeturn/agreement"
 	"sloeturn/desired"
 	"sloeturn/duty"
 	"sloeturn/ident"
@@ -418,13 +419,10 @@
 	if t := s.Relay.Core.GetTrial(); t != nil {
 		out["trial"] = map[string]any{"changeId": t.ChangeId, "only": t.Only, "desired": json.RawMessage(t.Doc)}
 	}
-	var roster []map[string]any
-	for _, v := range s.Relay.Core.GetRoster().GetVoters() {
-		roster = append(roster, map[string]any{"voter": v.Id, "address": v.Addr, "member": v.Member, "learner": v.Learner})
-	}
-	out["roster"] = roster
+	out["roster"] = s.voterLines(now)
 	if s.Agree != nil {
 		out["role"], out["commit"], out["diskAiling"], out["ringUsed"] = s.Agree.Role().String(), s.Agree.Commit(), s.Agree.Ailing(), s.used
+		out["ownTerm"], out["last"], out["applied"], out["noQuorumMs"] = s.Agree.Term(), s.Agree.Last(), s.Book.Index, s.quorumFor(now).Milliseconds()
 	}
 	return out
 }
@@ -476,6 +474,15 @@
 			p("agreement_commit", uint64(s.Agree.Commit()))
 			p("agreement_term", uint64(s.Agree.Term()))
 			p("agreement_leading", map[bool]int{true: 1}[s.leading()])
+			p("agreement_last", uint64(s.Agree.Last()))
+			p("agreement_applied", uint64(s.Book.Index))
+			p("agreement_voters", len(agreement.Voters(s.Agree.Roster())))
+			p("agreement_learners", len(s.Agree.Roster().GetVoters())-len(agreement.Voters(s.Agree.Roster())))
+			p("agreement_no_quorum_seconds", s.quorumFor(now).Seconds())
+			for _, v := range s.Agree.Report(now) {
+				p(fmt.Sprintf("agreement_lag_entries{member=%q}", v.Member), v.Lag)
+				p(fmt.Sprintf("agreement_silent_seconds{member=%q}", v.Member), v.Silent.Seconds())
+			}
 			p("disk_ailing", map[bool]int{true: 1}[s.Agree.Ailing()])
 			p("ring_used_ratio", s.used)
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -198,12 +198,13 @@
 	draining bool
 	drainAt  ident.Moment
 	bound
-	used  float64
-	role  agreement.Role
-	born  ident.Moment
-	told  map[string]bool
-	shelf shelf
-	out   []any
+	used   float64
+	role   agreement.Role
+	born   ident.Moment
+	told   map[string]bool
+	shelf  shelf
+	quorum quorum
+	out    []any
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
@@ -313,6 +314,7 @@
 }
 
 func (s *State) got(f *wire.Frame, now ident.Moment) {
+	s.quorum.hear(f.Addr, now)
 	switch b := f.Body.(type) {
 	case *wire.Frame_Heartbeat:
 		s.Members.Heartbeat(b.Heartbeat, f.From, f.Addr, now)
@@ -928,6 +930,7 @@
 	s.Relay.Tick(s.Members.Ring(), 0, targets, now)
 	s.look(now)
 	s.watch(now)
+	s.watchQuorum(now)
 	s.cells(now)
 	if s.leading() {
 		s.assign(now)
