Visits: a requester that closed its half hears no success of our own

Cause: when the requester's side ended, the handler returned without a word, and net/http then says an empty 200 of its own accord. Whoever had only closed its sending half read a success that no backend gave. The connection is now cut with no answer.

Ruled out: serving on for closed halves: a close and a closed half look alike until bytes are written, and work for one that left should stop.

Before: TestARequesterThatClosesItsHalfHearsNoSuccessOfOurOwn red (200, no seal, no body). After: data's tests green.

--- a/data/http.go
+++ b/data/http.go
@@ -257,7 +257,7 @@
 			return
 		case <-k.req.Context().Done():
 			n.Put(Gone{id})
-			return
+			panic(http.ErrAbortHandler)
 		case <-late.C:
 			if k.fate.CompareAndSwap(open, refused) {
 				no("node too slow", 2*time.Second)
