Visits: an answer without the visit's name, or with two, proves nothing

Cause: only successes were held against the echoed name. A failure with no name (a server's word to an idle connection, say) was taken as the answer of whichever visit stood next, and with the header for 'not run' it even let an unrepeatable visit be sent again. A 421 counted as not run without that header; a 200 with it was sent again; a status below 200 went through and made net/http panic. A name given twice was read by its first value, in answers and in requests.

Now an answer belongs to a visit only if it carries its name exactly once; only the header says 'not run', and not beside a success; a bare 421 is never passed on, for it is a promise; a request with two names is refused with 400.

Before: TestAnAnswerThatDoesNotNameTheVisitProvesNothing red in all 11 cases (eight 200 after a second sending, a 500 and a 404 passed on, two panics for 099 and 000 that cut the requester off). After: tests of data, forward, platform green. A first try asked for no name header at all where the visit has none; three older tests whose peer sends an empty one went red, so an empty one counts as none.

--- a/data/front.go
+++ b/data/front.go
@@ -106,6 +106,10 @@
 		no(431, "head too large", 0)
 		return
 	}
+	if len(r.Header.Values(d.Visit)) > 1 {
+		no(400, "header "+d.Visit+" given twice", 0)
+		return
+	}
 	path := placeOf(r)
 	route := view.desired.Find(hostOf(r), path)
 	if route == nil {
@@ -152,26 +156,34 @@
 	return req
 }
 
+// named tells whether an answer carries back the visit's name, once, or none if the visit has none.
+func (k *call) named(resp *http.Response) bool {
+	want, got := k.req.Header.Get(k.Visit), resp.Header.Values(k.Visit)
+	if want == "" && len(got) == 0 {
+		return true
+	}
+	return len(got) == 1 && got[0] == want
+}
+
 func (k *call) another(resp *http.Response) bool {
-	got := resp.Header.Get(k.Visit)
-	return got != "" && got != k.req.Header.Get(k.Visit)
+	got := resp.Header.Values(k.Visit)
+	return len(got) == 1 && got[0] != "" && !k.named(resp)
 }
 
 func (k *call) turned(resp *http.Response) forward.Ending {
 	switch {
-	case k.Dialect == nil:
+	case k.Dialect == nil || resp.Header.Get(k.Turned) == "":
+		return forward.Whole
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return forward.Moved
-	case resp.Header.Get(k.Turned) != "":
-		return forward.Turned
 	}
-	return forward.Whole
+	return forward.Turned
 }
 
 func (k *call) proven(resp *http.Response) bool {
-	if k.another(resp) || resp.Header.Get("Content-Encoding") != "" {
+	if !k.named(resp) || resp.Header.Get("Content-Encoding") != "" {
 		return false
 	}
 	good := resp.StatusCode >= 200 && resp.StatusCode < 300
-	return !good || resp.Header.Get(k.Seal) != "" && resp.Header.Get(k.Visit) == k.req.Header.Get(k.Visit)
+	return !good || resp.Header.Get(k.Seal) != "" && resp.Header.Get(k.Turned) == ""
 }
--- a/data/node.go
+++ b/data/node.go
@@ -512,7 +512,7 @@
 		}
 		bare := req.Method == "HEAD" || resp.StatusCode == 204 || resp.StatusCode == 304
 		open := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bare
-		if resp.StatusCode == 101 || int64(len(body)) > most || open || resp.ProtoMajor != 1 || !k.sound(resp, body) {
+		if resp.StatusCode < 200 || int64(len(body)) > most || open || resp.ProtoMajor != 1 || !k.sound(resp, body) {
 			return resp, nil, false, forward.Garbled
 		}
 		if c.read.Buffered() > 0 {
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -5,10 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"sloeturn/ident"
+	"sloeturn/pass"
 )
 
 func (g *gateway) open() net.Conn {
@@ -44,3 +49,61 @@
 		}
 	}
 }
+
+func TestAnAnswerThatDoesNotNameTheVisitProvesNothing(t *testing.T) {
+	g := newGateway(t, "s", "s", "s").up()
+	for name, say := range map[string]string{
+		"turned, no name":   "HTTP/1.1 503 Full\r\nTurned-Away: full\r\nContent-Length: 4\r\n\r\nfull",
+		"turned, two names": "HTTP/1.1 503 Full\r\nVisit-Name: {id}\r\nVisit-Name: x\r\nTurned-Away: full\r\nContent-Length: 4\r\n\r\nfull",
+		"moved, no name":    "HTTP/1.1 421 Moved\r\nTurned-Away: another\r\nContent-Length: 4\r\n\r\nfull",
+		"moved, not turned": "HTTP/1.1 421 Moved\r\nVisit-Name: {id}\r\nContent-Length: 4\r\n\r\nfull",
+		"turned and 200":    "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: w\r\nTurned-Away: full\r\nContent-Length: 4\r\n\r\nfull",
+		"idle's 408":        "HTTP/1.1 408 Request Timeout\r\nTurned-Away: idle\r\nContent-Length: 4\r\n\r\nfull!close",
+		"500, no name":      "HTTP/1.1 500 Own\r\nContent-Length: 4\r\n\r\nfull",
+		"404, no name":      "HTTP/1.1 404 Own\r\nContent-Length: 4\r\n\r\nfull",
+		"200, two names":    "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nVisit-Name: x\r\nSealed: w\r\nContent-Length: 4\r\n\r\nfull",
+		"099":               "HTTP/1.1 099 Odd\r\nVisit-Name: {id}\r\nSealed: w\r\nContent-Length: 4\r\n\r\nfull",
+		"000":               "HTTP/1.1 000 Odd\r\nVisit-Name: {id}\r\nSealed: w\r\nContent-Length: 4\r\n\r\nfull",
+	} {
+		t.Run(name, func(t *testing.T) {
+			at := "/a/" + strings.NewReplacer(" ", "-", ",", "", "'", "").Replace(name)
+			g.lift()
+			g.says(at, say, g.sound("200 OK", "whole"))
+			c := g.open()
+			io.WriteString(c, get(at, "v"+at))
+			resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: "GET"})
+			require.NoError(t, err)
+			require.Equal(t, 502, resp.StatusCode)
+			require.Empty(t, resp.Header.Get("Retry-After"))
+			require.Len(t, g.all(at), 1)
+		})
+	}
+}
+
+// raced makes a kept connection whose watcher was stopped in the moment that something came.
+
+func raced(t *testing.T, g *gateway, come func(far net.Conn)) (*conn, pass.Key) {
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ear.Close()
+	near, err := net.Dial("tcp", ear.Addr().String())
+	require.NoError(t, err)
+	far, err := ear.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { near.Close(); far.Close() })
+	come(far)
+	key := pass.Key{Lane: "s", Addr: ident.Addr(ear.Addr().String())}
+	c := &conn{Conn: near, read: bufio.NewReaderSize(near, readerSize), key: key, life: "x", watch: make(chan error, 1), since: ident.Now()}
+	c.watch <- os.ErrDeadlineExceeded
+	g.Node.lock.Lock()
+	g.idle[key] = append(g.idle[key], c)
+	g.Node.lock.Unlock()
+	return c, key
+}
+
+func TestARequestWithTwoNamesReachesNobody(t *testing.T) {
+	g := newGateway(t, "s").up()
+	resp, _ := g.post("/a/two", "Visit-Name: x\r\n")
+	require.Equal(t, 400, resp.StatusCode)
+	require.Empty(t, g.all("/a/two"))
+}
--- a/forward/state.go
+++ b/forward/state.go
@@ -614,7 +614,7 @@
 	if v.Rule.Route == "" {
 		return status >= 502 && status <= 504
 	}
-	return status == 408 || status == 429 || status == 503
+	return status == 408 || status == 421 || status == 429 || status == 503
 }
 
 func (s *State) failed(v *Visit, a Answer) {
