Visits: a surplus answer whose end is unknown ends the reading

Cause: an answer that names another visit is read past. To a HEAD its length can't be known (it may belong to a GET, body and all), after a broken chunk or a close neither: what followed was read as the next answer, so bytes from the middle of a body could pass for the visit's own. Such a connection now ends as garbled.

Before: TestASurplusAnswerOfUnknownLengthEndsTheReading red (a HEAD heard 200 from bytes inside another answer's body). After: data's tests green.

--- a/data/node.go
+++ b/data/node.go
@@ -505,8 +505,11 @@
 		if err != nil {
 			return resp, nil, false, endingOf(err)
 		}
-		resp.Body.Close()
+		end := resp.Body.Close()
 		if k.Dialect != nil && k.another(resp) && surplus < surplusMost {
+			if end != nil || resp.Close || req.Method == "HEAD" && resp.ContentLength != 0 {
+				return resp, nil, false, forward.Garbled
+			}
 			surplus++
 			continue
 		}
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -80,6 +81,27 @@
 	}
 }
 
+func TestASurplusAnswerOfUnknownLengthEndsTheReading(t *testing.T) {
+	g := newGateway(t, "s").up()
+	good := g.sound("200 OK", "")
+	for name, say := range map[string]string{
+		"to a HEAD": fmt.Sprintf("HTTP/1.1 200 OK\r\nVisit-Name: x\r\nSealed: w\r\nContent-Length: %d\r\n\r\n%s", len(good), good),
+	} {
+		at := "/one/head"
+		g.says(at, say)
+		c := g.open()
+		io.WriteString(c, "HEAD"+strings.TrimPrefix(get(at, "{id}"), "GET"))
+		resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: "HEAD"})
+		require.NoError(t, err)
+		require.Equal(t, 502, resp.StatusCode, name)
+	}
+	inner := g.sound("200 OK", "inner")
+	at := "/one/chunk"
+	g.says(at, "HTTP/1.1 200 OK\r\nVisit-Name: x\r\nSealed: w\r\nTransfer-Encoding: chunked\r\n\r\n1002\r\n"+strings.Repeat("x", 0x1002)+"\r\nzz\r\n"+inner)
+	resp, body := g.post(at)
+	require.Equal(t, 502, resp.StatusCode, body)
+}
+
 // raced makes a kept connection whose watcher was stopped in the moment that something came.
 
 func raced(t *testing.T, g *gateway, come func(far net.Conn)) (*conn, pass.Key) {
