Visits: names and seals are no headers of one connection

Cause: headers listed in Connection are dropped both ways, the visit's name and the seal too: a success went on without its seal (MIXED), a request without its name.

Before: TestNamesAndSealsAreNoHeadersOfOneConnection red (502: the backend never heard the name). After: data's tests green.

--- a/data/front.go
+++ b/data/front.go
@@ -148,6 +148,7 @@
 	u := &url.URL{Scheme: "http", Host: string(addr), RawQuery: k.req.URL.RawQuery, ForceQuery: k.req.URL.ForceQuery, Path: k.req.URL.Path, RawPath: k.req.URL.RawPath}
 	req := &http.Request{Method: k.req.Method, URL: u, Host: k.req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}
 	duty.CopyHead(req.Header, k.req.Header)
+	bind(req.Header, k.req.Header, k.Visit)
 	req.Header.Set(k.Left, strconv.FormatInt(max(1, k.expiry.Sub(ident.Now()).Milliseconds()), 10))
 	if k.life != "" {
 		req.Header.Set(k.Life, k.life)
@@ -165,6 +166,15 @@
 	return len(got) == 1 && got[0] == want
 }
 
+// bind copies headers that bind an answer to its visit, though Connection lists them.
+func bind(to, from http.Header, names ...string) {
+	for _, n := range names {
+		if v := from.Values(n); len(v) > 0 {
+			to[http.CanonicalHeaderKey(n)] = v
+		}
+	}
+}
+
 func (k *call) another(resp *http.Response) bool {
 	got := resp.Header.Values(k.Visit)
 	return len(got) == 1 && got[0] != "" && !k.named(resp)
--- a/data/http.go
+++ b/data/http.go
@@ -284,6 +284,7 @@
 	h := w.Header()
 	if k.Dialect != nil {
 		duty.CopyHead(h, a.resp.Header)
+		bind(h, a.resp.Header, k.Visit, k.Seal, k.Turned)
 		n.part(h)
 	} else {
 		duty.CopyHead(h, a.resp.Header, "Retry-After")
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -102,6 +102,16 @@
 	require.Equal(t, 502, resp.StatusCode, body)
 }
 
+func TestNamesAndSealsAreNoHeadersOfOneConnection(t *testing.T) {
+	g := newGateway(t, "s").up()
+	g.says("/one/hop", "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: wax\r\nConnection: Sealed, Visit-Name\r\nContent-Length: 2\r\n\r\nhi")
+	resp, body := g.post("/one/hop", "Connection: Visit-Name\r\n")
+	require.Equal(t, "hi", body)
+	require.Equal(t, "wax", resp.Header.Get("Sealed"))
+	require.Equal(t, "v/one/hop", resp.Header.Get("Visit-Name"))
+	require.Equal(t, "v/one/hop", g.all("/one/hop")[0].head.Get("Visit-Name"))
+}
+
 // raced makes a kept connection whose watcher was stopped in the moment that something came.
 
 func raced(t *testing.T, g *gateway, come func(far net.Conn)) (*conn, pass.Key) {
