Visits: a kept connection is looked at once more before it is taken up and written to

Cause: the watcher of an idle connection is stopped by a deadline in the past. The read then ends by the deadline without looking at the socket, so bytes, an end or a reset that came in that moment (or while the process was frozen) stayed unseen: the connection was taken up, and what lay on it was read as the next visit's answer. On lanes, where no name comes back, nothing else tells it apart.

Now the socket is peeked at without waiting when a connection is taken up and again just before the first byte; whatever lies there or an end means: nothing was written, so the visit may go elsewhere. What comes after the peek is told apart by the name alone.

Before: TestAKeptConnectionThatSpokeOrEndedIsNotTakenUp and TestNothingIsWrittenToAConnectionThatSpokeOrEnded red. After: tests of data, duty, relay green.

--- a/data/node.go
+++ b/data/node.go
@@ -231,7 +231,7 @@
 		c := list[len(list)-1]
 		n.idle[k] = list[:len(list)-1]
 		n.lock.Unlock()
-		if c.stop() && c.life == life {
+		if c.stop() && c.life == life && ident.Now().Sub(c.since) <= pass.IdleLife && c.quiet() {
 			return c
 		}
 		c.Close()
@@ -246,6 +246,8 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+func (c *conn) quiet() bool { return c.read.Buffered() == 0 && duty.Quiet(c.Conn) }
+
 func (n *Node) putIdle(c *conn) {
 	c.SetDeadline(time.Time{})
 	c.watch = make(chan error, 1)
@@ -443,6 +445,11 @@
 		return
 	}
 	c.SetDeadline(time.Now().Add(e.Until.Sub(ident.Now())))
+	if !c.quiet() {
+		n.finish(k, c, false, true)
+		n.Put(NotWritten{e.Visit, "connection spoke or ended before the first byte"})
+		return
+	}
 	if ident.Now().After(e.NotAfter) {
 		n.finish(k, c, true, false, NotWritten{e.Visit, "tenure ran out before writing"})
 		return
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sloeturn/forward"
 	"sloeturn/ident"
 	"sloeturn/pass"
 )
@@ -133,9 +134,49 @@
 	return c, key
 }
 
+func TestAKeptConnectionThatSpokeOrEndedIsNotTakenUp(t *testing.T) {
+	g := newGateway(t, "s")
+	for name, come := range map[string]func(net.Conn){
+		"bytes": func(far net.Conn) { io.WriteString(far, "H") },
+		"end":   func(far net.Conn) { far.Close() },
+		"half":  func(far net.Conn) { far.(*net.TCPConn).CloseWrite() },
+		"reset": func(far net.Conn) { far.(*net.TCPConn).SetLinger(0); far.Close() },
+	} {
+		_, key := raced(t, g, come)
+		require.Nil(t, g.takeIdle(key, "x"), name)
+	}
+	c, key := raced(t, g, func(net.Conn) {})
+	require.Same(t, c, g.takeIdle(key, "x"))
+	c, key = raced(t, g, func(net.Conn) {})
+	c.since = ident.Now().Add(-pass.IdleLife - time.Second)
+	require.Nil(t, g.takeIdle(key, "x"), "rested too long")
+}
+
 func TestARequestWithTwoNamesReachesNobody(t *testing.T) {
 	g := newGateway(t, "s").up()
 	resp, _ := g.post("/a/two", "Visit-Name: x\r\n")
 	require.Equal(t, 400, resp.StatusCode)
 	require.Empty(t, g.all("/a/two"))
 }
+
+func TestNothingIsWrittenToAConnectionThatSpokeOrEnded(t *testing.T) {
+	g := newGateway(t, "s").up()
+	for name, come := range map[string]func(net.Conn){
+		"bytes": func(far net.Conn) { io.WriteString(far, "H") },
+		"half":  func(far net.Conn) { far.(*net.TCPConn).CloseWrite() },
+	} {
+		var far net.Conn
+		c, _ := raced(t, g, func(c net.Conn) { far = c; come(c) })
+		lane := g.view.Load().desired.Find("h.example", "/a/x").Pick(0)
+		r, _ := http.NewRequest("GET", "http://h.example/a/x", nil)
+		r.RequestURI = "/a/x"
+		k := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/a/x", ans: make(chan answer, 2), conn: c, expiry: ident.Now().Add(time.Second)}
+		g.Node.lock.Lock()
+		g.calls["v"] = k
+		g.Node.lock.Unlock()
+		later := ident.Now().Add(100 * time.Millisecond)
+		g.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, Until: later})
+		got, _ := io.ReadAll(far)
+		require.Empty(t, string(got), name)
+	}
+}
--- a/duty/beat.go
+++ b/duty/beat.go
@@ -38,17 +38,32 @@
 	if !ok || r.Context().Err() != nil {
 		return false
 	}
+	n, err := peek(c)
+	return n > 0 || err == unix.EAGAIN
+}
+
+// Quiet tells whether a connection stands and holds no byte that is not yet read.
+func Quiet(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	_, err := peek(s)
+	return err == unix.EAGAIN
+}
+
+func peek(c syscall.Conn) (n int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	open := false
-	err = raw.Control(func(fd uintptr) {
+	if fail := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = n > 0 || err == unix.EAGAIN
-	})
-	return err == nil && open
+		n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); fail != nil {
+		return 0, fail
+	}
+	return n, err
 }
 
 func Registry(mux *http.ServeMux, tell Tell) {
