Visits: a shot beside shares the visit's one decision to send

Cause: each shot had its own swap between sending and refusing. Where the first writer was not yet run while the loop went on, the handler could refuse with 503 and the shot beside, with a swap of its own, was sent all the same: a promise broken (repeatable visits only).

Before: TestASecondShotBesideIsNotWrittenOnceTheVisitIsRefused red (its bytes on the wire). After: data's tests green.

--- a/data/node.go
+++ b/data/node.go
@@ -454,7 +454,7 @@
 		n.finish(k, c, true, false, NotWritten{e.Visit, "tenure ran out before writing"})
 		return
 	}
-	if !k.fate.CompareAndSwap(open, written) && k.fate.Load() != written {
+	if !k.sending() {
 		n.finish(k, c, true, false, NotWritten{e.Visit, "given up before writing"})
 		return
 	}
@@ -482,6 +482,14 @@
 	n.finish(k, c, keep && (ending == forward.Whole || ending == forward.Turned), ending == forward.Broken, Ended{e.Visit, ending, status})
 }
 
+// sending decides for the visit and its shot beside it: once true, neither is refused any more.
+func (k *call) sending() bool {
+	if k.of != nil {
+		k = k.of
+	}
+	return k.fate.CompareAndSwap(open, written) || k.fate.Load() == written
+}
+
 func (n *Node) finish(k *call, c *conn, keep, bar bool, events ...any) {
 	n.lock.Lock()
 	k.conn = nil
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -152,6 +152,26 @@
 	require.Nil(t, g.takeIdle(key, "x"), "rested too long")
 }
 
+func TestASecondShotBesideIsNotWrittenOnceTheVisitIsRefused(t *testing.T) {
+	g := newGateway(t, "s").up()
+	var far net.Conn
+	c, _ := raced(t, g, func(c net.Conn) { far = c })
+	lane := g.view.Load().desired.Find("h.example", "/r/x").Pick(0)
+	r, _ := http.NewRequest("GET", "http://h.example/r/x", nil)
+	r.RequestURI = "/r/x"
+	first := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), expiry: ident.Now().Add(time.Second)}
+	first.fate.Store(refused)
+	twin := &call{Dialect: &tongue, visit: "v-beside", lane: lane, req: r, path: "/r/x", ans: first.ans, conn: c, expiry: first.expiry, of: first}
+	g.Node.lock.Lock()
+	g.calls["v"], g.calls["v-beside"] = first, twin
+	g.Node.lock.Unlock()
+	later := ident.Now().Add(100 * time.Millisecond)
+	g.write(forward.Write{Visit: "v-beside", Shot: 3, NotAfter: later, Until: later})
+	g.closeIdle(c.key, 1)
+	got, _ := io.ReadAll(far)
+	require.Empty(t, string(got))
+}
+
 func TestARequestWithTwoNamesReachesNobody(t *testing.T) {
 	g := newGateway(t, "s").up()
 	resp, _ := g.post("/a/two", "Visit-Name: x\r\n")
