Visits: a refusal doesn't wait for a body that never ends

Cause: net/http reads the rest of a body before it sends an early answer (404, 431, 504, 503 before the first state), and nothing bounded that reading: a requester that trickled its body kept the answer, the connection and the goroutine for as long as it liked. Not set for the registry's calls: they look at their connection later and need it without a deadline.

Before: TestARefusalDoesNotWaitForABodyWithoutEnd red (no answer in 5 s). After: data's tests green.

--- a/data/front.go
+++ b/data/front.go
@@ -29,7 +29,10 @@
 func (n *Node) Unready() string { return *n.ready.Load() }
 
 func (n *Node) Front(d Dialect) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.routed(w, r, &d) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		bounded(w, r)
+		n.routed(w, r, &d)
+	})
 }
 
 func (n *Node) decline(w http.ResponseWriter, a forward.Answer) {
--- a/data/http.go
+++ b/data/http.go
@@ -83,6 +83,7 @@
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, lanePath) {
+			bounded(w, r)
 			n.visit(w, r)
 			return
 		}
@@ -124,6 +125,13 @@
 	}
 }
 
+// bounded ends the wait for a body that is never read, so that a refusal doesn't wait for it.
+func bounded(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyPatience))
+	}
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, most int64, left time.Duration) (body []byte, status int, why string) {
 	if r.ContentLength > most {
 		return nil, 413, "body too large"
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -113,6 +113,21 @@
 	require.Equal(t, "v/one/hop", g.all("/one/hop")[0].head.Get("Visit-Name"))
 }
 
+func TestARefusalDoesNotWaitForABodyWithoutEnd(t *testing.T) {
+	g := newGateway(t, "s").up()
+	c := g.open()
+	io.WriteString(c, "POST /none HTTP/1.1\r\nHost: h.example\r\nLeft-Ms: 100\r\nContent-Length: 40\r\n\r\nfew")
+	b := bufio.NewReader(c)
+	resp, err := http.ReadResponse(b, &http.Request{Method: "POST"})
+	require.NoError(t, err)
+	require.Equal(t, 404, resp.StatusCode)
+	io.Copy(io.Discard, resp.Body)
+	io.WriteString(c, get("/a/smuggled", "n"))
+	_, err = b.ReadByte()
+	require.Error(t, err)
+	require.Empty(t, g.all("/a/smuggled"))
+}
+
 // raced makes a kept connection whose watcher was stopped in the moment that something came.
 
 func raced(t *testing.T, g *gateway, come func(far net.Conn)) (*conn, pass.Key) {
