Visits: a request whose end is in doubt ends its connection

Cause: net/http reads a body in chunks although a length stands beside it, drops the length without a word and reads on for the next request; in HTTP/1.0 it drops the chunked coding and reads the body's bytes as the next request. Either way bytes from inside a request could run as one of their own (UNASKED), by the reckoning of whoever stood before us. Go's reader leaves no trace of it in the request, so the connection counts the lines that state a length; chunks beside an uncounted one, and all of HTTP/1.0, close after the answer, as the standard asks (RFC 9112, 6.1).

Ruled out: closing after each body in chunks: sound requesters would pay with a new connection each time.

--- a/data/http.go
+++ b/data/http.go
@@ -125,8 +125,12 @@
 	}
 }
 
-// bounded ends the wait for a body that is never read, so that a refusal doesn't wait for it.
+// bounded ends the wait for a body that is never read, so that a refusal doesn't wait for it, and
+// the connection after a request whose end is in doubt.
 func bounded(w http.ResponseWriter, r *http.Request) {
+	if !duty.Framed(r) {
+		w.Header().Set("Connection", "close")
+	}
 	if r.ContentLength != 0 {
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyPatience))
 	}
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sloeturn/duty"
 	"sloeturn/forward"
 	"sloeturn/ident"
 	"sloeturn/pass"
@@ -128,6 +129,53 @@
 	require.Empty(t, g.all("/a/smuggled"))
 }
 
+func TestTheRestOfARefusedBodyIsNoRequest(t *testing.T) {
+	g := newGateway(t, "s").up()
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	web := &http.Server{Handler: g.Front(tongue), ConnContext: duty.WithConn}
+	go web.Serve(duty.Patient(ear, g.waits))
+	t.Cleanup(func() { web.Close() })
+	g.at = ear.Addr().String()
+	inner := get("/a/smuggled", "n")
+	big := strings.Repeat(inner, 4200/len(inner)+1)
+	for name, words := range map[string]string{
+		"413 by length": fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n\r\n%s", len(big), big),
+		"413 by chunk":  fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(big), big),
+		"404":           fmt.Sprintf("POST /none HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+		"504":           fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nLeft-Ms: 0\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+		"408":           fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nLeft-Ms: 50\r\nContent-Length: %d\r\n\r\n%s", len(inner)*2, inner),
+		"both":          fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", len(inner)+5, inner),
+		"two lengths":   fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+		"old chunks":    fmt.Sprintf("POST /a/x HTTP/1.0\r\nHost: h.example\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n%s", inner),
+		"odd coding":    fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: xchunked\r\nContent-Length: 0\r\n\r\n%s", inner),
+		"two codings":   fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\nContent-Length: 0\r\n\r\n%s", inner),
+		"odd name":      fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length : %d\r\n\r\n%s", len(inner), inner),
+		"odd length":    fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: +%d\r\n\r\n%s", len(inner), inner),
+		"upgrade":       fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nConnection: Upgrade\r\nUpgrade: x\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g.lock1(func() { g.seen = nil })
+			c := g.open()
+			io.WriteString(c, words)
+			c.(*net.TCPConn).SetReadDeadline(time.Now().Add(1500 * time.Millisecond))
+			b := bufio.NewReader(c)
+			for n := 0; ; n++ {
+				resp, err := http.ReadResponse(b, &http.Request{Method: "POST"})
+				if err != nil {
+					break
+				}
+				io.Copy(io.Discard, resp.Body)
+				require.Less(t, n, 1)
+				if !resp.Close {
+					c.(*net.TCPConn).SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+				}
+			}
+			require.Empty(t, g.all("/a/smuggled"))
+		})
+	}
+}
+
 // raced makes a kept connection whose watcher was stopped in the moment that something came.
 
 func raced(t *testing.T, g *gateway, come func(far net.Conn)) (*conn, pass.Key) {
@@ -215,3 +263,26 @@
 		require.Empty(t, string(got), name)
 	}
 }
+
+func TestSoundRequestsKeepTheirConnection(t *testing.T) {
+	g := newGateway(t, "s").up()
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	web := &http.Server{Handler: g.Front(tongue), ConnContext: duty.WithConn}
+	go web.Serve(duty.Patient(ear, g.waits))
+	t.Cleanup(func() { web.Close() })
+	g.at = ear.Addr().String()
+	c := g.open()
+	b := bufio.NewReader(c)
+	for i := 0; i < 3; i++ {
+		for _, words := range []string{get("/a/x", "n"), "POST /a/x HTTP/1.1\r\nHost: h.example\r\nVisit-Name: n\r\nContent-Length: 2\r\n\r\nhi", "POST /a/x HTTP/1.1\r\nHost: h.example\r\nVisit-Name: n\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"} {
+			g.beat()
+			io.WriteString(c, words)
+			resp, err := http.ReadResponse(b, &http.Request{Method: "POST"})
+			require.NoError(t, err)
+			require.Equal(t, 200, resp.StatusCode)
+			require.False(t, resp.Close)
+			io.Copy(io.Discard, resp.Body)
+		}
+	}
+}
--- a/duty/loop.go
+++ b/duty/loop.go
@@ -154,9 +154,7 @@
 		if err != nil {
 			return err
 		}
-		if w := a.Waits[addr]; w != nil {
-			ear = patient{ear, w}
-		}
+		ear = Patient(ear, a.Waits[addr])
 		only := func(http.Handler) http.Handler { return h }
 		srv := khttp.NewServer(khttp.Listener(ear), khttp.Endpoint(&url.URL{Scheme: "http", Host: addr}), khttp.Timeout(0), khttp.Filter(only))
 		srv.ConnContext = WithConn
--- a/duty/wait_test.go
+++ b/duty/wait_test.go
@@ -21,7 +21,7 @@
 func TestWaitsShortenHeadsAndIdleTimesAndNothingElse(t *testing.T) {
 	head, idle := 3*time.Second, 15*time.Second
 	d := &dated{}
-	w := &waiting{d, func() (time.Duration, time.Duration) { return head, idle }}
+	w := &waiting{Conn: d, waits: func() (time.Duration, time.Duration) { return head, idle }}
 	left := func(s time.Duration) time.Duration {
 		w.SetReadDeadline(time.Now().Add(s))
 		return time.Until(d.at)
@@ -35,3 +35,14 @@
 	require.InDelta(t, 5, left(HeadWait).Seconds(), 0.5)
 	require.InDelta(t, 120, left(IdleWait).Seconds(), 0.5)
 }
+
+func TestLinesThatStateALengthAreCountedWhereverReadsAreCut(t *testing.T) {
+	words := "POST / HTTP/1.1\r\ncontent-LENGTH: 3\r\nX-Content-Length: 1\r\nContent-Lengt: 1\n Content-Length: 2\r\n\r\nabcPOST\nContent-Length: 0\r\n"
+	for cut := 1; cut <= len(words); cut++ {
+		var l lengths
+		for at := 0; at < len(words); at += cut {
+			l.hear([]byte(words[at:min(len(words), at+cut)]))
+		}
+		require.Equal(t, 2, l.seen, cut)
+	}
+}
