--- a/data/front.go
+++ b/data/front.go
@@ -29,7 +29,10 @@
 func (n *Node) Unready() string { return *n.ready.Load() }
 
 func (n *Node) Front(d Dialect) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.routed(w, r, &d) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		bounded(w, r)
+		n.routed(w, r, &d)
+	})
 }
 
 func (n *Node) decline(w http.ResponseWriter, a forward.Answer) {
@@ -106,6 +109,10 @@
 		no(431, "head too large", 0)
 		return
 	}
+	if len(r.Header.Values(d.Visit)) > 1 {
+		no(400, "header "+d.Visit+" given twice", 0)
+		return
+	}
 	path := placeOf(r)
 	route := view.desired.Find(hostOf(r), path)
 	if route == nil {
@@ -144,6 +151,7 @@
 	u := &url.URL{Scheme: "http", Host: string(addr), RawQuery: k.req.URL.RawQuery, ForceQuery: k.req.URL.ForceQuery, Path: k.req.URL.Path, RawPath: k.req.URL.RawPath}
 	req := &http.Request{Method: k.req.Method, URL: u, Host: k.req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}
 	duty.CopyHead(req.Header, k.req.Header)
+	bind(req.Header, k.req.Header, k.Visit)
 	req.Header.Set(k.Left, strconv.FormatInt(max(1, k.expiry.Sub(ident.Now()).Milliseconds()), 10))
 	if k.life != "" {
 		req.Header.Set(k.Life, k.life)
@@ -152,26 +160,43 @@
 	return req
 }
 
+// named tells whether an answer carries back the visit's name, once, or none if the visit has none.
+func (k *call) named(resp *http.Response) bool {
+	want, got := k.req.Header.Get(k.Visit), resp.Header.Values(k.Visit)
+	if want == "" && len(got) == 0 {
+		return true
+	}
+	return len(got) == 1 && got[0] == want
+}
+
+// bind copies headers that bind an answer to its visit, though Connection lists them.
+func bind(to, from http.Header, names ...string) {
+	for _, n := range names {
+		if v := from.Values(n); len(v) > 0 {
+			to[http.CanonicalHeaderKey(n)] = v
+		}
+	}
+}
+
 func (k *call) another(resp *http.Response) bool {
-	got := resp.Header.Get(k.Visit)
-	return got != "" && got != k.req.Header.Get(k.Visit)
+	got := resp.Header.Values(k.Visit)
+	return len(got) == 1 && got[0] != "" && !k.named(resp)
 }
 
 func (k *call) turned(resp *http.Response) forward.Ending {
 	switch {
-	case k.Dialect == nil:
+	case k.Dialect == nil || resp.Header.Get(k.Turned) == "":
+		return forward.Whole
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return forward.Moved
-	case resp.Header.Get(k.Turned) != "":
-		return forward.Turned
 	}
-	return forward.Whole
+	return forward.Turned
 }
 
 func (k *call) proven(resp *http.Response) bool {
-	if k.another(resp) || resp.Header.Get("Content-Encoding") != "" {
+	if !k.named(resp) || resp.Header.Get("Content-Encoding") != "" {
 		return false
 	}
 	good := resp.StatusCode >= 200 && resp.StatusCode < 300
-	return !good || resp.Header.Get(k.Seal) != "" && resp.Header.Get(k.Visit) == k.req.Header.Get(k.Visit)
+	return !good || resp.Header.Get(k.Seal) != "" && resp.Header.Get(k.Turned) == ""
 }
--- a/data/http.go
+++ b/data/http.go
@@ -83,6 +83,7 @@
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, lanePath) {
+			bounded(w, r)
 			n.visit(w, r)
 			return
 		}
@@ -124,6 +125,17 @@
 	}
 }
 
+// bounded ends the wait for a body that is never read, so that a refusal doesn't wait for it, and
+// the connection after a request whose end is in doubt.
+func bounded(w http.ResponseWriter, r *http.Request) {
+	if !duty.Framed(r) {
+		w.Header().Set("Connection", "close")
+	}
+	if r.ContentLength != 0 {
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyPatience))
+	}
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, most int64, left time.Duration) (body []byte, status int, why string) {
 	if r.ContentLength > most {
 		return nil, 413, "body too large"
@@ -257,7 +269,7 @@
 			return
 		case <-k.req.Context().Done():
 			n.Put(Gone{id})
-			return
+			panic(http.ErrAbortHandler)
 		case <-late.C:
 			if k.fate.CompareAndSwap(open, refused) {
 				no("node too slow", 2*time.Second)
@@ -284,6 +296,7 @@
 	h := w.Header()
 	if k.Dialect != nil {
 		duty.CopyHead(h, a.resp.Header)
+		bind(h, a.resp.Header, k.Visit, k.Seal, k.Turned)
 		n.part(h)
 	} else {
 		duty.CopyHead(h, a.resp.Header, "Retry-After")
--- a/data/node.go
+++ b/data/node.go
@@ -231,7 +231,7 @@
 		c := list[len(list)-1]
 		n.idle[k] = list[:len(list)-1]
 		n.lock.Unlock()
-		if c.stop() && c.life == life {
+		if c.stop() && c.life == life && ident.Now().Sub(c.since) <= pass.IdleLife && c.quiet() {
 			return c
 		}
 		c.Close()
@@ -246,6 +246,8 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+func (c *conn) quiet() bool { return c.read.Buffered() == 0 && duty.Quiet(c.Conn) }
+
 func (n *Node) putIdle(c *conn) {
 	c.SetDeadline(time.Time{})
 	c.watch = make(chan error, 1)
@@ -443,11 +445,16 @@
 		return
 	}
 	c.SetDeadline(time.Now().Add(e.Until.Sub(ident.Now())))
+	if !c.quiet() {
+		n.finish(k, c, false, true)
+		n.Put(NotWritten{e.Visit, "connection spoke or ended before the first byte"})
+		return
+	}
 	if ident.Now().After(e.NotAfter) {
 		n.finish(k, c, true, false, NotWritten{e.Visit, "tenure ran out before writing"})
 		return
 	}
-	if !k.fate.CompareAndSwap(open, written) && k.fate.Load() != written {
+	if !k.sending() {
 		n.finish(k, c, true, false, NotWritten{e.Visit, "given up before writing"})
 		return
 	}
@@ -475,6 +482,14 @@
 	n.finish(k, c, keep && (ending == forward.Whole || ending == forward.Turned), ending == forward.Broken, Ended{e.Visit, ending, status})
 }
 
+// sending decides for the visit and its shot beside it: once true, neither is refused any more.
+func (k *call) sending() bool {
+	if k.of != nil {
+		k = k.of
+	}
+	return k.fate.CompareAndSwap(open, written) || k.fate.Load() == written
+}
+
 func (n *Node) finish(k *call, c *conn, keep, bar bool, events ...any) {
 	n.lock.Lock()
 	k.conn = nil
@@ -505,14 +520,17 @@
 		if err != nil {
 			return resp, nil, false, endingOf(err)
 		}
-		resp.Body.Close()
+		end := resp.Body.Close()
 		if k.Dialect != nil && k.another(resp) && surplus < surplusMost {
+			if end != nil || resp.Close || req.Method == "HEAD" && resp.ContentLength != 0 {
+				return resp, nil, false, forward.Garbled
+			}
 			surplus++
 			continue
 		}
 		bare := req.Method == "HEAD" || resp.StatusCode == 204 || resp.StatusCode == 304
 		open := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bare
-		if resp.StatusCode == 101 || int64(len(body)) > most || open || resp.ProtoMajor != 1 || !k.sound(resp, body) {
+		if resp.StatusCode < 200 || int64(len(body)) > most || open || resp.ProtoMajor != 1 || !k.sound(resp, body) {
 			return resp, nil, false, forward.Garbled
 		}
 		if c.read.Buffered() > 0 {
--- /dev/null
+++ b/data/visit_test.go
@@ -0,0 +1,288 @@
+package data
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/duty"
+	"sloeturn/forward"
+	"sloeturn/ident"
+	"sloeturn/pass"
+)
+
+func (g *gateway) open() net.Conn {
+	g.beat()
+	c, err := net.Dial("tcp", g.at)
+	require.NoError(g.t, err)
+	g.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	return c
+}
+
+func get(path, id string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nVisit-Name: " + id + "\r\nLeft-Ms: 800\r\n\r\n"
+}
+
+func TestARequesterThatClosesItsHalfHearsNoSuccessOfOurOwn(t *testing.T) {
+	g := newGateway(t, "s").up()
+	for _, say := range []string{"!hang", g.sound("200 OK", "whole")} {
+		g.says("/a/half", say)
+		c := g.open()
+		io.WriteString(c, get("/a/half", "n"))
+		c.(*net.TCPConn).CloseWrite()
+		b := bufio.NewReader(c)
+		resp, err := http.ReadResponse(b, &http.Request{Method: "GET"})
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		if resp.StatusCode < 300 {
+			require.Equal(t, "wax", resp.Header.Get("Sealed"))
+			require.Equal(t, "whole", string(body))
+		}
+	}
+}
+
+func TestAnAnswerThatDoesNotNameTheVisitProvesNothing(t *testing.T) {
+	g := newGateway(t, "s", "s", "s").up()
+	for name, say := range map[string]string{
+		"turned, no name":   "HTTP/1.1 503 Full\r\nTurned-Away: full\r\nContent-Length: 4\r\n\r\nfull",
+		"turned, two names": "HTTP/1.1 503 Full\r\nVisit-Name: {id}\r\nVisit-Name: x\r\nTurned-Away: full\r\nContent-Length: 4\r\n\r\nfull",
+		"moved, no name":    "HTTP/1.1 421 Moved\r\nTurned-Away: another\r\nContent-Length: 4\r\n\r\nfull",
+		"moved, not turned": "HTTP/1.1 421 Moved\r\nVisit-Name: {id}\r\nContent-Length: 4\r\n\r\nfull",
+		"turned and 200":    "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: w\r\nTurned-Away: full\r\nContent-Length: 4\r\n\r\nfull",
+		"idle's 408":        "HTTP/1.1 408 Request Timeout\r\nTurned-Away: idle\r\nContent-Length: 4\r\n\r\nfull!close",
+		"500, no name":      "HTTP/1.1 500 Own\r\nContent-Length: 4\r\n\r\nfull",
+		"404, no name":      "HTTP/1.1 404 Own\r\nContent-Length: 4\r\n\r\nfull",
+		"200, two names":    "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nVisit-Name: x\r\nSealed: w\r\nContent-Length: 4\r\n\r\nfull",
+		"099":               "HTTP/1.1 099 Odd\r\nVisit-Name: {id}\r\nSealed: w\r\nContent-Length: 4\r\n\r\nfull",
+		"000":               "HTTP/1.1 000 Odd\r\nVisit-Name: {id}\r\nSealed: w\r\nContent-Length: 4\r\n\r\nfull",
+	} {
+		t.Run(name, func(t *testing.T) {
+			at := "/a/" + strings.NewReplacer(" ", "-", ",", "", "'", "").Replace(name)
+			g.lift()
+			g.says(at, say, g.sound("200 OK", "whole"))
+			c := g.open()
+			io.WriteString(c, get(at, "v"+at))
+			resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: "GET"})
+			require.NoError(t, err)
+			require.Equal(t, 502, resp.StatusCode)
+			require.Empty(t, resp.Header.Get("Retry-After"))
+			require.Len(t, g.all(at), 1)
+		})
+	}
+}
+
+func TestASurplusAnswerOfUnknownLengthEndsTheReading(t *testing.T) {
+	g := newGateway(t, "s").up()
+	good := g.sound("200 OK", "")
+	for name, say := range map[string]string{
+		"to a HEAD": fmt.Sprintf("HTTP/1.1 200 OK\r\nVisit-Name: x\r\nSealed: w\r\nContent-Length: %d\r\n\r\n%s", len(good), good),
+	} {
+		at := "/one/head"
+		g.says(at, say)
+		c := g.open()
+		io.WriteString(c, "HEAD"+strings.TrimPrefix(get(at, "{id}"), "GET"))
+		resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: "HEAD"})
+		require.NoError(t, err)
+		require.Equal(t, 502, resp.StatusCode, name)
+	}
+	inner := g.sound("200 OK", "inner")
+	at := "/one/chunk"
+	g.says(at, "HTTP/1.1 200 OK\r\nVisit-Name: x\r\nSealed: w\r\nTransfer-Encoding: chunked\r\n\r\n1002\r\n"+strings.Repeat("x", 0x1002)+"\r\nzz\r\n"+inner)
+	resp, body := g.post(at)
+	require.Equal(t, 502, resp.StatusCode, body)
+}
+
+func TestNamesAndSealsAreNoHeadersOfOneConnection(t *testing.T) {
+	g := newGateway(t, "s").up()
+	g.says("/one/hop", "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: wax\r\nConnection: Sealed, Visit-Name\r\nContent-Length: 2\r\n\r\nhi")
+	resp, body := g.post("/one/hop", "Connection: Visit-Name\r\n")
+	require.Equal(t, "hi", body)
+	require.Equal(t, "wax", resp.Header.Get("Sealed"))
+	require.Equal(t, "v/one/hop", resp.Header.Get("Visit-Name"))
+	require.Equal(t, "v/one/hop", g.all("/one/hop")[0].head.Get("Visit-Name"))
+}
+
+func TestARefusalDoesNotWaitForABodyWithoutEnd(t *testing.T) {
+	g := newGateway(t, "s").up()
+	c := g.open()
+	io.WriteString(c, "POST /none HTTP/1.1\r\nHost: h.example\r\nLeft-Ms: 100\r\nContent-Length: 40\r\n\r\nfew")
+	b := bufio.NewReader(c)
+	resp, err := http.ReadResponse(b, &http.Request{Method: "POST"})
+	require.NoError(t, err)
+	require.Equal(t, 404, resp.StatusCode)
+	io.Copy(io.Discard, resp.Body)
+	io.WriteString(c, get("/a/smuggled", "n"))
+	_, err = b.ReadByte()
+	require.Error(t, err)
+	require.Empty(t, g.all("/a/smuggled"))
+}
+
+func TestTheRestOfARefusedBodyIsNoRequest(t *testing.T) {
+	g := newGateway(t, "s").up()
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	web := &http.Server{Handler: g.Front(tongue), ConnContext: duty.WithConn}
+	go web.Serve(duty.Patient(ear, g.waits))
+	t.Cleanup(func() { web.Close() })
+	g.at = ear.Addr().String()
+	inner := get("/a/smuggled", "n")
+	big := strings.Repeat(inner, 4200/len(inner)+1)
+	for name, words := range map[string]string{
+		"413 by length": fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n\r\n%s", len(big), big),
+		"413 by chunk":  fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(big), big),
+		"404":           fmt.Sprintf("POST /none HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+		"504":           fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nLeft-Ms: 0\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+		"408":           fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nLeft-Ms: 50\r\nContent-Length: %d\r\n\r\n%s", len(inner)*2, inner),
+		"both":          fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", len(inner)+5, inner),
+		"two lengths":   fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+		"old chunks":    fmt.Sprintf("POST /a/x HTTP/1.0\r\nHost: h.example\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n%s", inner),
+		"odd coding":    fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: xchunked\r\nContent-Length: 0\r\n\r\n%s", inner),
+		"two codings":   fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\nContent-Length: 0\r\n\r\n%s", inner),
+		"odd name":      fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length : %d\r\n\r\n%s", len(inner), inner),
+		"odd length":    fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: +%d\r\n\r\n%s", len(inner), inner),
+		"upgrade":       fmt.Sprintf("POST /a/x HTTP/1.1\r\nHost: h.example\r\nConnection: Upgrade\r\nUpgrade: x\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g.lock1(func() { g.seen = nil })
+			c := g.open()
+			io.WriteString(c, words)
+			c.(*net.TCPConn).SetReadDeadline(time.Now().Add(1500 * time.Millisecond))
+			b := bufio.NewReader(c)
+			for n := 0; ; n++ {
+				resp, err := http.ReadResponse(b, &http.Request{Method: "POST"})
+				if err != nil {
+					break
+				}
+				io.Copy(io.Discard, resp.Body)
+				require.Less(t, n, 1)
+				if !resp.Close {
+					c.(*net.TCPConn).SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+				}
+			}
+			require.Empty(t, g.all("/a/smuggled"))
+		})
+	}
+}
+
+// raced makes a kept connection whose watcher was stopped in the moment that something came.
+
+func raced(t *testing.T, g *gateway, come func(far net.Conn)) (*conn, pass.Key) {
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ear.Close()
+	near, err := net.Dial("tcp", ear.Addr().String())
+	require.NoError(t, err)
+	far, err := ear.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { near.Close(); far.Close() })
+	come(far)
+	key := pass.Key{Lane: "s", Addr: ident.Addr(ear.Addr().String())}
+	c := &conn{Conn: near, read: bufio.NewReaderSize(near, readerSize), key: key, life: "x", watch: make(chan error, 1), since: ident.Now()}
+	c.watch <- os.ErrDeadlineExceeded
+	g.Node.lock.Lock()
+	g.idle[key] = append(g.idle[key], c)
+	g.Node.lock.Unlock()
+	return c, key
+}
+
+func TestAKeptConnectionThatSpokeOrEndedIsNotTakenUp(t *testing.T) {
+	g := newGateway(t, "s")
+	for name, come := range map[string]func(net.Conn){
+		"bytes": func(far net.Conn) { io.WriteString(far, "H") },
+		"end":   func(far net.Conn) { far.Close() },
+		"half":  func(far net.Conn) { far.(*net.TCPConn).CloseWrite() },
+		"reset": func(far net.Conn) { far.(*net.TCPConn).SetLinger(0); far.Close() },
+	} {
+		_, key := raced(t, g, come)
+		require.Nil(t, g.takeIdle(key, "x"), name)
+	}
+	c, key := raced(t, g, func(net.Conn) {})
+	require.Same(t, c, g.takeIdle(key, "x"))
+	c, key = raced(t, g, func(net.Conn) {})
+	c.since = ident.Now().Add(-pass.IdleLife - time.Second)
+	require.Nil(t, g.takeIdle(key, "x"), "rested too long")
+}
+
+func TestASecondShotBesideIsNotWrittenOnceTheVisitIsRefused(t *testing.T) {
+	g := newGateway(t, "s").up()
+	var far net.Conn
+	c, _ := raced(t, g, func(c net.Conn) { far = c })
+	lane := g.view.Load().desired.Find("h.example", "/r/x").Pick(0)
+	r, _ := http.NewRequest("GET", "http://h.example/r/x", nil)
+	r.RequestURI = "/r/x"
+	first := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), expiry: ident.Now().Add(time.Second)}
+	first.fate.Store(refused)
+	twin := &call{Dialect: &tongue, visit: "v-beside", lane: lane, req: r, path: "/r/x", ans: first.ans, conn: c, expiry: first.expiry, of: first}
+	g.Node.lock.Lock()
+	g.calls["v"], g.calls["v-beside"] = first, twin
+	g.Node.lock.Unlock()
+	later := ident.Now().Add(100 * time.Millisecond)
+	g.write(forward.Write{Visit: "v-beside", Shot: 3, NotAfter: later, Until: later})
+	g.closeIdle(c.key, 1)
+	got, _ := io.ReadAll(far)
+	require.Empty(t, string(got))
+}
+
+func TestARequestWithTwoNamesReachesNobody(t *testing.T) {
+	g := newGateway(t, "s").up()
+	resp, _ := g.post("/a/two", "Visit-Name: x\r\n")
+	require.Equal(t, 400, resp.StatusCode)
+	require.Empty(t, g.all("/a/two"))
+}
+
+func TestNothingIsWrittenToAConnectionThatSpokeOrEnded(t *testing.T) {
+	g := newGateway(t, "s").up()
+	for name, come := range map[string]func(net.Conn){
+		"bytes": func(far net.Conn) { io.WriteString(far, "H") },
+		"half":  func(far net.Conn) { far.(*net.TCPConn).CloseWrite() },
+	} {
+		var far net.Conn
+		c, _ := raced(t, g, func(c net.Conn) { far = c; come(c) })
+		lane := g.view.Load().desired.Find("h.example", "/a/x").Pick(0)
+		r, _ := http.NewRequest("GET", "http://h.example/a/x", nil)
+		r.RequestURI = "/a/x"
+		k := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/a/x", ans: make(chan answer, 2), conn: c, expiry: ident.Now().Add(time.Second)}
+		g.Node.lock.Lock()
+		g.calls["v"] = k
+		g.Node.lock.Unlock()
+		later := ident.Now().Add(100 * time.Millisecond)
+		g.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, Until: later})
+		got, _ := io.ReadAll(far)
+		require.Empty(t, string(got), name)
+	}
+}
+
+func TestSoundRequestsKeepTheirConnection(t *testing.T) {
+	g := newGateway(t, "s").up()
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	web := &http.Server{Handler: g.Front(tongue), ConnContext: duty.WithConn}
+	go web.Serve(duty.Patient(ear, g.waits))
+	t.Cleanup(func() { web.Close() })
+	g.at = ear.Addr().String()
+	c := g.open()
+	b := bufio.NewReader(c)
+	for i := 0; i < 3; i++ {
+		for _, words := range []string{get("/a/x", "n"), "POST /a/x HTTP/1.1\r\nHost: h.example\r\nVisit-Name: n\r\nContent-Length: 2\r\n\r\nhi", "POST /a/x HTTP/1.1\r\nHost: h.example\r\nVisit-Name: n\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"} {
+			g.beat()
+			io.WriteString(c, words)
+			resp, err := http.ReadResponse(b, &http.Request{Method: "POST"})
+			require.NoError(t, err)
+			require.Equal(t, 200, resp.StatusCode)
+			require.False(t, resp.Close)
+			io.Copy(io.Discard, resp.Body)
+		}
+	}
+}
