Ledger: change ids kept apart from documents, the law kept in steps

Cause: one list of 64 whole documents also remembered change ids. An order sent again after 64 others was refused (Stale) though it was taken; a trial or a withdrawal left no id at all, so sent again after its end it took effect a second time (a withdrawn trial came back, a later trial was ended); an operator's id "landing-N" was taken for the landing of that number. While a seat is silent `Grown` stands still, and every document from it on was kept, in the image too.

Images carry a format; older ones are read from their documents, a newer or torn one is refused.

Seen failing before: 500 others, then the first again: Stale; image after 3000 changes with a silent seat 450126 bytes against a bound of 163963; trial back; landing id. After: all pass; over 100 random histories of 120 steps the law equals the plain computation from whole documents, also across images.

Tests changed: the span over documents moved from the book into the test's hand, which keeps the documents itself; what it asserts is the same.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"slices"
 	"sort"
 
 	"github.com/ansel1/merry/v2"
@@ -35,10 +34,11 @@
 }
 
 const (
-	HistoryKept = 64
-	ClaimsKept  = 131072
-	ClaimLifeMs = 15 * 60 * 1000
-	Released    = 1
+	HistoryKept  = 64
+	HistoryBytes = 2 << 20
+	ClaimsKept   = 131072
+	ClaimLifeMs  = 15 * 60 * 1000
+	Released     = 1
 )
 
 var ErrImage = merry.Sentinel("ledger: image unreadable")
@@ -76,11 +76,14 @@
 	Turn       uint64
 	Tail       uint64
 	Floor      uint64
-	TakenOut   []string
 
 	order  deque.Deque[*wire.ClaimLine]
 	states map[ident.Generation]*desired.State
 	core   *wire.Core
+	keys   map[[16]byte]*Key
+	aged   deque.Deque[*Key]
+	floors map[Lot]*steps
+	seats  *steps
 }
 
 func NewBook() *Book {
@@ -90,6 +93,9 @@
 		Claims:  map[string]*wire.ClaimLine{},
 		Periods: map[string]*wire.Period{},
 		states:  map[ident.Generation]*desired.State{},
+		keys:    map[[16]byte]*Key{},
+		floors:  map[Lot]*steps{},
+		seats:   newSteps(0),
 	}
 }
 
@@ -144,15 +150,6 @@
 	return nil
 }
 
-func (b *Book) ByChange(id string) *wire.DesiredLine {
-	for i := len(b.History) - 1; i >= 0; i-- {
-		if b.History[i].ChangeId == id || slices.Contains(b.History[i].Changes, id) {
-			return b.History[i]
-		}
-	}
-	return nil
-}
-
 func (b *Book) State(g ident.Generation) *desired.State {
 	if s := b.states[g]; s != nil {
 		return s
@@ -176,27 +173,28 @@
 	if l := b.Line(g); l != nil {
 		return desired.EditionOf(l.Doc)
 	}
-	return 0
+	return b.editionOf(g)
 }
 
 func (b *Book) setDesired(c *wire.SetDesired) Result {
-	if l := b.ByChange(c.ChangeId); l != nil {
-		return Result{Code: Done, Generation: ident.Generation(l.Generation)}
+	if k := b.Taken(c.ChangeId); k != nil {
+		return k.again(c.Sum)
 	}
 	if !b.fits(c.Basis, c.Turn) {
 		return Result{Code: Stale, Generation: b.Generation}
 	}
 	b.Trial = nil
-	if c.Withdraw {
-		b.turn()
-		return Result{Generation: b.Generation}
-	}
-	if len(c.Only) > 0 {
+	kind := Changed
+	switch {
+	case c.Withdraw:
+		kind = Withdrawn
+	case len(c.Only) > 0:
+		kind = Tried
 		b.Trial = &wire.Trial{ChangeId: c.ChangeId, Basis: c.Basis, Doc: c.Doc, Only: c.Only}
-		b.turn()
-		return Result{Generation: b.Generation}
+	default:
+		b.next(&wire.DesiredLine{ChangeId: c.ChangeId, Doc: c.Doc, Author: c.Author})
 	}
-	b.next(&wire.DesiredLine{ChangeId: c.ChangeId, Doc: c.Doc, Author: c.Author})
+	b.remember(c.ChangeId, Key{Sum: c.Sum, Kind: kind, Generation: uint64(b.Generation), Edition: b.Edition(b.Generation)})
 	b.turn()
 	return Result{Generation: b.Generation}
 }
@@ -208,57 +206,14 @@
 	}
 	if g := ident.Generation(c.Grown); g > b.Grown && g <= b.Generation {
 		b.Grown = g
+		b.trim()
 		b.turn()
 	}
 	return Result{}
 }
 
-func (b *Book) span(f func(g ident.Generation, s *desired.State)) {
-	for g := b.Grown; g <= b.Generation; g++ {
-		f(g, b.State(g))
-	}
-}
-
-func (b *Book) SeatCount() int {
-	n := -1
-	b.span(func(g ident.Generation, s *desired.State) {
-		k := 0
-		if s != nil {
-			k = s.Seats()
-		}
-		if n < 0 || k < n {
-			n = k
-		}
-	})
-	return n
-}
-
 func Counts(c *wire.Core, s *wire.Seat) bool { return s.Seat < c.SeatCount }
 
-func (b *Book) Floors() map[Lot]int {
-	out := map[Lot]int{}
-	first := true
-	b.span(func(g ident.Generation, s *desired.State) {
-		now := map[Lot]int{}
-		if s != nil {
-			now = Slots(s)
-		}
-		if first {
-			out, first = now, false
-			return
-		}
-		for k, v := range out {
-			if w := now[k]; w < v {
-				out[k] = w
-			}
-			if out[k] == 0 {
-				delete(out, k)
-			}
-		}
-	})
-	return out
-}
-
 func Slots(s *desired.State) map[Lot]int {
 	out := map[Lot]int{}
 	for n, l := range s.Lanes {
@@ -414,7 +369,8 @@
 }
 
 func (b *Book) Image() []byte {
-	m := &wire.Image{Stamp: b.Stamp, Index: uint64(b.Index), Version: b.Version, Generation: uint64(b.Generation), InForce: uint64(b.InForce), Grown: uint64(b.Grown), Epoch: uint64(b.Epoch), History: b.History, Trial: b.Trial, Held: b.Held, Turn: b.Turn, Tail: b.Tail, Floor: b.Floor, TakenOut: b.TakenOut}
+	m := &wire.Image{Stamp: b.Stamp, Index: uint64(b.Index), Version: b.Version, Generation: uint64(b.Generation), InForce: uint64(b.InForce), Grown: uint64(b.Grown), Epoch: uint64(b.Epoch), History: b.History, Trial: b.Trial, Held: b.Held, Turn: b.Turn, Tail: b.Tail, Floor: b.Floor, Format: imageFormat, Keys: b.keyLines()}
+	m.Floors, m.SeatCount = b.stepLines()
 	for _, n := range ident.Keys(b.Periods) {
 		m.Periods = append(m.Periods, b.Periods[n])
 	}
@@ -441,7 +397,7 @@
 	b.Stamp, b.Index, b.Version = m.Stamp, ident.Index(m.Index), m.Version
 	b.Generation, b.InForce, b.Grown = ident.Generation(m.Generation), ident.Generation(m.InForce), ident.Generation(m.Grown)
 	b.Epoch, b.History, b.Trial = ident.Epoch(m.Epoch), m.History, m.Trial
-	b.Held, b.Turn, b.Tail, b.Floor, b.TakenOut = m.Held, m.Turn, m.Tail, m.Floor, m.TakenOut
+	b.Held, b.Turn, b.Tail, b.Floor = m.Held, m.Turn, m.Tail, m.Floor
 	for _, p := range m.Periods {
 		b.Periods[p.Region] = p
 	}
@@ -455,5 +411,15 @@
 		b.Claims[string(l.Key)] = l
 		b.order.PushBack(l)
 	}
+	if m.Format == 0 {
+		b.fromLines(m)
+		return b, nil
+	}
+	if m.Format > imageFormat {
+		return nil, merry.Prependf(ErrImage, "format %d is of a newer build", m.Format)
+	}
+	if !b.readKeys(m.Keys) || !b.readSteps(m.Floors, m.SeatCount) {
+		return nil, ErrImage
+	}
 	return b, nil
 }
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -14,12 +14,32 @@
 
 type hand struct {
 	*Book
-	n uint64
+	n    uint64
+	docs map[ident.Generation][]byte
+	read map[ident.Generation]*desired.State
 }
 
 func (h *hand) do(c *wire.Change) Result {
 	h.n++
-	return h.Apply(&wire.Entry{Index: h.n, Stamp: h.n * 10, Change: c})
+	r := h.Apply(&wire.Entry{Index: h.n, Stamp: h.n * 10, Change: c})
+	if l := h.Line(h.Generation); l != nil {
+		if h.docs == nil {
+			h.docs, h.read = map[ident.Generation][]byte{}, map[ident.Generation]*desired.State{}
+		}
+		if h.docs[h.Generation] == nil {
+			if s, faults := desired.Read(l.Doc); len(faults) == 0 {
+				h.read[h.Generation] = s
+			}
+		}
+		h.docs[h.Generation] = l.Doc
+	}
+	return r
+}
+
+func (h *hand) span(f func(g ident.Generation, s *desired.State)) {
+	for g := h.Grown; g <= h.Generation; g++ {
+		f(g, h.read[g])
+	}
 }
 
 func (h *hand) set(nodes, slots, most int) Result {
--- a/ledger/held.go
+++ b/ledger/held.go
@@ -5,14 +5,12 @@
 	"slices"
 	"sort"
 
-	"sloeturn/ident"
 	"sloeturn/wire"
 )
 
 const (
 	HeldMost      = 256
 	HeldBytesMost = 4 << 20
-	takenOutKept  = 64
 )
 
 const (
@@ -59,7 +57,10 @@
 	return nil
 }
 
-func (b *Book) TookOut(id string) bool { return slices.Contains(b.TakenOut, id) }
+func (b *Book) TookOut(id string) bool {
+	k := b.Taken(id)
+	return k != nil && k.Kind == TookOut
+}
 
 // Stands names the end of the queue that a change must stand on, beside the generation; 0 when nothing is held.
 func (b *Book) Stands() uint64 {
@@ -90,10 +91,14 @@
 	b.Generation++
 	l.Generation, l.Stamp = uint64(b.Generation), b.Stamp
 	b.History = append(b.History, l)
-	for len(b.History) > HistoryKept && b.History[0].Generation < uint64(b.Grown) {
-		delete(b.states, ident.Generation(b.History[0].Generation))
-		b.History = append([]*wire.DesiredLine(nil), b.History[1:]...)
-	}
+	bytes, keep := len(l.Doc), len(b.History)-1
+	for keep > 0 && len(b.History)-keep < HistoryKept && bytes+len(b.History[keep-1].Doc) <= HistoryBytes {
+		keep--
+		bytes += len(b.History[keep].Doc)
+	}
+	b.History = append([]*wire.DesiredLine(nil), b.History[keep:]...)
+	clear(b.states)
+	b.rise()
 }
 
 func (b *Book) fits(basis, turn uint64) bool { return basis == uint64(b.Generation) && turn == b.Turn }
@@ -102,11 +107,8 @@
 	if c.Held == nil {
 		return Result{Code: Invalid, Generation: b.Generation}
 	}
-	if l := b.ByChange(c.Held.ChangeId); l != nil {
-		return Result{Code: Done, Generation: ident.Generation(l.Generation)}
-	}
-	if h := b.ByHeld(c.Held.ChangeId); h != nil {
-		return Result{Code: Held, Generation: b.Generation, Place: h.Place}
+	if k := b.Taken(c.Held.ChangeId); k != nil {
+		return k.again(c.Sum)
 	}
 	if !b.fits(c.Basis, c.Turn) {
 		return Result{Code: Stale, Generation: b.Generation}
@@ -120,6 +122,7 @@
 		b.Held = append(b.Held, &wire.Held{Place: b.Tail, ChangeId: h.ChangeId, Author: h.Author, Patch: h.Patch, Regions: h.Regions, Edition: h.Edition, Stamp: b.Stamp, Applied: now})
 	}
 	if !now {
+		b.remember(c.Held.ChangeId, Key{Sum: c.Sum, Kind: HeldBack, Generation: uint64(b.Generation), Edition: c.Held.Edition, Place: b.Tail})
 		return Result{Code: Held, Generation: b.Generation, Place: b.Tail}
 	}
 	if b.Trial != nil && len(c.Trial) > 0 {
@@ -128,13 +131,14 @@
 		b.Trial = nil
 	}
 	b.next(&wire.DesiredLine{ChangeId: c.Held.ChangeId, Doc: c.Doc, Author: c.Held.Author})
+	b.remember(c.Held.ChangeId, Key{Sum: c.Sum, Kind: Changed, Generation: uint64(b.Generation), Edition: b.Edition(b.Generation)})
 	b.turn()
 	return Result{Generation: b.Generation}
 }
 
 func (b *Book) takeOut(c *wire.TakeOut) Result {
-	if b.TookOut(c.ChangeId) {
-		return Result{Generation: b.Generation}
+	if k := b.Taken(c.ChangeId); k != nil {
+		return k.again(c.Sum)
 	}
 	i := slices.IndexFunc(b.Held, func(h *wire.Held) bool { return h.Place == c.Place && !h.Applied })
 	if !b.fits(c.Basis, c.Turn) || i < 0 {
@@ -149,8 +153,7 @@
 		b.Floor = max(b.Floor, c.Edition)
 	}
 	b.settle()
-	b.TakenOut = append(slices.Clone(b.TakenOut), c.ChangeId)
-	b.TakenOut = b.TakenOut[max(0, len(b.TakenOut)-takenOutKept):]
+	b.remember(c.ChangeId, Key{Sum: c.Sum, Kind: TookOut, Generation: uint64(b.Generation), Edition: b.EndEdition(), Place: c.Place})
 	return Result{Generation: b.Generation, Place: c.Place}
 }
 
@@ -205,6 +208,14 @@
 	b.settle()
 	b.Trial = nil
 	b.next(l)
+	for _, id := range l.Changes {
+		k := Key{Kind: Changed}
+		if old := b.Taken(id); old != nil {
+			k.Sum, k.Place = old.Sum, old.Place
+		}
+		k.Generation, k.Edition = uint64(b.Generation), b.Edition(b.Generation)
+		b.remember(id, k)
+	}
 	b.turn()
 	return Result{Generation: b.Generation}
 }
