Control: sent again is acknowledged as itself, refused only by a majority's word

(1) Trials, withdrawals and held changes that were superseded or taken out were refused when sent again; now each is answered with its own generation, edition and place. (2) One change id with two contents was confirmed for both: the door now says a sum of the content (basis aside) and another content under a taken id is refused with 422; an older door says none and is answered as before. (3) A leader that is cut off and doesn't know it yet decided refusals from a book that may lack what another leader took, the very order among it: a refusal now waits until a majority was heard after the order came (read index); taking an order waits for nothing new.

Checked and left: two identical orders in the queue (the second waits until the first is applied), orders logged by an old leader (a leader is firm only once its first entry is applied), replies of an old term (compared by term).

Tests seen failing before: again_test.go, four of five; the fifth (two identical orders) held before, too. The refusal's test was written with its mend, and seen failing with the mend taken out (two refusals at once).

--- /dev/null
+++ b/control/again_test.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/ledger"
+	"sloeturn/wire"
+)
+
+func TestAnOrderSentAgainAfterManyOthersIsAcknowledgedAsItself(t *testing.T) {
+	l := begin(t)
+	by := func(id string, basis uint64, n int) *wire.ProposeReply {
+		return l.set(&wire.SetDesired{ChangeId: id, Basis: basis, ByEdition: true, Doc: edition(n)})
+	}
+	require.Zero(t, by("first", 0, 1).Code)
+	for i := 1; i < 90; i++ {
+		require.Zero(t, by(fmt.Sprint("other-", i), uint64(i), i+1).Code)
+	}
+	r := by("first", 0, 1)
+	require.Equal(t, ledger.Done, ledger.Code(r.Code))
+	require.Equal(t, []uint64{1, 1}, []uint64{r.Generation, r.Edition}, "its own generation and edition")
+	require.EqualValues(t, 90, l.Book.Generation)
+	require.EqualValues(t, ledger.Stale, by("late", 1, 91).Code)
+}
+
+func TestTwoIdenticalOrdersUnderWayMakeOneGeneration(t *testing.T) {
+	l := begin(t)
+	one := l.ask(&wire.SetDesired{ChangeId: "same", ByEdition: true, Doc: edition(1)})
+	two := l.ask(&wire.SetDesired{ChangeId: "same", ByEdition: true, Doc: edition(1)})
+	l.ticks(time.Second)
+	require.Equal(t, []uint64{0, 1, 0, 1}, []uint64{uint64(l.heard[one].Code), l.heard[one].Generation, uint64(l.heard[two].Code), l.heard[two].Generation})
+	require.EqualValues(t, 1, l.Book.Generation)
+}
+
+func TestOneIdForTwoContentsIsNotConfirmedTwice(t *testing.T) {
+	l := begin(t)
+	set := func(id string, basis uint64, n int, sum uint64) *wire.ProposeReply {
+		return l.set(&wire.SetDesired{ChangeId: id, Basis: basis, ByEdition: true, Doc: edition(n), Sum: sum})
+	}
+	require.Zero(t, set("roll-out", 0, 1, 11).Code)
+	r := set("roll-out", 0, 1, 22)
+	require.Equal(t, ledger.Invalid, ledger.Code(r.Code), "another content under the same id")
+	require.Contains(t, r.Faults[0].Text, "names another change")
+	require.Zero(t, set("roll-out", 0, 1, 11).Code)
+	require.Zero(t, set("roll-out", 0, 1, 0).Code, "a door of an older build says no sum")
+	require.EqualValues(t, 1, l.Book.Generation)
+}
+
+func TestATrialSentAgainAfterItsEndStaysEnded(t *testing.T) {
+	l := begin(t)
+	require.Zero(t, l.set(&wire.SetDesired{ChangeId: "base", Doc: edition(1)}).Code)
+	tried := &wire.SetDesired{ChangeId: "try", Basis: 1, Doc: edition(2), Only: []string{"n1"}}
+	require.Zero(t, l.set(tried).Code)
+	end := &wire.SetDesired{ChangeId: "end", Basis: 1, Withdraw: true}
+	require.Zero(t, l.set(end).Code)
+	require.Zero(t, l.set(tried).Code)
+	require.Nil(t, l.Book.Trial)
+	require.Zero(t, l.set(&wire.SetDesired{ChangeId: "next", Basis: 1, Doc: edition(3)}).Code)
+	for _, c := range []*wire.SetDesired{tried, end} {
+		r := l.set(c)
+		require.Equal(t, []uint64{0, 1}, []uint64{uint64(r.Code), r.Generation}, c.ChangeId)
+	}
+}
+
+func TestAHeldChangeSentAgainIsAcknowledgedAlsoOnceItIsTakenOut(t *testing.T) {
+	d := season(t)
+	d.at(1)
+	patch := &wire.SetDesired{ChangeId: "held", Basis: 1, Merge: true, Doc: []byte(`{"edition":2,"lanes":{"ln":{"weight":3}}}`)}
+	r := d.put(patch)
+	d.code(r, ledger.Held)
+	require.EqualValues(t, 1, r.Place)
+	out := &wire.SetDesired{ChangeId: "out", Basis: 1, Tail: d.Book.Stands(), TakeOut: 1}
+	d.code(d.put(out), ledger.Done)
+	require.Empty(t, d.Book.Held)
+	r = d.put(patch)
+	d.code(r, ledger.Held)
+	require.EqualValues(t, 1, r.Place)
+	r = d.put(out)
+	d.code(r, ledger.Done)
+	require.EqualValues(t, 1, r.Place)
+	require.Empty(t, d.Book.Held)
+}
+
+func TestARefusalWaitsForAMajorityHeardAfterTheOrder(t *testing.T) {
+	l := begin(t)
+	require.Zero(t, l.set(&wire.SetDesired{ChangeId: "base", ByEdition: true, Doc: edition(5)}).Code)
+	l.now = l.now.Add(time.Millisecond)
+	replies := func() (n int) {
+		for _, e := range l.Take() {
+			if m, ok := e.(wire.Send); ok && m.Frame.GetProposeReply() != nil {
+				require.EqualValues(t, ledger.Stale, m.Frame.GetProposeReply().Code)
+				n++
+			}
+		}
+		return n
+	}
+	ask := &wire.Frame{Addr: "other", Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: 1, Change: &wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{ChangeId: "late", Basis: 4, ByEdition: true, Doc: edition(6)}}}}}}
+	l.Step(l.now, Got{ask})
+	l.Step(l.now, Got{ask})
+	require.Zero(t, replies(), "this leader may be one without a majority that knows nothing of what another took")
+	l.Settle(l.now)
+	l.Settle(l.now)
+	require.Equal(t, 1, replies())
+}
--- a/control/held.go
+++ b/control/held.go
@@ -486,12 +486,11 @@
 }
 
 func (s *State) refuse(q desiredAsk, faults ...desired.Fault) {
-	s.decide(duty.Decision{Decision: "refused change", Note: fmt.Sprintf("%s: %d faults, first %s %s", q.set.ChangeId, len(faults), faults[0].Path, faults[0].Text)})
 	r := &wire.ProposeReply{Code: uint32(ledger.Invalid), Generation: uint64(s.Book.Generation), Edition: s.Book.EndEdition(), Tail: s.Book.Stands()}
 	for _, f := range faults {
 		r.Faults = append(r.Faults, &wire.Fault{Path: f.Path, Text: f.Text})
 	}
-	s.reply(q.asker, r)
+	s.refuseWith(q, fmt.Sprintf("%s: %d faults, first %s %s", q.set.ChangeId, len(faults), faults[0].Path, faults[0].Text), r)
 }
 
 func (s *State) log(q desiredAsk, c *wire.Change, now ident.Moment) {
@@ -533,7 +532,7 @@
 		s.refuse(q, desired.Fault{Path: "", Text: fmt.Sprintf("%d changes of %d bytes are held; at most %d of %d", len(s.Book.Held), s.Book.HeldBytes(), ledger.HeldMost, ledger.HeldBytesMost)})
 		return
 	}
-	c := &wire.HoldBack{Basis: uint64(s.Book.Generation), Turn: s.Book.Turn, Held: h}
+	c := &wire.HoldBack{Basis: uint64(s.Book.Generation), Turn: s.Book.Turn, Held: h, Sum: q.set.Sum}
 	part := desired.Merge(s.inForceTree(), patch)
 	if n, doc, faults := s.sound(part); len(faults) == 0 && s.agrees(patch, whole) {
 		_, still := s.touched(from, n)
@@ -578,10 +577,6 @@
 }
 
 func (s *State) takeOut(q desiredAsk, now ident.Moment) {
-	if s.Book.TookOut(q.set.ChangeId) {
-		s.reply(q.asker, &wire.ProposeReply{Generation: uint64(s.Book.Generation), Edition: s.Book.EndEdition(), Tail: s.Book.Stands(), Place: q.set.TakeOut})
-		return
-	}
 	if s.Book.ByPlace(q.set.TakeOut) == nil {
 		s.refuse(q, desired.Fault{Path: fmt.Sprintf("/held/%d", q.set.TakeOut), Text: "is not held"})
 		return
@@ -599,7 +594,7 @@
 		s.refuse(q, faults...)
 		return
 	}
-	c := &wire.TakeOut{Basis: uint64(s.Book.Generation), Turn: s.Book.Turn, Place: q.set.TakeOut, ChangeId: q.set.ChangeId}
+	c := &wire.TakeOut{Basis: uint64(s.Book.Generation), Turn: s.Book.Turn, Place: q.set.TakeOut, ChangeId: q.set.ChangeId, Sum: q.set.Sum}
 	if e := max(s.Book.EndEdition(), s.Book.Floor); last > 0 {
 		c.Edition = e + 1
 	}
--- a/control/http.go
+++ b/control/http.go
@@ -151,7 +151,7 @@
 	}
 	done, stop := context.WithTimeout(r.Context(), DesiredWait)
 	defer stop()
-	c.Basis, c.ByEdition, c.ChangeId, c.Author = basis, byEdition, id, r.Header.Get("Sloeturn-Author")
+	c.Basis, c.ByEdition, c.ChangeId, c.Author, c.Sum = basis, byEdition, id, r.Header.Get("Sloeturn-Author"), sumOf(c)
 	got := n.Change(done, &wire.Change{Body: &wire.Change_SetDesired{SetDesired: c}}, DesiredWait)
 	switch ledger.Code(got.Code) {
 	case ledger.Done:
@@ -167,7 +167,11 @@
 		duty.JSON(w, 200, map[string]any{"generation": got.Generation, "edition": got.Edition, "inForce": true})
 	case ledger.Held:
 		w.Header().Set("ETag", mark(got.Generation, got.Tail))
-		duty.JSON(w, 202, map[string]any{"held": true, "place": got.Place, "until": stamp(got.UntilMs), "regions": got.Regions, "generation": got.Generation, "edition": got.Edition, "basis": strings.Trim(mark(got.Generation, got.Tail), `"`)})
+		told := map[string]any{"held": true, "place": got.Place, "generation": got.Generation, "edition": got.Edition, "basis": strings.Trim(mark(got.Generation, got.Tail), `"`)}
+		if got.UntilMs > 0 {
+			told["until"], told["regions"] = stamp(got.UntilMs), got.Regions
+		}
+		duty.JSON(w, 202, told)
 	case ledger.Stale:
 		w.Header().Set("ETag", mark(got.Generation, got.Tail))
 		late := map[string]any{"error": "another change came first", "generation": got.Generation, "edition": got.Edition}
--- a/control/state.go
+++ b/control/state.go
@@ -146,6 +146,7 @@
 type desiredAsk struct {
 	asker
 	set *wire.SetDesired
+	at  ident.Moment
 }
 
 type pending struct {
@@ -182,6 +183,7 @@
 	asked    map[asker]bool
 	forces   []force
 	queue    []desiredAsk
+	unsure   []desiredAsk
 	setIndex uint64
 	holds    map[ident.Cell]*hold
 	holdAt   map[ident.Cell]ident.Moment
@@ -392,7 +394,7 @@
 		return
 	}
 	if set := c.GetSetDesired(); set != nil {
-		s.queue = append(s.queue, desiredAsk{a, set})
+		s.queue = append(s.queue, desiredAsk{a, set, now})
 		s.pump(now)
 		return
 	}
@@ -411,6 +413,7 @@
 }
 
 func (s *State) pump(now ident.Moment) {
+	s.sure()
 	for len(s.queue) > 0 && uint64(s.Book.Index) >= s.setIndex && s.Agree.Steady(now) && s.judge(now) {
 		q := s.queue[0]
 		s.queue = s.queue[1:]
@@ -419,26 +422,13 @@
 }
 
 func (s *State) decideOn(q desiredAsk, now ident.Moment) {
-	if l := s.Book.ByChange(q.set.ChangeId); l != nil {
-		s.inForce(force{ident.Generation(l.Generation), q.asker})
-		return
-	}
-	if h := s.Book.ByHeld(q.set.ChangeId); h != nil {
-		s.reply(q.asker, s.heldReply(h.Place))
-		return
-	}
-	if t := s.Book.Trial; t != nil && t.ChangeId == q.set.ChangeId {
-		s.inForce(force{s.Book.Generation, q.asker})
-		return
-	}
-	if q.set.TakeOut != 0 && s.Book.TookOut(q.set.ChangeId) {
-		s.takeOut(q, now)
+	if k := s.Book.Taken(q.set.ChangeId); k != nil {
+		s.again(q, k)
 		return
 	}
 	edition, tail := s.Book.EndEdition(), s.Book.Stands()
 	if !q.set.ByEdition && (q.set.Basis != uint64(s.Book.Generation) || q.set.Tail != tail) || q.set.ByEdition && q.set.Basis != edition {
-		s.decide(duty.Decision{Decision: "refused change", Note: "another change came first: " + q.set.ChangeId})
-		s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation), Edition: edition, Tail: tail})
+		s.refuseWith(q, "another change came first: "+q.set.ChangeId, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation), Edition: edition, Tail: tail})
 		return
 	}
 	if q.set.TakeOut != 0 {
@@ -485,7 +475,7 @@
 		s.place(q, tree, d, now)
 		return
 	}
-	s.log(q, &wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(s.Book.Generation), ChangeId: q.set.ChangeId, Doc: doc, Author: q.set.Author, Only: q.set.Only, Withdraw: q.set.Withdraw, Turn: s.Book.Turn}}}, now)
+	s.log(q, &wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(s.Book.Generation), ChangeId: q.set.ChangeId, Doc: doc, Author: q.set.Author, Only: q.set.Only, Withdraw: q.set.Withdraw, Turn: s.Book.Turn, Sum: q.set.Sum}}}, now)
 }
 
 // dated checks the calendar of a state, against the clock at the door the change came through.
@@ -593,7 +583,7 @@
 	s.decide(duty.Decision{Decision: "role", To: s.role.String(), Note: fmt.Sprintf("term %d", s.Agree.Term())})
 	s.out = append(s.out, Note{"Now " + s.role.String() + "."})
 	s.waits, s.asked = map[uint64]asker{}, map[asker]bool{}
-	s.forces, s.queue, s.setIndex, s.past = nil, nil, 0, nil
+	s.forces, s.queue, s.unsure, s.setIndex, s.past = nil, nil, nil, 0, nil
 	s.genAt = now
 }
 
