--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -200,7 +200,7 @@
 		w.Break("acknowledged generation missing", "%s reads %d, acknowledged %d", l.Name, l.control.Book.Generation, w.acked)
 		return
 	}
-	if line := l.control.Book.ByChange(w.ackedDoc); line == nil && uint64(l.control.Book.Generation) < w.acked+ledger.HistoryKept {
+	if line := l.control.Book.ByChange(w.ackedDoc); line == nil && uint64(l.control.Book.Generation) < w.acked+ledger.KeysKept {
 		w.Break("acknowledged generation missing", "%s has no change %s", l.Name, w.ackedDoc)
 	}
 	for _, v := range l.control.Book.Seats {
