Register: a checker of linearizability for operators' histories

The configuration as a register, judged by github.com/anishathalye/porcupine: one basis, one winner; what was acknowledged stays; sent again is acknowledged again or unclear, never refused once taken, never applied twice; a read never goes back and never shows what was refused; an unclear order may take effect at any later time or never (no return time).

--- /dev/null
+++ b/register/register.go
@@ -0,0 +1,155 @@
+// Package register judges histories of operators by a configuration register: a checker of linearizability.
+package register
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+type Kind uint8
+
+const (
+	Read Kind = iota
+	Replace
+	Modify
+)
+
+type Outcome uint8
+
+const (
+	Unclear Outcome = iota
+	Done
+	Refused
+)
+
+// Value is what a configuration says: its version and two settings. A replace sets both, a modify the first.
+type Value struct{ Version, One, Two uint64 }
+
+// Call is one call of an operator from its first sending to its last answer, on one clock. An
+// unclear one may take effect at any time after its sending, or never. Got is what a read showed,
+// or the version that an acknowledgement named (0 for none).
+type Call struct {
+	Operator int
+	Kind     Kind
+	ID       string
+	Basis    uint64
+	Value    Value
+	From, To time.Duration
+	Outcome  Outcome
+	Got      Value
+}
+
+func (c Call) String() string {
+	what := [...]string{"read", "replace", "modify"}[c.Kind]
+	if c.Kind != Read {
+		what += fmt.Sprintf(" %s on %d to %v", c.ID, c.Basis, c.Value)
+	}
+	return fmt.Sprintf("%.3f-%.3f operator %d: %s: %s %v", c.From.Seconds(), c.To.Seconds(), c.Operator, what, [...]string{"unclear", "done", "refused"}[c.Outcome], c.Got)
+}
+
+type state struct {
+	Value
+	taken string
+}
+
+func (s state) has(id string) bool { return strings.Contains(s.taken, " "+id+" ") }
+
+func (s state) take(c Call) state {
+	n := state{c.Value, s.taken + " " + c.ID + " "}
+	if c.Kind == Modify {
+		n.Two = s.Two
+	}
+	return n
+}
+
+// step is the sequential register: an order takes effect once, on the version that it names; one that was taken is acknowledged whenever it comes again and never refused.
+func step(s state, c Call) (bool, state) {
+	known, fits := s.has(c.ID), c.Basis == s.Version && c.Value.Version > s.Version
+	switch {
+	case c.Kind == Read:
+		return c.Outcome != Done || c.Got == s.Value, s
+	case c.Outcome == Unclear && (known || !fits):
+		return true, s
+	case c.Outcome == Unclear:
+		return true, s.take(c)
+	case c.Outcome == Refused:
+		return !known && c.Basis != s.Version, s
+	case c.Got.Version != 0 && c.Got.Version != c.Value.Version:
+		return false, s
+	case known:
+		return true, s
+	}
+	return fits, s.take(c)
+}
+
+var model = porcupine.Model{
+	Init: func() any { return state{} },
+	Step: func(s, in, _ any) (bool, any) {
+		ok, n := step(s.(state), in.(Call))
+		return ok, n
+	},
+	DescribeOperation: func(in, _ any) string { return in.(Call).String() },
+}
+
+// Verdict of a history.
+type Verdict uint8
+
+const (
+	Linear Verdict = iota
+	Broken
+	Undecided
+)
+
+// Judge says whether some order of the calls, each at one moment between its sending and its
+// answer, is one of the register; Undecided if the search took longer than most. The text names the
+// calls around the first one that fits nowhere.
+func Judge(calls []Call, most time.Duration) (Verdict, string) {
+	var list []porcupine.Operation
+	for _, c := range calls {
+		o := porcupine.Operation{ClientId: c.Operator, Input: c, Call: int64(c.From), Return: int64(c.To)}
+		if c.Outcome == Unclear {
+			if c.Kind == Read {
+				continue
+			}
+			o.Return = math.MaxInt64
+		}
+		list = append(list, o)
+	}
+	got, info := porcupine.CheckOperationsVerbose(model, list, most)
+	switch got {
+	case porcupine.Ok:
+		return Linear, ""
+	case porcupine.Unknown:
+		return Undecided, fmt.Sprintf("%d calls", len(list))
+	}
+	return Broken, stuck(list, info)
+}
+
+func stuck(list []porcupine.Operation, info porcupine.LinearizationInfo) string {
+	best := []int{}
+	for _, part := range info.PartialLinearizations() {
+		for _, p := range part {
+			if len(p) > len(best) {
+				best = p
+			}
+		}
+	}
+	s := state{}
+	for _, i := range best {
+		_, s = step(s, list[i].Input.(Call))
+	}
+	var left []Call
+	for i, o := range list {
+		if c := o.Input.(Call); !slices.Contains(best, i) && c.Outcome != Unclear {
+			left = append(left, c)
+		}
+	}
+	slices.SortFunc(left, func(a, b Call) int { return cmp.Compare(a.To, b.To) })
+	return fmt.Sprintf("%d of %d calls fit, the register then at %v; beyond it %v", len(best), len(list), s.Value, left[:min(3, len(left))])
+}
--- /dev/null
+++ b/register/register_test.go
@@ -0,0 +1,113 @@
+package register
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func call(kind Kind, id string, basis, version, one, two uint64, from, to int, out Outcome, got ...uint64) Call {
+	c := Call{Kind: kind, ID: id, Basis: basis, Value: Value{version, one, two}, From: time.Duration(from), To: time.Duration(to), Outcome: out}
+	if len(got) > 0 {
+		c.Got = Value{got[0], got[1], got[2]}
+	}
+	return c
+}
+
+func TestHistoriesByHand(t *testing.T) {
+	put := func(id string, basis, version, one uint64, from, to int, out Outcome) Call {
+		return call(Replace, id, basis, version, one, one, from, to, out)
+	}
+	read := func(version, one, two uint64, from, to int) Call {
+		return call(Read, "", 0, 0, 0, 0, from, to, Done, version, one, two)
+	}
+	modify := func(id string, basis, version, one uint64, from, to int, out Outcome) Call {
+		return call(Modify, id, basis, version, one, 0, from, to, out)
+	}
+	for name, c := range map[string]struct {
+		want  Verdict
+		calls []Call
+	}{
+		"plain":                            {Linear, []Call{read(0, 0, 0, 0, 1), put("a", 0, 1, 7, 2, 3, Done), read(1, 7, 7, 4, 5), modify("b", 1, 2, 8, 6, 7, Done), read(2, 8, 7, 8, 9)}},
+		"one basis, one winner":            {Linear, []Call{put("a", 0, 1, 7, 0, 9, Done), put("b", 0, 1, 8, 0, 9, Refused), read(1, 7, 7, 10, 11)}},
+		"both confirmed":                   {Broken, []Call{put("a", 0, 1, 7, 0, 9, Done), put("b", 0, 1, 8, 0, 9, Done)}},
+		"both confirmed by modify":         {Broken, []Call{put("a", 0, 1, 7, 0, 9, Done), modify("b", 0, 2, 8, 0, 9, Done)}},
+		"neither":                          {Broken, []Call{put("a", 0, 1, 7, 0, 9, Refused), put("b", 0, 1, 8, 0, 9, Refused)}},
+		"lost after its acknowledgement":   {Broken, []Call{put("a", 0, 1, 7, 0, 1, Done), read(0, 0, 0, 2, 3)}},
+		"overwritten by the loser":         {Broken, []Call{put("a", 0, 1, 7, 0, 9, Done), put("b", 0, 1, 8, 0, 9, Refused), read(1, 8, 8, 10, 11)}},
+		"sent again, acknowledged again":   {Linear, []Call{put("a", 0, 1, 7, 0, 1, Done), put("b", 1, 2, 8, 2, 3, Done), put("a", 0, 1, 7, 4, 5, Done), read(2, 8, 8, 6, 7)}},
+		"sent again, unclear":              {Linear, []Call{put("a", 0, 1, 7, 0, 1, Done), put("b", 1, 2, 8, 2, 3, Done), put("a", 0, 1, 7, 4, 5, Unclear), read(2, 8, 8, 6, 7)}},
+		"sent again, refused":              {Broken, []Call{put("a", 0, 1, 7, 0, 1, Done), put("b", 1, 2, 8, 2, 3, Done), put("a", 0, 1, 7, 4, 5, Refused)}},
+		"sent again, applied twice":        {Broken, []Call{put("a", 0, 1, 7, 0, 1, Done), put("b", 1, 2, 8, 2, 3, Done), put("a", 0, 1, 7, 4, 5, Done), read(1, 7, 7, 6, 7)}},
+		"unclear, then seen, then refused": {Broken, []Call{put("a", 0, 1, 7, 0, 1, Unclear), read(1, 7, 7, 2, 3), put("a", 0, 1, 7, 4, 5, Refused)}},
+		"unclear, takes effect late":       {Linear, []Call{put("a", 0, 1, 7, 0, 1, Unclear), read(0, 0, 0, 2, 3), read(1, 7, 7, 4, 5)}},
+		"unclear, never":                   {Linear, []Call{put("a", 0, 1, 7, 0, 1, Unclear), put("b", 0, 1, 8, 2, 3, Done), read(1, 8, 8, 4, 5)}},
+		"unclear, taken back":              {Broken, []Call{put("a", 0, 1, 7, 0, 1, Unclear), read(1, 7, 7, 2, 3), read(0, 0, 0, 4, 5)}},
+		"unclear before its sending":       {Broken, []Call{read(1, 7, 7, 0, 1), put("a", 0, 1, 7, 2, 3, Unclear)}},
+		"a read goes back":                 {Broken, []Call{put("a", 0, 1, 7, 0, 9, Done), read(1, 7, 7, 1, 2), read(0, 0, 0, 3, 4)}},
+		"two reads beside one order":       {Linear, []Call{put("a", 0, 1, 7, 0, 9, Done), read(0, 0, 0, 1, 2), read(1, 7, 7, 3, 4)}},
+		"a read shows what was refused":    {Broken, []Call{put("a", 0, 1, 7, 0, 1, Done), put("b", 0, 2, 8, 2, 3, Refused), read(2, 8, 8, 4, 5)}},
+		"a modify undoes a replace":        {Broken, []Call{put("a", 0, 1, 7, 0, 1, Done), modify("b", 1, 2, 8, 2, 3, Done), read(2, 8, 0, 4, 5)}},
+		"refused on the right basis":       {Broken, []Call{put("a", 0, 1, 7, 0, 1, Done), put("b", 1, 2, 8, 2, 3, Refused)}},
+		"another's version acknowledged":   {Broken, []Call{call(Replace, "a", 0, 1, 7, 7, 0, 1, Done, 2, 0, 0)}},
+	} {
+		got, text := Judge(c.calls, time.Second)
+		require.Equal(t, c.want, got, "%s: %s", name, text)
+	}
+}
+
+func TestAnyRunOfTheRegisterIsLinearAndOneWrongWordIsSeen(t *testing.T) {
+	missed, spoilt := 0, 0
+	for seed := int64(0); seed < 200; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		s := state{}
+		var calls []Call
+		at := 0
+		for i := 0; i < 40; i++ {
+			c := Call{Kind: Kind(r.Intn(3)), ID: fmt.Sprint("c", i), Basis: s.Version - min(s.Version, uint64(r.Intn(2))), Outcome: Done}
+			if c.Value = (Value{c.Basis + 1, uint64(i + 1), uint64(i + 1)}); c.Kind == Modify {
+				c.Value.Two = 0
+			}
+			if len(calls) > 0 && r.Intn(5) == 0 {
+				if o := calls[r.Intn(len(calls))]; o.Kind != Read {
+					c.Kind, c.ID, c.Basis, c.Value = o.Kind, o.ID, o.Basis, o.Value
+				}
+			}
+			if c.Kind == Read {
+				c.Got = s.Value
+			} else if ok, n := step(s, c); ok {
+				s = n
+			} else {
+				c.Outcome = Refused
+			}
+			at += 2
+			c.From, c.To = time.Duration(at-r.Intn(6)), time.Duration(at+r.Intn(6))
+			if c.Kind != Read && r.Intn(8) == 0 {
+				c.Outcome = Unclear
+			}
+			calls = append(calls, c)
+		}
+		got, text := Judge(calls, 5*time.Second)
+		require.Equal(t, Linear, got, "seed %d: %s", seed, text)
+		i := 10 + r.Intn(30)
+		switch c := &calls[i]; {
+		case c.Kind == Read:
+			c.Got.One += 1000
+		case c.Outcome == Done:
+			late := *c
+			late.From, late.To, late.Outcome = time.Duration(at+10), time.Duration(at+11), Refused
+			calls = append(calls, late)
+		default:
+			continue
+		}
+		spoilt++
+		if got, _ := Judge(calls, 5*time.Second); got != Broken {
+			missed++
+		}
+	}
+	require.Zero(t, missed)
+	require.Greater(t, spoilt, 100)
+}
