Control: each generation has its own clock, and a mark that is due goes out at once

Cause: the wait of a tenure began anew with each newer generation, so that changes closer together than that were never acknowledged while one seat was silent; and a mark waited up to 300 ms behind an earlier one, which only said that pools had shrunk. Now the leader notes for each generation from when on it could be published, and the mark moves to the newest one that every seat has staged or outlived. A mark that moves what is in force goes out at the next tick; MarkEvery binds the rest.

--- a/control/state.go
+++ b/control/state.go
@@ -25,6 +25,7 @@
 	HoldEvery    = time.Second
 	HomeStable   = 4 * time.Second
 	MarkEvery    = 300 * time.Millisecond
+	ForceSlack   = 100 * time.Millisecond
 	DealEvery    = time.Second
 	CedeEvery    = 300 * time.Millisecond
 	CedeGrace    = 1500 * time.Millisecond
@@ -188,9 +189,9 @@
 	liveFrom map[string]seen
 	leftFrom map[string]ident.Moment
 	wills    map[ident.Cell]*wire.Bequest
+	marked   *wire.Mark
 	markAt   ident.Moment
-	genAt    ident.Moment
-	genSeen  ident.Generation
+	takenAt  map[ident.Generation]ident.Moment
 	passes   map[uint64]errand
 	parked   []parked
 	passID   uint64
@@ -207,7 +208,7 @@
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, born: now}
+	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
@@ -537,8 +538,18 @@
 		}
 		s.forces = keep
 	}
-	if s.Book.Generation != s.genSeen {
-		s.genSeen, s.genAt = s.Book.Generation, now
+	s.clocks(now)
+}
+
+// clocks notes from when on each generation that isn't in force can be published here.
+func (s *State) clocks(now ident.Moment) {
+	for g := s.Book.Generation; g > s.Book.InForce && s.takenAt[g] == 0; g-- {
+		s.takenAt[g] = now
+	}
+	for g := range s.takenAt {
+		if g <= s.Book.InForce {
+			delete(s.takenAt, g)
+		}
 	}
 }
 
@@ -594,7 +605,7 @@
 	s.out = append(s.out, Note{"Now " + s.role.String() + "."})
 	s.waits, s.asked = map[uint64]asker{}, map[asker]bool{}
 	s.forces, s.queue, s.setIndex, s.past = nil, nil, 0, nil
-	s.genAt = now
+	s.marked, s.markAt = nil, 0
 }
 
 func (s *State) publish(now ident.Moment) {
@@ -1222,10 +1233,37 @@
 	}
 }
 
-func (s *State) confirmed(f func(*wire.Confirm) uint64) bool {
+// lapsed says that no seat can still serve on a word that lacks what could be published from the moment on.
+func (s *State) lapsed(from, now ident.Moment) bool {
+	return now.Sub(max(from, s.Agree.LedSince())) > s.Relay.Tenure+ForceSlack
+}
+
+// outlived is the newest generation that no seat can still serve an older one than, whatever it has said.
+func (s *State) outlived(now ident.Moment) ident.Generation {
+	g := s.Book.Generation
+	for g > s.Book.InForce && !s.lapsed(s.takenAt[g], now) {
+		g--
+	}
+	return g
+}
+
+// settled is the newest generation that all seats decide under, none under an older one.
+func (s *State) settled(now ident.Moment) ident.Generation {
+	old, all := s.outlived(now), s.Book.Generation
+	for _, v := range s.Book.Seats {
+		g := old
+		if c := s.Relay.ConfirmOf(v.Member); c != nil && c.Incarnation == v.Incarnation {
+			g = max(g, ident.Generation(c.Staged))
+		}
+		all = min(all, g)
+	}
+	return all
+}
+
+func (s *State) shrunk() bool {
 	for _, v := range s.Book.Seats {
 		c := s.Relay.ConfirmOf(v.Member)
-		if c == nil || c.Incarnation != v.Incarnation || f(c) < uint64(s.Book.Generation) {
+		if c == nil || c.Incarnation != v.Incarnation || c.Shrunk < uint64(s.Book.Generation) {
 			return false
 		}
 	}
@@ -1233,23 +1271,20 @@
 }
 
 func (s *State) marks(now ident.Moment) {
-	if s.markAt != 0 && now.Sub(s.markAt) < MarkEvery {
-		return
-	}
 	m := &wire.Mark{InForce: uint64(s.Book.InForce), Grown: uint64(s.Book.Grown)}
 	if s.Book.InForce < s.Book.Generation {
-		if s.confirmed((*wire.Confirm).GetStaged) || now.Sub(max(s.genAt, s.Agree.LedSince())) > s.Relay.Tenure+100*time.Millisecond {
-			m.InForce = uint64(s.Book.Generation)
-		}
+		m.InForce = max(m.InForce, uint64(s.settled(now)))
 	}
-	if s.Book.Grown < s.Book.Generation && s.confirmed((*wire.Confirm).GetShrunk) {
+	if s.Book.Grown < s.Book.Generation && s.shrunk() {
 		m.Grown = uint64(s.Book.Generation)
 	}
-	if m.InForce == uint64(s.Book.InForce) && m.Grown == uint64(s.Book.Grown) {
+	soon := m.InForce > max(uint64(s.Book.InForce), s.marked.GetInForce())
+	if m.InForce == uint64(s.Book.InForce) && m.Grown == uint64(s.Book.Grown) || !soon && s.markAt != 0 && now.Sub(s.markAt) < MarkEvery {
 		return
 	}
-	s.markAt = now
-	s.Agree.Propose(&wire.Change{Body: &wire.Change_Mark{Mark: m}}, now)
+	if _, ok := s.Agree.Propose(&wire.Change{Body: &wire.Change_Mark{Mark: m}}, now); ok {
+		s.marked, s.markAt = m, now
+	}
 }
 
 func (s *State) Take() []any {
