Seats: the leases of silent seats are revoked and fenced by the log

Cause: every change waited a whole tenure for a seat whose node is frozen, cut off or gone, however long it had been so. The wait is due from the moment at which the node could last hear a fresh word, not from the change. The leader logs that a silent seat's lease is revoked (its watchers call the member silent, it wasn't seen for a tenure, or it alone holds a generation up for 1 s). The revocation is part of the core: a node that finds its own seat in it takes the word as news but not as its lease, so it serves a tenure longer at most than the revocation could last be missing from a fresh word. A tenure and 0.1 s later the seat is logged as fenced, and no generation waits for it, under later leaders too. A node that hears of it asks for its lease by the revocation's version; so a wrong guess costs it nothing while its lease lasts. Older nodes don't heed: only seats taken with that word, or whose card says so, are revoked; the first entry of a leader that doesn't heed voids all revocations, since its words lack them. Ruled out: leaving seats out whose member isn't live, for such a node may still be serving. Seen failing first: without the list in what the leader publishes TestASilentSeatIsFenced fails. Fake clock: after the fence twelve orders 0.4 s apart take 60 ms at most each beside a silent seat; before it, tenure and 0.2 s at most. Test changed: data/state_test sets the lease together with the moment of the news, which were one field.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -778,7 +778,7 @@
 	s.stampAt = now
 	s.stamp = s.lastStamp()
 	s.refit()
-	s.first = s.add(&wire.Change{Body: &wire.Change_Noop{Noop: &wire.Noop{}}})
+	s.first = s.add(&wire.Change{Body: &wire.Change_Noop{Noop: &wire.Noop{Heeds: true}}})
 	s.heartbeat(now)
 }
 
--- a/control/force_test.go
+++ b/control/force_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/member"
 	"sloeturn/wire"
 )
 
@@ -15,6 +17,7 @@
 
 type fleetOf struct {
 	*lone
+	cards []*wire.Card
 	asked map[uint64]ident.Moment
 	acked map[uint64]ident.Moment
 }
@@ -23,10 +26,11 @@
 	f := &fleetOf{lone: begin(t), asked: map[uint64]ident.Moment{}, acked: map[uint64]ident.Moment{}}
 	require.Zero(t, f.set(&wire.SetDesired{ChangeId: "first", Doc: []byte("{" + four)}).Code)
 	for i, m := range members {
-		f.log(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: m, Addr: m + ":1", Incarnation: uint64(10 + i)}}})
+		f.cards = append(f.cards, &wire.Card{Id: m, Addr: m + ":1", Cell: "a", Role: member.Data, Incarnation: uint64(10 + i), Rank: 1, Version: 1})
+		f.log(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: m, Addr: m + ":1", Incarnation: uint64(10 + i), Heeds: true}}})
 	}
 	require.Len(t, f.Book.Seats, len(members))
-	f.ticks(time.Second)
+	f.run(time.Second, members...)
 	return f
 }
 
@@ -58,6 +62,9 @@
 func (f *fleetOf) run(d time.Duration, say ...string) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.ticks(20 * time.Millisecond)
+		for _, c := range f.cards {
+			f.Members.Heartbeat(&wire.Heartbeat{Card: c}, c.Id, c.Addr, f.now)
+		}
 		f.stage(say...)
 		for k := range f.asked {
 			if f.heard[k] != nil && f.acked[k] == 0 {
@@ -74,8 +81,96 @@
 	return f.acked[k].Sub(f.asked[k])
 }
 
+func TestASilentSeatIsFencedAndNoOrderWaitsForItAfterwards(t *testing.T) {
+	f := seated(t, "a", "b")
+	f.run(time.Second, "a", "b")
+	first := f.order(2)
+	f.run(HeldUp+300*time.Millisecond, "a")
+	require.NotNil(t, f.Book.Revoked[1])
+	require.False(t, f.Book.Revoked[1].Fenced)
+	require.Equal(t, f.Book.Revoked[1], f.Relay.Core.Revoked[0], "what is published names it")
+	from := f.now
+	f.run(f.Relay.Tenure-100*time.Millisecond, "a")
+	require.False(t, f.Book.Revoked[1].Fenced)
+	f.run(600*time.Millisecond, "a")
+	require.True(t, f.Book.Revoked[1].Fenced)
+	require.Greater(t, f.now.Sub(from), f.Relay.Tenure)
+	require.Less(t, f.took(first), f.Relay.Tenure+200*time.Millisecond)
+	for i := range 12 {
+		k := f.order(3 + i)
+		f.run(400*time.Millisecond, "a")
+		require.LessOrEqual(t, f.took(k), 60*time.Millisecond)
+	}
+	require.Less(t, f.Book.Grown, f.Book.InForce, "its connections may still be open")
+}
+
+func (f *fleetOf) tell(n *wire.Noop) {
+	f.token++
+	f.step(Got{&wire.Frame{From: "x", Addr: string(f.Addr), Incarnation: 1, Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: f.token, Change: &wire.Change{Body: &wire.Change_Noop{Noop: n}}}}}})
+	f.run(200 * time.Millisecond)
+}
+
+func TestAFencedSeatIsRestoredWhenItsNodeHasHeardOfItAndThenCountsAgain(t *testing.T) {
+	f := seated(t, "a", "b")
+	f.run(time.Second, "a", "b")
+	f.order(2)
+	f.run(f.Relay.Tenure+2*time.Second, "a")
+	r := f.Book.Revoked[1]
+	require.True(t, r.GetFenced())
+	mark := func(kind uint32, version uint64) *wire.SeatMark {
+		return &wire.SeatMark{Seat: 1, Member: "b", Incarnation: 11, Kind: kind, Version: version}
+	}
+	for _, n := range []*wire.Noop{
+		{Heeds: true}, {Seats: []*wire.SeatMark{mark(ledger.Restore, r.Version)}}, {Heeds: true, Seats: []*wire.SeatMark{nil}},
+		{Heeds: true, Seats: []*wire.SeatMark{{Seat: 1, Member: "b", Incarnation: 12, Kind: ledger.Restore, Version: r.Version}}},
+		{Heeds: true, Seats: []*wire.SeatMark{{Seat: 0, Member: "a", Incarnation: 10, Kind: ledger.Revoke}}},
+		{Heeds: true, Seats: []*wire.SeatMark{mark(ledger.Restore, r.Version-1)}}, {Heeds: true, Seats: []*wire.SeatMark{mark(ledger.Restore, r.Version+1)}},
+	} {
+		f.tell(n)
+		require.Same(t, r, f.Book.Revoked[1])
+		require.Len(t, f.Book.Revoked, 1)
+	}
+	f.tell(&wire.Noop{Heeds: true, Seats: []*wire.SeatMark{mark(ledger.Restore, r.Version)}})
+	require.Empty(t, f.Book.Revoked)
+	require.Empty(t, f.Relay.Core.Revoked)
+	k := f.order(3)
+	f.run(HeldUp+time.Second, "a")
+	require.Zero(t, f.acked[k], "a restored seat counts as any other")
+	require.Empty(t, f.Book.Revoked, "and isn't revoked again at once")
+	f.run(time.Second, "a", "b")
+	require.NotZero(t, f.acked[k])
+}
+
+func TestSeatsThatDoNotHeedOrAreOneOfManySlowOnesAreNotRevoked(t *testing.T) {
+	f := seated(t, "a", "b", "c")
+	f.run(time.Second, "a", "b", "c")
+	f.order(2)
+	f.run(HeldUp+500*time.Millisecond, "a")
+	require.Empty(t, f.Book.Revoked, "two of three are slow")
+	f.run(f.Relay.Tenure, "a", "b", "c")
+	f.Book.Seats[2].Heeds = false
+	f.order(3)
+	f.run(HeldUp+500*time.Millisecond, "a", "b")
+	require.Empty(t, f.Book.Revoked, "an older node doesn't heed it")
+}
+
+func TestAMemberThatItsWatchersCallSilentIsRevokedWithoutAChange(t *testing.T) {
+	f := seated(t, "a", "b")
+	f.run(time.Second, "a", "b")
+	require.Empty(t, f.Book.Revoked)
+	f.cards = f.cards[:1]
+	f.step(Got{&wire.Frame{From: "a", Addr: "a:1", Incarnation: 10, Body: &wire.Frame_Table{Table: &wire.Table{Reply: true, Cards: []*wire.Card{{Id: "b", Addr: "b:1", Cell: "a", Role: member.Data, Incarnation: 11, Rank: 1, Version: 2, State: member.Silent}}}}}})
+	f.run(300*time.Millisecond, "a", "b")
+	require.Equal(t, "b", f.Book.Revoked[1].GetMember())
+	at := f.Book.Version
+	f.run(f.Relay.Tenure+time.Second, "a", "b")
+	require.True(t, f.Book.Revoked[1].Fenced)
+	require.LessOrEqual(t, f.Book.Version, at+1, "one entry for the fence, no more")
+}
+
 func TestEachGenerationComesIntoForceATenureAfterItsOwnBeginWhileASeatIsSilent(t *testing.T) {
 	f := seated(t, "a", "b")
+	f.Book.Seats[1].Heeds = false
 	f.run(time.Second, "a", "b")
 	var keys []uint64
 	for i := range 12 {
--- a/control/http.go
+++ b/control/http.go
@@ -383,10 +383,15 @@
 		Incarnation string `json:"incarnation"`
 		Staged      uint64 `json:"staged"`
 		Shrunk      uint64 `json:"shrunk"`
+		Lease       string `json:"lease,omitempty"`
+	}
+	revoked := map[uint32]*wire.Revoked{}
+	for _, r := range s.Relay.Core.GetRevoked() {
+		revoked[r.Seat] = r
 	}
 	seats := []seat{}
 	for _, v := range s.Relay.Core.GetSeats() {
-		l := seat{v.Seat, v.Member, strconv.FormatUint(v.Incarnation, 10), 0, 0}
+		l := seat{v.Seat, v.Member, strconv.FormatUint(v.Incarnation, 10), 0, 0, standing(revoked[v.Seat])}
 		if c := s.Relay.ConfirmOf(v.Member); c != nil && c.Incarnation == v.Incarnation {
 			l.Staged, l.Shrunk = c.Staged, c.Shrunk
 		}
@@ -461,6 +466,14 @@
 		p("in_force", uint64(s.Book.InForce))
 		p("grown", uint64(s.Book.Grown))
 		p("seats_taken", len(s.Book.Seats))
+		fenced := 0
+		for _, r := range s.Book.Revoked {
+			if r.Fenced {
+				fenced++
+			}
+		}
+		p("leases_revoked", len(s.Book.Revoked))
+		p("seats_fenced", fenced)
 		p("claims_kept", len(s.Book.Claims))
 		p("cells_held", len(s.holds))
 		p("blackout_periods_open", len(s.Book.OpenRegions()))
--- a/control/state.go
+++ b/control/state.go
@@ -192,6 +192,7 @@
 	marked   *wire.Mark
 	markAt   ident.Moment
 	takenAt  map[ident.Generation]ident.Moment
+	leases
 	passes   map[uint64]errand
 	parked   []parked
 	passID   uint64
@@ -208,7 +209,7 @@
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, born: now}
+	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
@@ -397,10 +398,13 @@
 		s.pump(now)
 		return
 	}
-	switch c.GetBody().(type) {
+	switch c := c.GetBody().(type) {
 	case *wire.Change_HoldBack, *wire.Change_TakeOut, *wire.Change_PeriodTurn, *wire.Change_Land:
 		s.reply(a, &wire.ProposeReply{Code: uint32(ledger.Invalid)})
 		return
+	case *wire.Change_Noop:
+		s.reply(a, &wire.ProposeReply{Code: uint32(s.restore(c.Noop))})
+		return
 	}
 	if s.asked[a] {
 		return
@@ -539,6 +543,7 @@
 		s.forces = keep
 	}
 	s.clocks(now)
+	s.leased(e, now)
 }
 
 // clocks notes from when on each generation that isn't in force can be published here.
@@ -606,6 +611,7 @@
 	s.waits, s.asked = map[uint64]asker{}, map[asker]bool{}
 	s.forces, s.queue, s.setIndex, s.past = nil, nil, 0, nil
 	s.marked, s.markAt = nil, 0
+	s.leases = newLeases()
 }
 
 func (s *State) publish(now ident.Moment) {
@@ -615,7 +621,7 @@
 	}
 	c := s.Book.Core()
 	if k := s.Relay.Core; k == nil || k.Version != c.Version || k.Term != uint64(s.Agree.Term()) {
-		n := &wire.Core{Version: c.Version, Generation: c.Generation, InForce: c.InForce, Grown: c.Grown, Seats: c.Seats, Holds: c.Holds, Floors: c.Floors, SeatCount: c.SeatCount, Trial: c.Trial, Leader: string(s.Member), LeaderAddr: string(s.Addr), Term: uint64(s.Agree.Term()), Roster: s.Agree.Roster()}
+		n := &wire.Core{Version: c.Version, Generation: c.Generation, InForce: c.InForce, Grown: c.Grown, Seats: c.Seats, Holds: c.Holds, Floors: c.Floors, SeatCount: c.SeatCount, Trial: c.Trial, Revoked: c.Revoked, Leader: string(s.Member), LeaderAddr: string(s.Addr), Term: uint64(s.Agree.Term()), Roster: s.Agree.Roster()}
 		c = n
 	} else {
 		c = k
@@ -942,6 +948,7 @@
 	s.cells(now)
 	if s.leading() {
 		s.assign(now)
+		s.lease(now)
 		s.marks(now)
 	}
 	s.Members.Say(s.Relay.CoreFresh(now), s.draining, now)
@@ -1077,6 +1084,9 @@
 		d.Note, d.Member = d.Note+" "+c.SetDesired.ChangeId, strings.Join(c.SetDesired.Only, " ")
 	case *wire.Change_Mark:
 		d.Decision, d.Note = "mark", fmt.Sprintf("in force %d, grown %d", s.Book.InForce, s.Book.Grown)
+	case *wire.Change_Noop:
+		s.loggedLeases(c.Noop)
+		return
 	case *wire.Change_SeatTake:
 		d.Decision, d.Member, d.Seat = "seat taken", c.SeatTake.Member, &seat
 	case *wire.Change_SeatFree:
@@ -1250,7 +1260,10 @@
 // settled is the newest generation that all seats decide under, none under an older one.
 func (s *State) settled(now ident.Moment) ident.Generation {
 	old, all := s.outlived(now), s.Book.Generation
-	for _, v := range s.Book.Seats {
+	for k, v := range s.Book.Seats {
+		if s.Book.Revoked[k].GetFenced() {
+			continue
+		}
 		g := old
 		if c := s.Relay.ConfirmOf(v.Member); c != nil && c.Incarnation == v.Incarnation {
 			g = max(g, ident.Generation(c.Staged))
--- a/data/http.go
+++ b/data/http.go
@@ -392,7 +392,7 @@
 	return map[string]any{
 		"member": s.Member, "cell": s.Cell, "incarnation": strconv.FormatUint(uint64(s.Incarnation), 10), "build": s.Build,
 		"ready": s.Ready(), "why": s.Why(now), "draining": s.draining, "seat": s.Seat(), "generation": s.Relay.DocGen, "trial": s.Trial(),
-		"coreAgeMs": now.Sub(s.Relay.CoreAsOf).Milliseconds(), "coreVersion": s.Relay.Core.GetVersion(), "leader": s.Relay.Core.GetLeader(),
+		"coreAgeMs": now.Sub(s.Relay.CoreAsOf).Milliseconds(), "leaseAgeMs": now.Sub(s.Relay.Leased).Milliseconds(), "leaseRevoked": s.Relay.Revoked() != nil, "coreVersion": s.Relay.Core.GetVersion(), "leader": s.Relay.Core.GetLeader(),
 		"parent": s.Relay.Parent(), "openVisits": s.Open(), "held": s.Pass.Held(), "cells": cells,
 	}
 }
@@ -410,6 +410,7 @@
 	p("connections_held", s.Pass.Held())
 	p("generation", uint64(s.Relay.DocGen))
 	p("core_age_seconds", now.Sub(s.Relay.CoreAsOf).Seconds())
+	p("lease_age_seconds", now.Sub(s.Relay.Leased).Seconds())
 	p("wire_sent_total", n.Hub.Sent.Load())
 	p("wire_bytes_total", n.Hub.Bytes.Load())
 	p("wire_lost_total", n.Hub.Lost.Load())
--- /dev/null
+++ b/data/lease_test.go
@@ -0,0 +1,72 @@
+package data
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/wire"
+)
+
+func TestANodeWhoseLeaseIsRevokedAsksForItAndServesNoLongerThanItsTenure(t *testing.T) {
+	now := ident.Moment(1e12)
+	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"10.0.0.2:1"}, Tenure: 3 * time.Second}, now)
+	doc := []byte(`{"fleet":{"nodes":1},"services":{},"tenants":{},"lanes":{}}`)
+	core := &wire.Core{Version: 1, Generation: 1, SeatCount: 1, LeaderAddr: "10.0.0.2:1", Seats: []*wire.Seat{{Member: "n", Addr: "10.0.0.1:1", Incarnation: 7}}}
+	s.Relay.TakeCore(core, doc, 1, now)
+	var asked []*wire.Propose
+	run := func(d time.Duration, c *wire.Core) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(10 * time.Millisecond)
+			if c != nil {
+				s.Relay.TakeCore(c, nil, 0, now)
+			}
+			s.Step(now, Tick{})
+			for _, e := range s.Take() {
+				if m, ok := e.(wire.Send); ok && m.Frame.GetPropose() != nil {
+					asked = append(asked, m.Frame.GetPropose())
+				}
+			}
+		}
+	}
+	run(time.Second, core)
+	require.Empty(t, asked)
+	require.True(t, s.Ready())
+	gone := &wire.Core{Version: 2, Generation: 1, SeatCount: 1, LeaderAddr: "10.0.0.2:1", Seats: core.Seats, Revoked: []*wire.Revoked{{Seat: 0, Member: "n", Incarnation: 7, Version: 2}}}
+	s.Relay.TakeCore(gone, nil, 0, now)
+	from := now
+	run(50*time.Millisecond, nil)
+	require.NotEmpty(t, asked)
+	m := asked[0].Change.GetNoop()
+	require.True(t, m.Heeds)
+	require.Equal(t, []uint64{0, 7, 2, uint64(ledger.Restore)}, []uint64{uint64(m.Seats[0].Seat), m.Seats[0].Incarnation, m.Seats[0].Version, uint64(m.Seats[0].Kind)})
+	require.True(t, s.Ready(), "a wrong guess costs nothing while the lease lasts")
+	run(from.Add(2900*time.Millisecond).Sub(now), gone)
+	require.True(t, s.Ready())
+	tokens := map[uint64]bool{}
+	for _, p := range asked {
+		tokens[p.Token] = true
+	}
+	require.LessOrEqual(t, len(tokens), 3, "one request each SeatWait")
+	run(200*time.Millisecond, gone)
+	require.False(t, s.Ready())
+	require.Equal(t, "seat's lease revoked", s.Unready(now))
+	run(100*time.Millisecond, &wire.Core{Version: 3, Generation: 1, SeatCount: 1, Seats: core.Seats})
+	require.True(t, s.Ready())
+}
+
+func TestANodeThatNoLongerHearsDoesNotAskForItsLease(t *testing.T) {
+	now := ident.Moment(1e12)
+	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"10.0.0.2:1"}, Tenure: 3 * time.Second}, now)
+	s.Relay.TakeCore(&wire.Core{Version: 2, SeatCount: 1, LeaderAddr: "10.0.0.2:1", Seats: []*wire.Seat{{Member: "n", Addr: "10.0.0.1:1", Incarnation: 7}}, Revoked: []*wire.Revoked{{Member: "n", Incarnation: 7, Version: 2}}}, nil, 0, now)
+	now = now.Add(1100 * time.Millisecond)
+	s.Step(now, Tick{})
+	for _, e := range s.Take() {
+		if m, ok := e.(wire.Send); ok {
+			require.Nil(t, m.Frame.GetPropose())
+		}
+	}
+}
--- a/data/state.go
+++ b/data/state.go
@@ -217,8 +217,9 @@
 	s.Pass.Salt = string(b.Member)
 	s.State = forward.New(s.Pass, s.gate)
 	s.Back = func(visit string) time.Duration { return s.back(visit, s.now) }
-	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Data, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
+	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Data, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build, Heeds: true}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, false)
+	s.Relay.Life = b.Incarnation
 	s.Relay.Terms(b.Tenure, b.Stale)
 	s.Mail = relay.NewCourier(uint64(b.Incarnation))
 	return s
@@ -241,6 +242,8 @@
 		return "draining"
 	case !s.Relay.CoreKnown:
 		return "no desired state read yet"
+	case !s.Relay.CoreFresh(now) && s.Relay.Revoked() != nil:
+		return "seat's lease revoked"
 	case !s.Relay.CoreFresh(now):
 		return "desired state stale"
 	case s.Relay.DocGen == 0:
@@ -294,7 +297,7 @@
 	if why := s.Unready(now); why != "" {
 		return why
 	}
-	if now.Sub(s.Relay.CoreAsOf) >= s.Relay.Tenure {
+	if !s.Relay.InTouch(now) {
 		return "out of touch; serves on old news"
 	}
 	if s.warm {
@@ -345,7 +348,7 @@
 	if l == nil || l.Service != v.Rule.Service || l.Tenant != v.Rule.Tenant {
 		return 0, "lane changed"
 	}
-	at := s.Relay.CoreAsOf.Add(s.Relay.Stale)
+	at := s.Relay.Leased.Add(s.Relay.Stale)
 	if v.Phase < forward.Admitted {
 		return at, ""
 	}
@@ -541,6 +544,7 @@
 	s.Relay.Tick(s.Members.Ring(), s.Members.Key(), targets, now)
 	s.refresh(now)
 	s.takeSeat(heads, now)
+	s.restore(heads, now)
 	s.State.Tick(now)
 	s.finish(heads, now)
 	if s.Relay.Desired != nil {
@@ -568,7 +572,17 @@
 			basis = v.Incarnation
 		}
 	}
-	s.Mail.Post(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: string(s.Member), Addr: string(s.Addr), Incarnation: uint64(s.Incarnation), Basis: basis}}}, now.Add(SeatWait), seatTag{}, heads, now)
+	s.Mail.Post(&wire.Change{Body: &wire.Change_SeatTake{SeatTake: &wire.SeatTake{Member: string(s.Member), Addr: string(s.Addr), Incarnation: uint64(s.Incarnation), Basis: basis, Heeds: true}}}, now.Add(SeatWait), seatTag{}, heads, now)
+}
+
+// restore asks for the lease of this node's seat once it is heard to be revoked and the news is fresh.
+func (s *State) restore(heads []string, now ident.Moment) {
+	r := s.Relay.Revoked()
+	if r == nil || s.seat == nil || s.asking || s.seatAt != 0 && now.Sub(s.seatAt) < SeatPause || s.signedOff || now.Sub(s.Relay.CoreAsOf) > relay.PoorAge {
+		return
+	}
+	s.asking, s.seatAt = true, now
+	s.Mail.Post(&wire.Change{Body: &wire.Change_Noop{Noop: &wire.Noop{Heeds: true, Seats: []*wire.SeatMark{{Seat: r.Seat, Member: r.Member, Incarnation: r.Incarnation, Kind: ledger.Restore, Version: r.Version}}}}}, now.Add(SeatWait), seatTag{}, heads, now)
 }
 
 func (s *State) floors() map[ledger.Lot]int {
--- a/data/state_test.go
+++ b/data/state_test.go
@@ -79,7 +79,7 @@
 		for left := wait; left > 0; left -= 100 * time.Millisecond {
 			require.Contains(t, s.bars, ident.Addr("b:1"))
 			now = now.Add(100 * time.Millisecond)
-			s.Relay.CoreAsOf, k.AsOf = now, now
+			s.Relay.CoreAsOf, s.Relay.Leased, k.AsOf = now, now, now
 			s.Step(now, Tick{})
 		}
 		require.NotContains(t, s.bars, ident.Addr("b:1"))
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -68,6 +68,7 @@
 	Epoch      ident.Epoch
 	History    []*wire.DesiredLine
 	Seats      map[ident.Seat]*wire.Seat
+	Revoked    map[ident.Seat]*wire.Revoked
 	Holds      map[ident.Cell]*wire.Hold
 	Claims     map[string]*wire.ClaimLine
 	Trial      *wire.Trial
@@ -86,6 +87,7 @@
 func NewBook() *Book {
 	return &Book{
 		Seats:   map[ident.Seat]*wire.Seat{},
+		Revoked: map[ident.Seat]*wire.Revoked{},
 		Holds:   map[ident.Cell]*wire.Hold{},
 		Claims:  map[string]*wire.ClaimLine{},
 		Periods: map[string]*wire.Period{},
@@ -124,8 +126,11 @@
 		return b.periodTurn(c.PeriodTurn)
 	case *wire.Change_Land:
 		return b.land(c.Land)
-	case *wire.Change_Roster, *wire.Change_Noop:
+	case *wire.Change_Roster:
 		b.turn()
+	case *wire.Change_Noop:
+		b.turn()
+		b.lease(c.Noop)
 	}
 	return Result{}
 }
@@ -287,7 +292,8 @@
 			if s.Incarnation != c.Basis {
 				return Result{Code: Stale}
 			}
-			b.Seats[ident.Seat(s.Seat)] = &wire.Seat{Seat: s.Seat, Member: c.Member, Addr: c.Addr, Incarnation: c.Incarnation}
+			delete(b.Revoked, ident.Seat(s.Seat))
+			b.Seats[ident.Seat(s.Seat)] = &wire.Seat{Seat: s.Seat, Member: c.Member, Addr: c.Addr, Incarnation: c.Incarnation, Heeds: c.Heeds}
 			b.turn()
 		}
 		return Result{Seat: ident.Seat(s.Seat)}
@@ -299,7 +305,7 @@
 	for i := 0; i < n; i++ {
 		k := ident.Seat(i)
 		if b.Seats[k] == nil {
-			b.Seats[k] = &wire.Seat{Seat: uint32(i), Member: c.Member, Addr: c.Addr, Incarnation: c.Incarnation}
+			b.Seats[k] = &wire.Seat{Seat: uint32(i), Member: c.Member, Addr: c.Addr, Incarnation: c.Incarnation, Heeds: c.Heeds}
 			b.turn()
 			return Result{Seat: k}
 		}
@@ -313,6 +319,7 @@
 		return Result{Code: Stale}
 	}
 	delete(b.Seats, ident.Seat(c.Seat))
+	delete(b.Revoked, ident.Seat(c.Seat))
 	b.turn()
 	return Result{}
 }
@@ -399,6 +406,9 @@
 		c.Seats = append(c.Seats, s)
 	}
 	sort.Slice(c.Seats, func(i, j int) bool { return c.Seats[i].Seat < c.Seats[j].Seat })
+	for _, k := range ident.Keys(b.Revoked) {
+		c.Revoked = append(c.Revoked, b.Revoked[k])
+	}
 	for _, h := range b.Holds {
 		c.Holds = append(c.Holds, h)
 	}
@@ -419,7 +429,7 @@
 		m.Periods = append(m.Periods, b.Periods[n])
 	}
 	c := b.Core()
-	m.Seats, m.Holds = c.Seats, c.Holds
+	m.Seats, m.Holds, m.Revoked = c.Seats, c.Holds, c.Revoked
 	for i := 0; i < b.order.Len(); i++ {
 		if l := b.order.At(i); b.Claims[string(l.Key)] == l {
 			m.Claims = append(m.Claims, l)
@@ -448,6 +458,9 @@
 	for _, s := range m.Seats {
 		b.Seats[ident.Seat(s.Seat)] = s
 	}
+	for _, r := range m.Revoked {
+		b.Revoked[ident.Seat(r.Seat)] = r
+	}
 	for _, h := range m.Holds {
 		b.Holds[ident.Cell(h.Cell)] = h
 	}
--- a/relay/state.go
+++ b/relay/state.go
@@ -34,6 +34,7 @@
 
 type State struct {
 	Self    ident.Member
+	Life    ident.Incarnation
 	Control bool
 	Tenure  time.Duration
 	Stale   time.Duration
@@ -41,6 +42,7 @@
 
 	Core      *wire.Core
 	CoreAsOf  ident.Moment
+	Leased    ident.Moment
 	CoreKnown bool
 	Doc       []byte
 	DocGen    ident.Generation
@@ -96,7 +98,22 @@
 func (s *State) Parent() string { return s.parent }
 
 func (s *State) CoreFresh(now ident.Moment) bool {
-	return s.CoreKnown && now.Sub(s.CoreAsOf) < s.Stale
+	return s.CoreKnown && now.Sub(s.Leased) < s.Stale
+}
+
+// InTouch says that this process's own lease is within its tenure.
+func (s *State) InTouch(now ident.Moment) bool {
+	return s.CoreKnown && now.Sub(s.Leased) < s.Tenure
+}
+
+// Revoked is the revocation of this process's own seat in the newest core it knows, or nil.
+func (s *State) Revoked() *wire.Revoked {
+	for _, r := range s.Core.GetRevoked() {
+		if r.Member == string(s.Self) && r.Incarnation == uint64(s.Life) {
+			return r
+		}
+	}
+	return nil
 }
 
 func (s *State) Terms(tenure, stale time.Duration) {
@@ -271,6 +288,9 @@
 	if !s.CoreKnown || asOf.After(s.CoreAsOf) {
 		s.CoreAsOf = asOf
 	}
+	if s.Revoked() == nil && (!s.CoreKnown || asOf.After(s.Leased)) {
+		s.Leased = asOf
+	}
 	s.CoreKnown = true
 	return true
 }
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -289,7 +289,7 @@
 		p.step(control.Tick{})
 	} else {
 		if p.w.Weak == "fresh" {
-			p.node.state.Relay.CoreAsOf = p.clock()
+			p.node.state.Relay.CoreAsOf, p.node.state.Relay.Leased = p.clock(), p.clock()
 			for _, c := range p.node.state.Relay.Cells {
 				c.AsOf = p.clock()
 			}
