Simulate: orders beside silent and flapping seats, with the guards taken out

A revoked node also asks for its lease by way of the tree (in its confirm), so one that can't reach the leader itself gets it back.

--- a/cmd/seeds/main.go
+++ b/cmd/seeds/main.go
@@ -18,7 +18,7 @@
 	From    int64  `arg:"--from" default:"1" help:"first seed"`
 	Count   int    `arg:"--count" default:"100" help:"how many seeds"`
 	Seconds int    `arg:"--seconds" default:"30" help:"simulated seconds of faults for each seed"`
-	Weak    string `arg:"--weak" help:"take one guard out: claims, gate, fence, ack, sync, told, identity, fresh, answers, drain, check, basis, seat, stands, law, budget, patience, will, again, turned, life, vows, still, clock"`
+	Weak    string `arg:"--weak" help:"take one guard out: claims, gate, fence, ack, sync, told, identity, fresh, answers, drain, check, basis, seat, stands, law, budget, patience, will, again, turned, life, vows, still, clock, heed, lapse"`
 	Scene   string `arg:"--scene" help:"instead of mixed faults: one scene, or 'list'"`
 	Scale   []int  `arg:"--scale" help:"instead: traffic and times at these multiples of today's machines"`
 	Trace   bool   `arg:"--trace" help:"print the whole trace of the first seed"`
@@ -59,7 +59,7 @@
 	var wait sync.WaitGroup
 	var bad []*simulate.Result
 	faults, broken, tally := map[string]int{}, map[string]int{}, map[string]int{}
-	var worst, gap, back, blind time.Duration
+	var worst, gap, back, blind, ack time.Duration
 	served, most, ratio, shares := 0, 0, 1.0, 0.0
 	for i := 0; i < runtime.NumCPU(); i++ {
 		wait.Add(1)
@@ -82,7 +82,7 @@
 				for k := range r.Broken {
 					broken[k]++
 				}
-				worst, gap, back, blind = max(worst, r.Refusal), max(gap, r.Gap), max(back, r.Back), max(blind, r.Blind)
+				worst, gap, back, blind, ack = max(worst, r.Refusal), max(gap, r.Gap), max(back, r.Back), max(blind, r.Blind), max(ack, r.Ack)
 				if r.Ratio > 0 {
 					ratio = min(ratio, r.Ratio)
 				}
@@ -116,7 +116,7 @@
 		}
 	}
 	fmt.Printf("faults caused: %v\n", faults)
-	fmt.Printf("%d seeds in %v: %d served, worst refusal %v, longest time with nothing served %v, longest way back %v, most connections at one backend %d of %d, least ratio %.3f, longest without a cell's news %v\n", a.Count, time.Since(start).Round(time.Millisecond), served, worst, gap, back, most, simulate.Cap, ratio, blind)
+	fmt.Printf("%d seeds in %v: %d served, worst refusal %v, longest time with nothing served %v, longest way back %v, most connections at one backend %d of %d, least ratio %.3f, longest without a cell's news %v, slowest order %v\n", a.Count, time.Since(start).Round(time.Millisecond), served, worst, gap, back, most, simulate.Cap, ratio, blind, ack)
 	if tally["landed"] > 0 {
 		fmt.Printf("changes held %d, withdrawn %d, landed %d\n", tally["held"], tally["withdrawn"], tally["landed"])
 	}
--- a/control/lease.go
+++ b/control/lease.go
@@ -56,6 +56,12 @@
 	}
 }
 
+// asksBack says that the node itself, by way of others, has asked for the lease again.
+func (s *State) asksBack(r *wire.Revoked) bool {
+	c := s.Relay.ConfirmOf(r.Member)
+	return c != nil && c.Incarnation == r.Incarnation && c.Restores >= r.Version
+}
+
 func (s *State) heeds(v *wire.Seat) bool {
 	c := s.Members.Card(ident.Member(v.Member))
 	return v.Heeds || c != nil && c.Incarnation == v.Incarnation && c.Heeds
@@ -114,7 +120,7 @@
 	for _, k := range ident.Keys(s.Book.Revoked) {
 		r := s.Book.Revoked[k]
 		switch {
-		case s.restores[k] == r.Version:
+		case s.restores[k] == r.Version || s.asksBack(r):
 			add(ledger.Restore, r.Seat, r.Member, r.Incarnation, r.Version)
 		case !r.Fenced && s.lapsed(s.revokedAt[r.Version], now):
 			add(ledger.Fence, r.Seat, r.Member, r.Incarnation, r.Version)
--- a/data/state.go
+++ b/data/state.go
@@ -729,11 +729,12 @@
 	if s.Relay.Core.Generation == staged && s.Pass.Within() {
 		shrunk = staged
 	}
+	restores := s.Relay.Revoked().GetVersion()
 	old := s.Relay.ConfirmOf(string(s.Member))
-	if old != nil && old.Incarnation == uint64(s.Incarnation) && old.Staged >= staged && old.Shrunk >= shrunk && old.Turn == s.turn {
+	if old != nil && old.Incarnation == uint64(s.Incarnation) && old.Staged >= staged && old.Shrunk >= shrunk && old.Restores >= restores && old.Turn == s.turn {
 		return
 	}
-	s.Relay.Confirm(&wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: staged, Shrunk: shrunk, Turn: s.turn, Wants: s.wants})
+	s.Relay.Confirm(&wire.Confirm{Member: string(s.Member), Incarnation: uint64(s.Incarnation), Staged: staged, Shrunk: shrunk, Turn: s.turn, Wants: s.wants, Restores: restores})
 }
 
 func (s *State) want(now ident.Moment) {
--- a/relay/state.go
+++ b/relay/state.go
@@ -179,10 +179,10 @@
 		if old.Turn > c.Turn {
 			last = old
 		}
-		if c.Staged <= old.Staged && c.Shrunk <= old.Shrunk && last.Turn == old.Turn {
+		if c.Staged <= old.Staged && c.Shrunk <= old.Shrunk && c.Restores <= old.Restores && last.Turn == old.Turn {
 			return
 		}
-		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk), Turn: last.Turn, Wants: last.Wants}
+		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk), Turn: last.Turn, Wants: last.Wants, Restores: max(c.Restores, old.Restores)}
 	}
 	s.confirms[c.Member] = c
 	s.changes++
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -132,11 +132,7 @@
 				return
 			}
 			if code == ledger.Done {
-				w.Say("change %s acknowledged as generation %d", id, r.Generation)
-				if old, ok := w.told[id]; ok && old != r.Generation {
-					w.Break("two generations for one change", "%s", id)
-				}
-				w.told[id] = r.Generation
+				w.yes(id, r)
 				if r.Generation > w.acked && len(c.Only) == 0 && !c.Withdraw && c.TakeOut == 0 {
 					w.acked, w.ackedDoc, w.ackAt = r.Generation, id, w.Now
 				}
@@ -147,6 +143,14 @@
 	try(0)
 }
 
+func (w *World) yes(id string, r *wire.ProposeReply) {
+	w.Say("change %s acknowledged as generation %d", id, r.Generation)
+	if old, ok := w.told[id]; ok && old != r.Generation {
+		w.Break("two generations for one change", "%s", id)
+	}
+	w.told[id] = r.Generation
+}
+
 func (w *World) adopted(p *Proc, a data.Adopt) {
 	if a.Generation < p.at {
 		w.Break("a node went back", "%s from generation %d to %d", p.Name, p.at, a.Generation)
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -22,6 +22,7 @@
 	Back    time.Duration
 	Ratio   float64
 	Blind   time.Duration
+	Ack     time.Duration
 	Share   float64
 }
 
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -259,6 +259,9 @@
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
 		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
+		if w.Weak == "lapse" {
+			b.Tenure = 300 * ms
+		}
 		s, err := control.New(b, p.disk.recover(), p.clock())
 		if err != nil {
 			w.Break("disk unreadable", "%s: %v", p.Name, err)
@@ -294,6 +297,9 @@
 				c.AsOf = p.clock()
 			}
 		}
+		if p.w.Weak == "heed" {
+			p.node.state.Relay.Leased = p.node.state.Relay.CoreAsOf
+		}
 		if p.w.Weak == "budget" {
 			for i := 0; i < p.w.Services; i++ {
 				p.node.state.Credit(ident.Service(serviceName(i)), 50)
@@ -329,6 +335,9 @@
 		return
 	}
 	w.weakenFrame(p, f)
+	if w.heedless(p, f) {
+		return
+	}
 	w.Frames++
 	if w.sizeOf {
 		n := uint64(proto.Size(f))
