Agreement: a round counts as contact only in the term that asked it

Cause: a voter that refuses a word of an earlier term answers in its own, newer term but with the old word's round. A leader that was restarted counts its rounds from 0 again; such a late answer confirmed all its rounds up to there. Cut off, it went on for 3 s and more calling itself leader by a majority and handing out what it knew as fresh, while another leader took changes. A refusal of an earlier term now names no round, and a leader takes no round that it has not asked yet. Ruled out: the revocation of leases, which has no part in it.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -833,7 +833,9 @@
 		return &wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: s.term, Voter: string(s.Self.Voter), Ok: ok, Match: match, Hint: hint, Round: a.Round, Ailing: s.ailing, WallMs: s.Wall(now)}}}
 	}
 	if a.Term < s.term {
-		s.send(a.LeaderAddr, reply(false, 0, 0))
+		f := reply(false, 0, 0)
+		f.GetAppendReply().Round = 0
+		s.send(a.LeaderAddr, f)
 		return
 	}
 	if s.role == Blank {
@@ -955,7 +957,9 @@
 }
 
 func (s *State) acked(l *progress, n uint64) {
-	l.round = max(l.round, n)
+	if n <= s.roundNow {
+		l.round = max(l.round, n)
+	}
 	s.freshen()
 }
 
