--- a/relay/state.go
+++ b/relay/state.go
@@ -34,6 +34,7 @@
 
 type State struct {
 	Self    ident.Member
+	Life    ident.Incarnation
 	Control bool
 	Tenure  time.Duration
 	Stale   time.Duration
@@ -41,6 +42,7 @@
 
 	Core      *wire.Core
 	CoreAsOf  ident.Moment
+	Leased    ident.Moment
 	CoreKnown bool
 	Doc       []byte
 	DocGen    ident.Generation
@@ -96,7 +98,22 @@
 func (s *State) Parent() string { return s.parent }
 
 func (s *State) CoreFresh(now ident.Moment) bool {
-	return s.CoreKnown && now.Sub(s.CoreAsOf) < s.Stale
+	return s.CoreKnown && now.Sub(s.Leased) < s.Stale
+}
+
+// InTouch says that this process's own lease is within its tenure.
+func (s *State) InTouch(now ident.Moment) bool {
+	return s.CoreKnown && now.Sub(s.Leased) < s.Tenure
+}
+
+// Revoked is the revocation of this process's own seat in the newest core it knows, or nil.
+func (s *State) Revoked() *wire.Revoked {
+	for _, r := range s.Core.GetRevoked() {
+		if r.Member == string(s.Self) && r.Incarnation == uint64(s.Life) {
+			return r
+		}
+	}
+	return nil
 }
 
 func (s *State) Terms(tenure, stale time.Duration) {
@@ -162,10 +179,10 @@
 		if old.Turn > c.Turn {
 			last = old
 		}
-		if c.Staged <= old.Staged && c.Shrunk <= old.Shrunk && last.Turn == old.Turn {
+		if c.Staged <= old.Staged && c.Shrunk <= old.Shrunk && c.Restores <= old.Restores && last.Turn == old.Turn {
 			return
 		}
-		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk), Turn: last.Turn, Wants: last.Wants}
+		c = &wire.Confirm{Member: c.Member, Incarnation: c.Incarnation, Staged: max(c.Staged, old.Staged), Shrunk: max(c.Shrunk, old.Shrunk), Turn: last.Turn, Wants: last.Wants, Restores: max(c.Restores, old.Restores)}
 	}
 	s.confirms[c.Member] = c
 	s.changes++
@@ -271,6 +288,9 @@
 	if !s.CoreKnown || asOf.After(s.CoreAsOf) {
 		s.CoreAsOf = asOf
 	}
+	if s.Revoked() == nil && (!s.CoreKnown || asOf.After(s.Leased)) {
+		s.Leased = asOf
+	}
 	s.CoreKnown = true
 	return true
 }
