Settings: voterReplaceMs, how long a voter is silent before a learner replaces it

Cause: a core machine replaced by an empty one, and the next one lost catchUp (4 s at the small sites) later, leaves one of three voters, for good: the time after which a silent voter gives its place to a learner was a constant of 10 s, longer than the time in which the next loss may come.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -34,7 +34,7 @@
 	StandsMost   = 20
 	QuorumLost   = 1200 * time.Millisecond
 	FoundEvery   = 200 * time.Millisecond
-	SilentVoter  = 10 * time.Second
+	VoterReplace = 10 * time.Second
 	KeepEntries  = 4096
 	BatchEntries = 512
 	Caught       = 256
@@ -142,13 +142,15 @@
 	found   map[string]*wire.Founding
 	Leaving bool
 	Want    int
-	Image   func() []byte
-	Doors   func() []ident.Addr
-	Wall    func(now ident.Moment) int64
+	// VoterReplace is how long a voter is silent before a learner that has caught up takes its place.
+	VoterReplace time.Duration
+	Image        func() []byte
+	Doors        func() []ident.Addr
+	Wall         func(now ident.Moment) int64
 }
 
 func New(self Self, founders []ident.Addr, got *Recovered, seed int64, now ident.Moment) *State {
-	s := &State{Self: self, Founders: founders, Want: 3, rand: rand.New(rand.NewSource(seed)), found: map[string]*wire.Founding{}, out: &Out{}, Doors: func() []ident.Addr { return nil }, Wall: func(ident.Moment) int64 { return 0 }}
+	s := &State{Self: self, Founders: founders, Want: 3, VoterReplace: VoterReplace, rand: rand.New(rand.NewSource(seed)), found: map[string]*wire.Founding{}, out: &Out{}, Doors: func() []ident.Addr { return nil }, Wall: func(ident.Moment) int64 { return 0 }}
 	s.asOf, s.heardLead = now, now
 	if got != nil && got.Snapshot != nil {
 		s.role = Follower
@@ -475,7 +477,7 @@
 		for _, w := range r.Voters {
 			wiped = wiped || w.Member == v.Member && w.Id != v.Id
 		}
-		if wiped || l != nil && now.Sub(l.heard) > SilentVoter {
+		if wiped || l != nil && now.Sub(l.heard) > s.VoterReplace {
 			gone = v.Id
 		}
 	}
--- a/boot/boot.go
+++ b/boot/boot.go
@@ -26,6 +26,9 @@
 	DecisionsMost = 1 << 20
 	memoryLeast   = 16
 	memoryMost    = 1 << 20
+
+	voterReplaceLeast = 500
+	voterReplaceMost  = 3600000
 )
 
 var ErrBoot = merry.Sentinel("boot: settings are not sound")
@@ -55,6 +58,8 @@
 	Losses   int      `arg:"--losses" help:"disk holders that may be lost at once; twice as many and one vote"`
 	Joins    bool     `arg:"--joins" help:"join a fleet that stands; never form one"`
 
+	VoterReplaceMs int `arg:"--voter-replace-ms" help:"how long a voter must be silent before a learner that has caught up takes its place"`
+
 	ClockFromMs int64 `arg:"--clock-from-ms" help:"for trials of a calendar only: Unix milliseconds from which its clock runs faster"`
 	ClockScale  int64 `arg:"--clock-scale" help:"for trials of a calendar only: how many times faster; the same everywhere"`
 }
@@ -80,6 +85,8 @@
 	Losses    int      `json:"losses,omitempty"`
 	Joins     bool     `json:"joins,omitempty"`
 
+	VoterReplaceMs int `json:"voterReplaceMs,omitempty"`
+
 	ClockFromMs int64 `json:"clockFromMs,omitempty"`
 	ClockScale  int64 `json:"clockScale,omitempty"`
 }
@@ -99,6 +106,10 @@
 func (s *Settings) Tenure() time.Duration { return time.Duration(s.TenureMs) * time.Millisecond }
 func (s *Settings) Stale() time.Duration  { return time.Duration(s.StaleMs) * time.Millisecond }
 
+func (s *Settings) VoterReplace() time.Duration {
+	return time.Duration(s.VoterReplaceMs) * time.Millisecond
+}
+
 func (s *Settings) Bound() {
 	debug.SetGCPercent(s.Growth)
 	if s.MemoryMB > 0 {
@@ -127,7 +138,7 @@
 		faults = append(faults, desired.Fault{Path: path, Text: fmt.Sprintf(form, args...)})
 	}
 	if d != nil {
-		s.Files, s.FileMB, s.Losses = 8, 4, 1
+		s.Files, s.FileMB, s.Losses, s.VoterReplaceMs = 8, 4, 1, 10000
 	}
 	if f.Boot != "" {
 		b, err := os.ReadFile(f.Boot)
@@ -184,6 +195,9 @@
 		if d.Losses != 0 {
 			s.Losses = d.Losses
 		}
+		if d.VoterReplaceMs != 0 {
+			s.VoterReplaceMs = d.VoterReplaceMs
+		}
 		s.Joins = s.Joins || d.Joins
 		if d.ClockFromMs != 0 {
 			s.ClockFromMs = d.ClockFromMs
@@ -260,6 +274,9 @@
 	if d != nil && (s.Losses < 1 || s.Losses > 4) {
 		say("losses", "must be from 1 to 4; is %d", s.Losses)
 	}
+	if d != nil && (s.VoterReplaceMs < voterReplaceLeast || s.VoterReplaceMs > voterReplaceMost) {
+		say("voterReplaceMs", "must be from %d to %d; is %d", voterReplaceLeast, voterReplaceMost, s.VoterReplaceMs)
+	}
 	if d == nil && (s.ClockFromMs != 0 || s.ClockScale != 0) {
 		say("clockScale", "is for control processes")
 	} else if (s.ClockFromMs != 0) != (s.ClockScale != 0) || s.ClockFromMs < 0 || s.ClockScale < 0 || s.ClockScale > clockScaleMost {
@@ -308,7 +325,7 @@
 		{"tenureMs", fmt.Sprint(s.TenureMs), fmt.Sprint(n.TenureMs)}, {"staleMs", fmt.Sprint(s.StaleMs), fmt.Sprint(n.StaleMs)},
 		{"decisions", fmt.Sprint(s.Decisions), fmt.Sprint(n.Decisions)},
 		{"memoryMB", fmt.Sprint(s.MemoryMB), fmt.Sprint(n.MemoryMB)}, {"growth", fmt.Sprint(s.Growth), fmt.Sprint(n.Growth)},
-		{"losses", fmt.Sprint(s.Losses), fmt.Sprint(n.Losses)}, {"joins", fmt.Sprint(s.Joins), fmt.Sprint(n.Joins)},
+		{"losses", fmt.Sprint(s.Losses), fmt.Sprint(n.Losses)}, {"voterReplaceMs", fmt.Sprint(s.VoterReplaceMs), fmt.Sprint(n.VoterReplaceMs)}, {"joins", fmt.Sprint(s.Joins), fmt.Sprint(n.Joins)},
 		{"clockFromMs", fmt.Sprint(s.ClockFromMs), fmt.Sprint(n.ClockFromMs)}, {"clockScale", fmt.Sprint(s.ClockScale), fmt.Sprint(n.ClockScale)},
 		{"ringFiles", fmt.Sprint(s.Files), fmt.Sprint(n.Files)}, {"ringFileMB", fmt.Sprint(s.FileMB), fmt.Sprint(n.FileMB)},
 	} {
--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -17,12 +17,12 @@
 	require.Equal(t, "two", s.Name)
 	require.Equal(t, 500, s.DrainMs)
 	require.Equal(t, []int{16384, 0, 100}, []int{s.Decisions, s.MemoryMB, s.Growth})
-	_, faults = Read(Flags{Boot: file, Name: "No", Address: "host:7", LogLevel: "loud", Decisions: -1, MemoryMB: 3, Growth: 5}, &DiskFlags{Data: "d", Files: 1})
+	_, faults = Read(Flags{Boot: file, Name: "No", Address: "host:7", LogLevel: "loud", Decisions: -1, MemoryMB: 3, Growth: 5}, &DiskFlags{Data: "d", Files: 1, VoterReplaceMs: 499})
 	var paths []string
 	for _, f := range faults {
 		paths = append(paths, f.Path)
 	}
-	require.ElementsMatch(t, []string{"name", "address", "founders", "logLevel", "decisions", "memoryMB", "growth", "ringFiles"}, paths)
+	require.ElementsMatch(t, []string{"name", "address", "founders", "logLevel", "decisions", "memoryMB", "growth", "ringFiles", "voterReplaceMs"}, paths)
 }
 
 func TestReloadTakesWhatCanChangeAndNamesTheRest(t *testing.T) {
@@ -37,6 +37,23 @@
 	require.Equal(t, "debug", s.LogLevel)
 }
 
+func TestTheVoterReplacementTimeIsReadCheckedAndNamedOnChange(t *testing.T) {
+	f := Flags{Name: "one", Cell: "a", Address: "127.0.0.1:1", HTTP: "127.0.0.1:2", Operators: "127.0.0.1:3", Seeds: []string{"127.0.0.2:1"}}
+	s, faults := Read(f, &DiskFlags{})
+	require.Empty(t, faults)
+	require.Equal(t, 10*time.Second, s.VoterReplace())
+	changed, fixed, faults := s.Reload(f, &DiskFlags{VoterReplaceMs: 800})
+	require.Empty(t, faults)
+	require.Empty(t, changed)
+	require.Equal(t, []string{"voterReplaceMs"}, fixed)
+	require.Equal(t, 10*time.Second, s.VoterReplace())
+	s, faults = Read(f, &DiskFlags{VoterReplaceMs: 800})
+	require.Empty(t, faults)
+	require.Equal(t, 800*time.Millisecond, s.VoterReplace())
+	_, faults = Read(f, &DiskFlags{VoterReplaceMs: 3600001})
+	require.Len(t, faults, 1)
+}
+
 func TestTheTrialClockIsCheckedAndRunsFromItsMoment(t *testing.T) {
 	f := Flags{Name: "one", Cell: "a", Address: "127.0.0.1:1", HTTP: "127.0.0.1:2", Operators: "127.0.0.1:3", Seeds: []string{"127.0.0.2:1"}}
 	for _, d := range []DiskFlags{{ClockScale: 5}, {ClockFromMs: 5}, {ClockScale: -1, ClockFromMs: 5}, {ClockScale: 1 << 20, ClockFromMs: 5}} {
--- a/control/state.go
+++ b/control/state.go
@@ -100,6 +100,7 @@
 	Stale       time.Duration
 	Drain       time.Duration
 	Losses      int
+	Replace     time.Duration
 	ClockScale  int64
 	Shelf       []byte
 	Shelves     bool
@@ -224,6 +225,9 @@
 		if b.Losses > 0 {
 			s.Agree.Want = 2*b.Losses + 1
 		}
+		if b.Replace > 0 {
+			s.Agree.VoterReplace = b.Replace
+		}
 		s.Agree.Doors = func() []ident.Addr {
 			var out []ident.Addr
 			for _, a := range s.heads() {
