Agreement: roster repair by live, caught-up voters, single steps, inside catchUp

Cause: an empty learner was made a voter while it held nothing, for 'within 256 entries' is true of any young log; and a voter was removed on the word of others that only answered, whose disks might stand still. A voter thrown out while frozen asked to learn again only after 2 s of silence and a second more.

Now a peer counts as able when it answered within 0.5 s, its disk is well, and it has on disk all that the leader's log held at most 1 s ago (catch-up rounds, by time and not by entries). A silent voter is removed only when an able learner stands (or there are more voters than wanted) and a majority of those that remain is able; then the learner is promoted. Remove first, then promote: a voter that is gone for good counts against both steps, and if the learner dies between them two of two live voters are left, where promoting first leaves two of four. One that was removed is fed for 2 s more, so that it learns it; it asks to learn every 200 ms from then on. A learner silent for ten times voterReplaceMs leaves the roster.

Seen failing on the code before, with a replacement time of 1 s: TestASilentVoterStaysWhileNoLearnerIsReady, TestALearnerWithEntriesBehindIsNotReadyHoweverFew, TestAVoterThatWasReplacedComesBackAsALearnerAndDisturbsNoLeader. Guards taken out once each and seen: caught up, able majority of the rest, ready learner, replacement time (none, 10 s), one change at a time, first commit in the term, asking when out. Not seen when taken out: the refusal of votes while a leader is fresh; a removed voter's log is older than its voters' as well.

Fuzzing of frames found a nil roster in the new ask; mended here.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -37,7 +37,10 @@
 	VoterReplace = 10 * time.Second
 	KeepEntries  = 4096
 	BatchEntries = 512
-	Caught       = 256
+	LiveFor      = 500 * time.Millisecond
+	CaughtUpFor  = time.Second
+	LingerFor    = 2 * time.Second
+	LearnerKept  = 10
 	LastResort   = 2 * time.Second
 	ClockKept    = 3 * time.Second
 )
@@ -81,6 +84,10 @@
 	wall      int64
 	wallAt    ident.Moment
 	wallRound uint64
+	goal      uint64
+	goalAt    ident.Moment
+	caughtUp  ident.Moment
+	outAt     ident.Moment
 }
 
 type held struct {
@@ -424,7 +431,7 @@
 
 func (s *State) change(r *wire.Roster, f func(*wire.Voter) *wire.Voter, more *wire.Voter) {
 	n := &wire.Roster{}
-	for _, v := range r.Voters {
+	for _, v := range r.GetVoters() {
 		if w := f(v); w != nil {
 			n.Voters = append(n.Voters, w)
 		}
@@ -435,62 +442,119 @@
 	s.add(&wire.Change{Body: &wire.Change_Roster{Roster: n}})
 }
 
-func (s *State) reconfigure(now ident.Moment) {
-	r, at := s.rosterAt()
-	if at > s.commit || !s.Firm() || s.quitAt != 0 {
-		return
+// live says that a peer answered this leader lately.
+func (p *progress) live(now ident.Moment) bool {
+	return p != nil && p.round > 0 && now.Sub(p.heard) < LiveFor
+}
+
+// able says that a peer is live, its disk writes, and it has on it all that this leader's log held CaughtUpFor ago.
+func (s *State) able(id string, now ident.Moment) bool {
+	if id == string(s.Self.Voter) {
+		return !s.ailing
 	}
-	voters := Voters(r)
-	ready := ""
-	for _, v := range r.Voters {
-		l := s.progress[v.Id]
-		if v.Learner && l != nil && l.match+Caught >= s.last() && now.Sub(l.heard) < time.Second && !l.ailing {
-			ready = v.Id
-		}
+	p := s.progress[id]
+	return p.live(now) && !p.ailing && p.caughtUp != 0 && now.Sub(p.caughtUp) < CaughtUpFor
+}
+
+// catchUpRound measures how far behind a peer is by time: a round begins with the log's end, and is over when the peer has that.
+func (s *State) catchUpRound(p *progress, now ident.Moment) {
+	if p.goal == 0 {
+		p.goal, p.goalAt = s.last(), now
 	}
-	if ready == "" {
-		return
+}
+
+func (p *progress) matched(n uint64) {
+	p.match = max(p.match, n)
+	if p.goal != 0 && p.match >= p.goal {
+		p.caughtUp, p.goal = p.goalAt, 0
 	}
-	if len(voters) < s.Want {
-		s.change(r, func(v *wire.Voter) *wire.Voter {
-			if v.Id == ready {
-				return &wire.Voter{Id: v.Id, Addr: v.Addr, Member: v.Member}
-			}
-			return v
-		}, nil)
-		return
+}
+
+func (s *State) readyLearner(r *wire.Roster, now ident.Moment) string {
+	for _, v := range r.GetVoters() {
+		if v.Learner && s.able(v.Id, now) {
+			return v.Id
+		}
 	}
-	live := 0
-	gone := ""
+	return ""
+}
+
+// majorityWithout says that the voters but for one are live and caught up by a majority of their own.
+func (s *State) majorityWithout(voters []*wire.Voter, id string, now ident.Moment) bool {
+	n, all := 0, 0
 	for _, v := range voters {
-		l := s.progress[v.Id]
-		if v.Id == string(s.Self.Voter) {
-			live++
+		if v.Id == id {
 			continue
 		}
-		fresh := l != nil && now.Sub(l.heard) < time.Second
-		if fresh {
-			live++
+		all++
+		if s.able(v.Id, now) {
+			n++
+		}
+	}
+	return n >= all/2+1
+}
+
+func (s *State) silentVoter(r *wire.Roster, voters []*wire.Voter, now ident.Moment) string {
+	silent := ""
+	for _, v := range voters {
+		p := s.progress[v.Id]
+		if v.Id == string(s.Self.Voter) || p == nil || p.live(now) || !s.majorityWithout(voters, v.Id, now) {
 			continue
 		}
-		wiped := false
-		for _, w := range r.Voters {
-			wiped = wiped || w.Member == v.Member && w.Id != v.Id
+		for _, w := range r.GetVoters() {
+			if w.Member == v.Member && w.Id != v.Id && now.Sub(p.heard) > LiveFor {
+				return v.Id
+			}
 		}
-		if wiped || l != nil && now.Sub(l.heard) > s.VoterReplace {
-			gone = v.Id
+		if now.Sub(p.heard) > s.VoterReplace {
+			silent = v.Id
 		}
 	}
-	if gone != "" && live >= (len(voters)-1)/2+1 {
-		s.change(r, func(v *wire.Voter) *wire.Voter {
-			if v.Id == gone {
-				return nil
-			}
-			return v
-		}, nil)
+	return silent
+}
+
+// reconfigure takes the next single step towards Want live voters: it needs the one before to be committed, in this leader's term.
+func (s *State) reconfigure(now ident.Moment) {
+	r, at := s.rosterAt()
+	if at > s.commit || !s.Firm() || s.quitAt != 0 {
+		return
+	}
+	voters := Voters(r)
+	ready := s.readyLearner(r, now)
+	if gone := s.silentVoter(r, voters, now); gone != "" && (ready != "" || len(voters) > s.Want) {
+		s.remove(r, gone)
+		return
+	}
+	if ready != "" && len(voters) < s.Want {
+		s.promote(r, ready)
+		return
+	}
+	for _, v := range r.GetVoters() {
+		if p := s.progress[v.Id]; v.Learner && p != nil && now.Sub(p.heard) > LearnerKept*s.VoterReplace {
+			s.remove(r, v.Id)
+			return
+		}
 	}
 }
 
+func (s *State) remove(r *wire.Roster, id string) {
+	s.change(r, func(v *wire.Voter) *wire.Voter {
+		if v.Id == id {
+			return nil
+		}
+		return v
+	}, nil)
+}
+
+func (s *State) promote(r *wire.Roster, id string) {
+	s.change(r, func(v *wire.Voter) *wire.Voter {
+		if v.Id == id {
+			return &wire.Voter{Id: v.Id, Addr: v.Addr, Member: v.Member}
+		}
+		return v
+	}, nil)
+}
+
 func (s *State) add(c *wire.Change) uint64 {
 	e := &wire.Entry{Term: s.term, Index: s.last() + 1, Stamp: s.stamp, Change: c}
 	s.push(e)
@@ -518,19 +582,19 @@
 
 func (s *State) refit() {
 	r := s.Roster()
-	for _, v := range r.Voters {
+	for _, v := range r.GetVoters() {
 		if v.Id == string(s.Self.Voter) {
 			continue
 		}
 		if l := s.progress[v.Id]; l != nil {
-			l.addr = v.Addr
+			l.addr, l.outAt = v.Addr, 0
 			continue
 		}
 		s.progress[v.Id] = &progress{addr: v.Addr, next: s.last() + 1, heard: s.beatAt}
 	}
-	for id := range s.progress {
-		if find(r, id) == nil {
-			delete(s.progress, id)
+	for id, p := range s.progress {
+		if find(r, id) == nil && p.outAt == 0 {
+			p.outAt = s.beatAt
 		}
 	}
 }
@@ -655,16 +719,7 @@
 			s.heartbeat(now)
 		}
 	default:
-		if now.Sub(s.heardLead) > 2*time.Second && now.Sub(s.foundAt) > time.Second {
-			s.foundAt = now
-			m := s.mine(true)
-			m.Learn = true
-			for _, v := range s.Roster().Voters {
-				if v.Addr != string(s.Self.Addr) {
-					s.send(v.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: m}})
-				}
-			}
-		}
+		s.askToLearn(now)
 		if now.After(s.electAt) {
 			s.setElect(now)
 			s.setStand(now)
@@ -675,6 +730,28 @@
 	}
 }
 
+// askToLearn is for one whom the leader no longer feeds, or whose roster is without it.
+func (s *State) askToLearn(now ident.Moment) {
+	r := s.Roster()
+	out := find(r, string(s.Self.Voter)) == nil
+	if s.Leaving || now.Sub(s.foundAt) < FoundEvery || !out && now.Sub(s.heardLead) < ElectLeast+ElectSpread {
+		return
+	}
+	s.foundAt = now
+	m := s.mine(true)
+	m.Learn = true
+	list := []ident.Addr{}
+	if s.leaderAddr != "" {
+		list = append(list, ident.Addr(s.leaderAddr))
+	}
+	for _, v := range r.GetVoters() {
+		list = append(list, ident.Addr(v.Addr))
+	}
+	for _, a := range ident.Others(s.Self.Addr, list) {
+		s.send(string(a), &wire.Frame{Body: &wire.Frame_Founding{Founding: m}})
+	}
+}
+
 func (s *State) campaign(now ident.Moment, pre, hand bool) {
 	s.pre, s.handoff = pre, hand
 	s.votes = map[string]bool{string(s.Self.Voter): true}
@@ -792,7 +869,13 @@
 		s.rounds.PopFront()
 	}
 	for _, id := range ident.Keys(s.progress) {
-		s.feed(id, s.progress[id], now, true)
+		p := s.progress[id]
+		if p.outAt != 0 && now.Sub(p.outAt) > LingerFor {
+			delete(s.progress, id)
+			continue
+		}
+		s.catchUpRound(p, now)
+		s.feed(id, p, now, true)
 	}
 }
 
@@ -921,7 +1004,7 @@
 	}
 	s.acked(l, a.Round)
 	if a.Ok {
-		l.match = max(l.match, a.Match)
+		l.matched(a.Match)
 		l.next = max(l.next, l.match+1)
 		s.advance()
 		return
@@ -952,7 +1035,7 @@
 		return
 	}
 	l.heard, l.snapAt = now, 0
-	l.match = max(l.match, a.Match)
+	l.matched(a.Match)
 	l.next = l.match + 1
 	s.acked(l, a.Round)
 	s.advance()
