Visits: a gateway's word to one of two shots doesn't silence the visit

Cause: a whole answer ends the shot beside it; but a 408, 421 or 429 without proof of not having run isn't delivered, and while the other shot still stood its 502 was left to that one, which had just been told to stay silent. The requester heard nothing, ever, and its call stayed open.

Before: TestAShotThatHearsAGatewaysWordLeavesTheOneBesideItGoingOn red. After: forward's tests green; the other shot's answer is delivered.

--- a/forward/beside_test.go
+++ b/forward/beside_test.go
@@ -115,3 +115,22 @@
 	require.Equal(t, []Deliver{{first.Visit, 1}}, pick[Deliver](r.Flush()))
 	require.Equal(t, 1, r.Open())
 }
+
+func TestAShotThatHearsAGatewaysWordLeavesTheOneBesideItGoingOn(t *testing.T) {
+	for _, status := range []int{408, 421, 429} {
+		for _, late := range []bool{false, true} {
+			r := newRoad(t, 3, 3, 10, 200)
+			first, second := r.twin()
+			if late {
+				first, second = second, first
+			}
+			r.hears(first, Whole, status)
+			all := r.Flush()
+			require.Empty(t, pick[Deliver](all), status)
+			require.Empty(t, pick[Answer](all), status)
+			r.hears(second, Whole, 200)
+			require.Equal(t, []Deliver{{second.Visit, second.Shot}}, pick[Deliver](r.Flush()), status)
+			require.Zero(t, r.Open())
+		}
+	}
+}
--- a/forward/state.go
+++ b/forward/state.go
@@ -554,7 +554,7 @@
 	s.Counts["ended "+e.String()]++
 	s.timed(v, e, status, now)
 	if m := s.other(v); m != nil {
-		if e != Whole || status >= 500 {
+		if e != Whole || status >= 500 || v.gateway(status) {
 			m.Unsure = m.Unsure || e != Turned && e != Moved
 			s.end(v, Answer{Reason: e.String() + "; the shot beside it goes on"})
 			return
