Control: a cut-off leader refuses nothing, and a cut-off process sends orders on within a second

Cause: a leader answered an order that builds on another version at once from its own book, with no majority's word that it still leads; for 1.2 s after it is cut off it refused orders (412) that build on what another leader has acknowledged meanwhile. And an order given to a process that is cut off hung for 4.5 s (its caller leaves after 1 s), a read that it passes on for 2 s. A refusal now waits until a heartbeat round that began after the order was asked is confirmed by a majority. A process that has had no leader's word for 0.7 s answers an order 'outcome unknown' after 0.7 s, and after 0.15 s once that has lasted 2 s; a read is refused at once then, else passed on for 0.9 s at most. The order itself stays on its way as before; its change id makes sending it again harmless. A generation asked by number is called unknown only by a leader that a majority confirmed after the asking. Seen failing first (the wait taken out): a cut-off leader says 'stale' at once, a cut-off follower nothing for a second. Now: lost within 1.05 s and 0.71 s; a refusal in touch takes under 0.12 s; reads at a cut-off leader are refused at each of 15 moments after the cut (that held before).

--- a/control/held.go
+++ b/control/held.go
@@ -491,7 +491,7 @@
 	for _, f := range faults {
 		r.Faults = append(r.Faults, &wire.Fault{Path: f.Path, Text: f.Text})
 	}
-	s.reply(q.asker, r)
+	s.refuseWith(q, r)
 }
 
 func (s *State) log(q desiredAsk, c *wire.Change, now ident.Moment) {
--- a/control/http.go
+++ b/control/http.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	readWait     = time.Second
+	readWait     = 700 * time.Millisecond
+	onwardWait   = 900 * time.Millisecond
 	editionBasis = "Sloeturn-Edition-Basis"
 )
 
@@ -201,35 +202,40 @@
 	wait bool
 }
 
-func (n *Node) find(want uint64, end bool) (found, error) {
-	asked := ident.Now()
-	read := func(s *State, now ident.Moment) any {
-		if at, ok := s.leads(); ok && want == 0 && at.Before(asked) {
-			return found{wait: true}
-		}
-		if want != 0 {
-			if l := s.Book.Line(ident.Generation(want)); l != nil {
-				return found{l.Doc, want, "", true, false}
-			}
-			return found{ok: s.leading()}
+// read answers from the book of a leader that a majority has confirmed after the moment of asking; a generation by number never changes and may be read anywhere.
+func (s *State) read(want uint64, end bool, asked, now ident.Moment) found {
+	if want != 0 {
+		if l := s.Book.Line(ident.Generation(want)); l != nil {
+			return found{doc: l.Doc, gen: want, ok: true}
 		}
-		if !s.leading() {
-			c := s.Members.Cards()
-			for _, k := range c {
-				if k.Addr == s.leaderAddr() {
-					return found{lead: k.Http}
-				}
+	}
+	at, leads := s.leads()
+	switch {
+	case leads && at.Before(asked):
+		return found{wait: true}
+	case want != 0:
+		return found{ok: leads}
+	case !leads && now.Sub(s.Relay.CoreAsOf) >= CutOffFor:
+		return found{}
+	case !leads:
+		for _, k := range s.Members.Cards() {
+			if k.Addr == s.leaderAddr() && k.Id != string(s.Member) {
+				return found{lead: k.Http}
 			}
-			return found{}
-		}
-		if end && len(s.Book.Held) > 0 {
-			return found{desired.Write(s.endTree()), uint64(s.Book.Generation), "", true, false}
 		}
-		if l := s.Book.Line(s.Book.Generation); l != nil {
-			return found{l.Doc, l.Generation, "", true, false}
-		}
-		return found{[]byte("{}"), 0, "", true, false}
+		return found{}
+	case end && len(s.Book.Held) > 0:
+		return found{doc: desired.Write(s.endTree()), gen: uint64(s.Book.Generation), ok: true}
+	}
+	if l := s.Book.Line(s.Book.Generation); l != nil {
+		return found{doc: l.Doc, gen: l.Generation, ok: true}
 	}
+	return found{doc: []byte("{}"), ok: true}
+}
+
+func (n *Node) find(want uint64, end bool) (found, error) {
+	asked := ident.Now()
+	read := func(s *State, now ident.Moment) any { return s.read(want, end, asked, now) }
 	v, err := n.Query(read)
 	for err == nil && v.(found).wait && ident.Now().Sub(asked) < readWait {
 		time.Sleep(5 * time.Millisecond)
@@ -267,7 +273,7 @@
 		return nil, err
 	}
 	req.Header.Set("Sloeturn-Hop", "1")
-	c := http.Client{Timeout: 2 * time.Second}
+	c := http.Client{Timeout: onwardWait}
 	return c.Do(req)
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -43,6 +43,9 @@
 	EagerFor     = 3 * time.Second
 	ShelveEvery  = 500 * time.Millisecond
 	ShelveWait   = 150 * time.Millisecond
+	SilentWait   = 700 * time.Millisecond
+	CutOffWait   = 150 * time.Millisecond
+	CutOffFor    = 2 * time.Second
 )
 
 type (
@@ -147,6 +150,14 @@
 type desiredAsk struct {
 	asker
 	set *wire.SetDesired
+	at  ident.Moment
+}
+
+// refusal waits until a majority has confirmed this leader after the order was asked.
+type refusal struct {
+	asker
+	at    ident.Moment
+	reply *wire.ProposeReply
 }
 
 type pending struct {
@@ -183,6 +194,8 @@
 	asked    map[asker]bool
 	forces   []force
 	queue    []desiredAsk
+	refusals []refusal
+	orders   map[uint64]ident.Moment
 	setIndex uint64
 	holds    map[ident.Cell]*hold
 	holdAt   map[ident.Cell]ident.Moment
@@ -209,7 +222,7 @@
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), born: now}
+	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
@@ -291,6 +304,9 @@
 		s.announce(e.Token, e.Announce, now)
 	case Change:
 		s.Mail.Hint(s.leaderAddr())
+		if e.Change.GetSetDesired() != nil {
+			s.orders[e.Token] = now
+		}
 		s.Mail.Post(e.Change, now.Add(e.Wait), e.Token, s.heads(), now)
 	case Drain:
 		if !s.draining {
@@ -344,6 +360,7 @@
 	case *wire.Frame_ProposeReply:
 		if tag, ok := s.Mail.Reply(b.ProposeReply, s.heads(), now); ok {
 			if t, ok := tag.(uint64); ok {
+				delete(s.orders, t)
 				s.out = append(s.out, Changed{t, b.ProposeReply})
 			}
 		}
@@ -394,7 +411,7 @@
 		return
 	}
 	if set := c.GetSetDesired(); set != nil {
-		s.queue = append(s.queue, desiredAsk{a, set})
+		s.queue = append(s.queue, desiredAsk{a, set, now})
 		s.pump(now)
 		return
 	}
@@ -443,7 +460,7 @@
 	edition, tail := s.Book.EndEdition(), s.Book.Stands()
 	if !q.set.ByEdition && (q.set.Basis != uint64(s.Book.Generation) || q.set.Tail != tail) || q.set.ByEdition && q.set.Basis != edition {
 		s.decide(duty.Decision{Decision: "refused change", Note: "another change came first: " + q.set.ChangeId})
-		s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation), Edition: edition, Tail: tail})
+		s.refuseWith(q, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation), Edition: edition, Tail: tail})
 		return
 	}
 	if q.set.TakeOut != 0 {
@@ -507,6 +524,41 @@
 	return c.Past(old, today)
 }
 
+// refuseWith says no only once this process is known to have led after the order was asked: a leader that was cut off may not know what the order builds on.
+func (s *State) refuseWith(q desiredAsk, r *wire.ProposeReply) {
+	s.refusals = append(s.refusals, refusal{q.asker, q.at, r})
+}
+
+func (s *State) sayRefusals() {
+	at, ok := s.Agree.AsOf()
+	if !ok {
+		return
+	}
+	keep := s.refusals[:0]
+	for _, r := range s.refusals {
+		if at.Before(r.at) {
+			keep = append(keep, r)
+			continue
+		}
+		s.reply(r.asker, r.reply)
+	}
+	s.refusals = keep
+}
+
+// overdue tells those who gave an order here to go on to another control process, if this one has heard nothing from a leader meanwhile.
+func (s *State) overdue(now ident.Moment) {
+	age := now.Sub(s.Relay.CoreAsOf)
+	if !s.Relay.CoreKnown || age < SilentWait {
+		return
+	}
+	for _, t := range ident.Keys(s.orders) {
+		if w := now.Sub(s.orders[t]); w >= SilentWait || w >= CutOffWait && age >= CutOffFor {
+			delete(s.orders, t)
+			s.out = append(s.out, Changed{t, &wire.ProposeReply{Code: uint32(ledger.Lost)}})
+		}
+	}
+}
+
 func (s *State) inForce(f force) {
 	if s.Book.InForce >= f.gen {
 		s.reply(f.asker, &wire.ProposeReply{Code: uint32(ledger.Done), Generation: uint64(f.gen), Edition: s.Book.Edition(f.gen), Tail: s.Book.Stands()})
@@ -588,6 +640,7 @@
 			s.Agree.Compact(s.used > 0.5)
 			s.pump(now)
 		}
+		s.sayRefusals()
 		s.publish(now)
 	}
 	for _, e := range s.Members.Flush() {
@@ -609,7 +662,7 @@
 	s.decide(duty.Decision{Decision: "role", To: s.role.String(), Note: fmt.Sprintf("term %d", s.Agree.Term())})
 	s.out = append(s.out, Note{"Now " + s.role.String() + "."})
 	s.waits, s.asked = map[uint64]asker{}, map[asker]bool{}
-	s.forces, s.queue, s.setIndex, s.past = nil, nil, 0, nil
+	s.forces, s.queue, s.refusals, s.setIndex, s.past = nil, nil, nil, 0, nil
 	s.marked, s.markAt = nil, 0
 	s.leases = newLeases()
 }
@@ -919,9 +972,11 @@
 	s.Mail.Hint(s.leaderAddr())
 	for _, tag := range s.Mail.Tick(heads, now) {
 		if t, ok := tag.(uint64); ok {
+			delete(s.orders, t)
 			s.out = append(s.out, Changed{t, &wire.ProposeReply{Code: uint32(ledger.Lost)}})
 		}
 	}
+	s.overdue(now)
 	for _, id := range ident.Keys(s.passes) {
 		p := s.passes[id]
 		if now.Sub(p.at) > AnnounceWait {
