--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -14,7 +14,7 @@
 	"sloeturn/wire"
 )
 
-type trio struct {
+type cluster struct {
 	t     *testing.T
 	now   ident.Moment
 	all   map[string]*State
@@ -22,8 +22,8 @@
 	notes map[string][]string
 }
 
-func three(t *testing.T) *trio {
-	w := &trio{t: t, now: ident.Moment(1e12), all: map[string]*State{}, dark: map[string]bool{}, notes: map[string][]string{}}
+func clusterOf3(t *testing.T) *cluster {
+	w := &cluster{t: t, now: ident.Moment(1e12), all: map[string]*State{}, dark: map[string]bool{}, notes: map[string][]string{}}
 	var addrs []ident.Addr
 	for i := range 3 {
 		addrs = append(addrs, ident.Addr(fmt.Sprintf("127.0.0.%d:1", i+1)))
@@ -39,7 +39,7 @@
 	return w
 }
 
-func (w *trio) leader() *State {
+func (w *cluster) leader() *State {
 	for _, s := range w.all {
 		if s.leading() && !w.dark[string(s.Addr)] {
 			return s
@@ -48,7 +48,7 @@
 	return nil
 }
 
-func (w *trio) ticks(d time.Duration) {
+func (w *cluster) ticks(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(20 * time.Millisecond) {
 		for _, a := range ident.Keys(w.all) {
 			w.step(a, Tick{})
@@ -56,7 +56,7 @@
 	}
 }
 
-func (w *trio) step(a string, e any) {
+func (w *cluster) step(a string, e any) {
 	s := w.all[a]
 	s.Step(w.now, e)
 	s.Settle(w.now)
@@ -75,7 +75,7 @@
 	}
 }
 
-func (w *trio) said(a, text string) int {
+func (w *cluster) said(a, text string) int {
 	n := 0
 	for _, v := range w.notes[a] {
 		if strings.Contains(v, text) {
@@ -86,7 +86,7 @@
 }
 
 func TestALossOfTheMajorityIsSaidOnceWithItsSilentVotersAndItsEnd(t *testing.T) {
-	w := three(t)
+	w := clusterOf3(t)
 	lead := string(w.leader().Addr)
 	for _, a := range ident.Keys(w.all) {
 		require.Equal(t, 1, w.said(a, "Learners: none."), w.notes[a])
@@ -115,7 +115,7 @@
 }
 
 func TestTheLeaderTellsWhoLagsAndWhoIsSilent(t *testing.T) {
-	w := three(t)
+	w := clusterOf3(t)
 	lead := w.leader()
 	away := ""
 	for _, a := range ident.Keys(w.all) {
--- a/control/state.go
+++ b/control/state.go
@@ -43,6 +43,9 @@
 	EagerFor     = 3 * time.Second
 	ShelveEvery  = 500 * time.Millisecond
 	ShelveWait   = 150 * time.Millisecond
+	SilentWait   = 700 * time.Millisecond
+	CutOffWait   = 150 * time.Millisecond
+	CutOffFor    = 2 * time.Second
 )
 
 type (
@@ -186,6 +189,7 @@
 	forces   []force
 	queue    []desiredAsk
 	unsure   []desiredAsk
+	orders   map[uint64]ident.Moment
 	setIndex uint64
 	holds    map[ident.Cell]*hold
 	holdAt   map[ident.Cell]ident.Moment
@@ -213,7 +217,7 @@
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), born: now}
+	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
@@ -298,6 +302,9 @@
 		s.announce(e.Token, e.Announce, now)
 	case Change:
 		s.Mail.Hint(s.leaderAddr())
+		if e.Change.GetSetDesired() != nil {
+			s.orders[e.Token] = now
+		}
 		s.Mail.Post(e.Change, now.Add(e.Wait), e.Token, s.heads(), now)
 	case Drain:
 		if !s.draining {
@@ -352,6 +359,7 @@
 	case *wire.Frame_ProposeReply:
 		if tag, ok := s.Mail.Reply(b.ProposeReply, s.heads(), now); ok {
 			if t, ok := tag.(uint64); ok {
+				delete(s.orders, t)
 				s.out = append(s.out, Changed{t, b.ProposeReply})
 			}
 		}
@@ -503,6 +511,20 @@
 	return c.Past(old, today)
 }
 
+// overdue tells those who gave an order here to go on to another control process, if this one has heard nothing from a leader meanwhile.
+func (s *State) overdue(now ident.Moment) {
+	age := now.Sub(s.Relay.CoreAsOf)
+	if !s.Relay.CoreKnown || age < SilentWait {
+		return
+	}
+	for _, t := range ident.Keys(s.orders) {
+		if w := now.Sub(s.orders[t]); w >= SilentWait || w >= CutOffWait && age >= CutOffFor {
+			delete(s.orders, t)
+			s.out = append(s.out, Changed{t, &wire.ProposeReply{Code: uint32(ledger.Lost)}})
+		}
+	}
+}
+
 func (s *State) inForce(f force) {
 	if s.Book.InForce >= f.gen {
 		s.reply(f.asker, &wire.ProposeReply{Code: uint32(ledger.Done), Generation: uint64(f.gen), Edition: s.Book.Edition(f.gen), Tail: s.Book.Stands()})
@@ -915,9 +937,11 @@
 	s.Mail.Hint(s.leaderAddr())
 	for _, tag := range s.Mail.Tick(heads, now) {
 		if t, ok := tag.(uint64); ok {
+			delete(s.orders, t)
 			s.out = append(s.out, Changed{t, &wire.ProposeReply{Code: uint32(ledger.Lost)}})
 		}
 	}
+	s.overdue(now)
 	for _, id := range ident.Keys(s.passes) {
 		p := s.passes[id]
 		if now.Sub(p.at) > AnnounceWait {
