--- a/control/cut_test.go
+++ b/control/cut_test.go
@@ -30,10 +30,11 @@
 	token uint64
 	heard map[uint64]*wire.ProposeReply
 	at    map[uint64]ident.Moment
+	notes map[string][]string
 }
 
 func three(t *testing.T) *trio {
-	w := &trio{t: t, now: ident.Moment(1e12), all: map[string]*State{}, cut: map[string]bool{}, heard: map[uint64]*wire.ProposeReply{}, at: map[uint64]ident.Moment{}}
+	w := &trio{t: t, now: ident.Moment(1e12), all: map[string]*State{}, cut: map[string]bool{}, heard: map[uint64]*wire.ProposeReply{}, at: map[uint64]ident.Moment{}, notes: map[string][]string{}}
 	var addrs []ident.Addr
 	for i := range 3 {
 		addrs = append(addrs, ident.Addr(fmt.Sprintf("127.0.0.%d:1", i+1)))
@@ -62,6 +63,8 @@
 			if e.To == f.Addr || !w.cut[e.To] && !w.cut[f.Addr] {
 				w.post = append(w.post, letter{w.now.Add(hop), wire.Send{To: e.To, Frame: f}})
 			}
+		case Note:
+			w.notes[string(s.Addr)] = append(w.notes[string(s.Addr)], e.Text)
 		case Changed:
 			if w.heard[e.Token] == nil {
 				w.heard[e.Token], w.at[e.Token] = e.Reply, w.now
