--- a/agreement/state.go
+++ b/agreement/state.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/gammazero/deque"
 
 	"sloeturn/ident"
@@ -42,6 +43,8 @@
 	ClockKept    = 3 * time.Second
 )
 
+var ErrGap = merry.Sentinel("agreement: an entry is missing")
+
 type Self struct {
 	Voter  ident.Voter
 	Member ident.Member
@@ -60,12 +63,58 @@
 	Records []*wire.Record
 }
 
+// Replay takes a record in as it stands on disk, in its order.
+func (r *Recovered) Replay(rec *wire.Record) error {
+	switch b := rec.Body.(type) {
+	case *wire.Record_HardState:
+		r.Term, r.Voted = b.HardState.Term, b.HardState.Voted
+	case *wire.Record_Cut:
+		r.cut(b.Cut)
+	case *wire.Record_Entry:
+		r.cut(b.Entry.Index)
+		return r.add(b.Entry)
+	case *wire.Record_Snapshot:
+		r.Snapshot, r.Entries = bare(b.Snapshot), nil
+		for _, e := range b.Snapshot.Log {
+			if err := r.add(e); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (r *Recovered) add(e *wire.Entry) error {
+	if r.Snapshot != nil {
+		last := r.Snapshot.LastIndex
+		if n := len(r.Entries); n > 0 {
+			last = r.Entries[n-1].Index
+		}
+		if e.Index != last+1 {
+			return merry.Wrap(ErrGap, merry.AppendMessagef("entry %d stands after %d", e.Index, last))
+		}
+	}
+	r.Entries = append(r.Entries, e)
+	return nil
+}
+
+func bare(p *wire.Snapshot) *wire.Snapshot {
+	return &wire.Snapshot{LastIndex: p.LastIndex, LastTerm: p.LastTerm, Roster: p.Roster, Image: p.Image, Stamp: p.Stamp}
+}
+
+func (r *Recovered) cut(from uint64) {
+	for n := len(r.Entries); n > 0 && r.Entries[n-1].Index >= from; n-- {
+		r.Entries = r.Entries[:n-1]
+	}
+}
+
 type Out struct {
 	Sends   []wire.Send
 	Persist *Persist
 	Applied []*wire.Entry
 	Loaded  *wire.Snapshot
 	Turned  bool
+	Notes   []string
 }
 
 type progress struct {
@@ -143,6 +192,7 @@
 	Leaving bool
 	Want    int
 	Image   func() []byte
+	Reads   func(image []byte) error
 	Doors   func() []ident.Addr
 	Wall    func(now ident.Moment) int64
 }
@@ -349,16 +399,31 @@
 }
 
 func (s *State) adopt(p *wire.Snapshot) {
-	s.snapshot = &wire.Snapshot{LastIndex: p.LastIndex, LastTerm: p.LastTerm, Roster: p.Roster, Image: p.Image, Stamp: p.Stamp}
-	s.log, s.known = nil, nil
-	s.clip(p.LastIndex)
+	if t, ok := s.termAt(p.LastIndex); ok && t == p.LastTerm {
+		s.log = append([]*wire.Entry(nil), s.log[p.LastIndex-s.base():]...)
+	} else {
+		s.log = nil
+		s.clip(s.commit)
+		s.synced = min(s.synced, s.commit)
+	}
+	s.snapshot, s.known = bare(p), nil
 	s.commit, s.applied = p.LastIndex, p.LastIndex
-	s.synced = p.LastIndex
 	s.stamp = max(s.stamp, p.Stamp)
-	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Snapshot{Snapshot: s.snapshot}})
+	s.saveSnapshot()
 	s.out.Loaded = s.snapshot
 }
 
+// saveSnapshot keeps the snapshot and the log behind it in one record, so that no crash parts them.
+func (s *State) saveSnapshot() {
+	p := bare(s.snapshot)
+	p.Log = append([]*wire.Entry(nil), s.log...)
+	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Snapshot{Snapshot: p}})
+}
+
+func (s *State) note(form string, args ...any) {
+	s.out.Notes = append(s.out.Notes, fmt.Sprintf(form, args...))
+}
+
 func (s *State) Founding(f *wire.Founding, now ident.Moment) {
 	if !f.Answer {
 		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: s.mine(true)}})
@@ -736,6 +801,9 @@
 }
 
 func (s *State) VoteReply(v *wire.VoteReply, now ident.Moment) {
+	if s.role == Blank {
+		return
+	}
 	if v.Term > s.term {
 		s.toTerm(v.Term, now)
 		return
@@ -869,6 +937,10 @@
 			if t == e.Term {
 				continue
 			}
+			if e.Index <= s.commit {
+				s.note("Refused entries from %s: %d of term %d is committed in term %d.", a.Leader, e.Index, e.Term, t)
+				return
+			}
 			s.log = append([]*wire.Entry(nil), s.log[:e.Index-s.base()-1]...)
 			s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Cut{Cut: e.Index}})
 			s.synced = min(s.synced, e.Index-1)
@@ -886,10 +958,26 @@
 	}
 }
 
+func (s *State) fits(p *wire.Snapshot) error {
+	switch {
+	case p.LastIndex == 0 || p.LastTerm == 0 || p.LastTerm > p.Term:
+		return fmt.Errorf("index %d of term %d in term %d", p.LastIndex, p.LastTerm, p.Term)
+	case len(Voters(p.Roster)) == 0:
+		return fmt.Errorf("it names no voter")
+	case p.LastIndex <= s.commit || s.Reads == nil:
+		return nil
+	}
+	return s.Reads(p.Image)
+}
+
 func (s *State) InstallSnapshot(p *wire.Snapshot, now ident.Moment) {
 	if p.Target != string(s.Self.Voter) || p.Term < s.term {
 		return
 	}
+	if err := s.fits(p); err != nil {
+		s.note("Refused a snapshot from %s: %v.", p.Leader, err)
+		return
+	}
 	if p.Term > s.term {
 		s.toTerm(p.Term, now)
 	}
@@ -903,6 +991,9 @@
 }
 
 func (s *State) AppendReply(a *wire.AppendReply, now ident.Moment) {
+	if s.role == Blank {
+		return
+	}
 	if a.Term > s.term {
 		s.toTerm(a.Term, now)
 		return
@@ -939,6 +1030,9 @@
 }
 
 func (s *State) SnapshotReply(a *wire.SnapshotReply, now ident.Moment) {
+	if s.role == Blank {
+		return
+	}
 	if a.Term > s.term {
 		s.toTerm(a.Term, now)
 		return
@@ -1023,10 +1117,7 @@
 	s.known = nil
 	s.log = append([]*wire.Entry(nil), s.log[cut-s.base():]...)
 	s.snapshot = &wire.Snapshot{LastIndex: cut, LastTerm: t, Roster: roster, Image: s.Image(), Stamp: stamp}
-	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Snapshot{Snapshot: s.snapshot}})
-	for _, e := range s.log {
-		s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Entry{Entry: e}})
-	}
+	s.saveSnapshot()
 }
 
 func (s *State) Flush(now ident.Moment) *Out {
--- a/control/state.go
+++ b/control/state.go
@@ -236,6 +236,10 @@
 		}
 		s.Agree.Wall = s.wall
 		s.Agree.Image = func() []byte { return s.Book.Image() }
+		s.Agree.Reads = func(image []byte) error {
+			_, err := ledger.ReadBook(image)
+			return err
+		}
 		if got != nil && got.Snapshot != nil {
 			if err := s.load(got.Snapshot); err != nil {
 				return nil, err
@@ -559,6 +563,9 @@
 			for _, m := range o.Sends {
 				s.out = append(s.out, m)
 			}
+			for _, t := range o.Notes {
+				s.out = append(s.out, Note{t})
+			}
 			if o.Persist != nil {
 				s.out = append(s.out, *o.Persist)
 			}
--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -206,8 +206,8 @@
 					if started {
 						return nil, merry.Wrap(ErrCorrupt, merry.WithCause(err), merry.AppendMessagef("record %d", lsn))
 					}
-				} else {
-					r.replay(got, rec, partLsn, &started)
+				} else if err := r.replay(got, rec, partLsn, &started); err != nil {
+					return nil, merry.Wrap(ErrCorrupt, merry.WithCause(err), merry.AppendMessagef("record %d", lsn))
 				}
 			}
 			off = next
@@ -244,25 +244,15 @@
 	return nil
 }
 
-func (r *Ring) replay(got *agreement.Recovered, rec *wire.Record, lsn uint64, started *bool) {
+func (r *Ring) replay(got *agreement.Recovered, rec *wire.Record, lsn uint64, started *bool) error {
 	*started = true
-	switch b := rec.Body.(type) {
-	case *wire.Record_HardState:
-		got.Term, got.Voted = b.HardState.Term, b.HardState.Voted
-		r.vow = b.HardState
-	case *wire.Record_Entry:
-		for n := len(got.Entries); n > 0 && got.Entries[n-1].Index >= b.Entry.Index; n-- {
-			got.Entries = got.Entries[:n-1]
-		}
-		got.Entries = append(got.Entries, b.Entry)
-	case *wire.Record_Cut:
-		for n := len(got.Entries); n > 0 && got.Entries[n-1].Index >= b.Cut; n-- {
-			got.Entries = got.Entries[:n-1]
-		}
-	case *wire.Record_Snapshot:
-		got.Snapshot, got.Entries = b.Snapshot, nil
+	if v := rec.GetHardState(); v != nil {
+		r.vow = v
+	}
+	if rec.GetSnapshot() != nil {
 		r.live = lsn
 	}
+	return got.Replay(rec)
 }
 
 type mark struct {
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -259,7 +259,7 @@
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
 		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
-		s, err := control.New(b, p.disk.recover(), p.clock())
+		s, err := control.New(b, p.disk.recover(w), p.clock())
 		if err != nil {
 			w.Break("disk unreadable", "%s: %v", p.Name, err)
 			return
@@ -491,24 +491,15 @@
 	}
 }
 
-func (d *disk) recover() *agreement.Recovered {
+func (d *disk) recover(w *World) *agreement.Recovered {
 	d.pending, d.queue, d.busy = nil, nil, false
 	if len(d.kept) == 0 {
 		return nil
 	}
 	got := &agreement.Recovered{}
 	for _, r := range d.kept {
-		switch b := r.Body.(type) {
-		case *wire.Record_HardState:
-			got.Term, got.Voted = b.HardState.Term, b.HardState.Voted
-		case *wire.Record_Snapshot:
-			got.Snapshot, got.Entries = b.Snapshot, nil
-		case *wire.Record_Cut:
-			for n := len(got.Entries); n > 0 && got.Entries[n-1].Index >= b.Cut; n-- {
-				got.Entries = got.Entries[:n-1]
-			}
-		case *wire.Record_Entry:
-			got.Entries = append(got.Entries, proto.Clone(b.Entry).(*wire.Entry))
+		if err := got.Replay(proto.Clone(r).(*wire.Record)); err != nil {
+			w.Break("disk unreadable", "%v", err)
 		}
 	}
 	return got
