--- a/agreement/state.go
+++ b/agreement/state.go
@@ -38,9 +38,15 @@
 	SilentVoter  = 10 * time.Second
 	KeepEntries  = 4096
 	BatchEntries = 512
+	KeepBytes    = 2 << 20
+	LogBytes     = 4 << 20
+	BatchBytes   = 64 << 10
+	FlightBytes  = 128 << 10
 	Caught       = 256
 	LastResort   = 2 * time.Second
 	ClockKept    = 3 * time.Second
+
+	SnapshotAgain = time.Second
 )
 
 var ErrGap = merry.Sentinel("agreement: an entry is missing")
@@ -130,6 +136,17 @@
 	wall      int64
 	wallAt    ident.Moment
 	wallRound uint64
+	chunks    bool
+	full      bool
+	ringBytes int64
+	snap      *transfer
+	flights   deque.Deque[flight]
+	flight    int64
+}
+
+type flight struct {
+	last  uint64
+	bytes int64
 }
 
 type held struct {
@@ -151,6 +168,8 @@
 	voted    string
 	snapshot *wire.Snapshot
 	log      []*wire.Entry
+	floor    uint64
+	below    uint64
 	commit   uint64
 	applied  uint64
 	synced   uint64
@@ -185,7 +204,22 @@
 	marks       deque.Deque[[2]uint64]
 	recs        []*wire.Record
 	out         *Out
-	ailing      bool
+	body        *body
+	part        *part
+
+	capacity   int64
+	room       int64
+	due        int64
+	recBytes   int64
+	owed       deque.Deque[owed]
+	since      int64
+	imageBytes int64
+	logBytes   int64
+	snapSeq    uint64
+	tight      bool
+	full       int64
+	Refused    bool
+	ailing     bool
 
 	foundAt ident.Moment
 	found   map[string]*wire.Founding
@@ -206,11 +240,15 @@
 		if s.snapshot.LastTerm > s.term {
 			s.term = s.snapshot.LastTerm
 		}
+		s.floor, s.below = s.snapshot.LastIndex, s.snapshot.LastTerm
 		for _, e := range got.Entries {
 			if e.Index == s.last()+1 {
 				s.log = append(s.log, e)
 			}
 		}
+		s.imageBytes = sizeOf(s.snapshot)
+		s.measure()
+		s.since = s.logBytes
 		s.commit, s.applied = s.snapshot.LastIndex, s.snapshot.LastIndex
 		s.synced = s.last()
 		s.stamp = s.lastStamp()
@@ -247,12 +285,7 @@
 	return s.asOf, true
 }
 
-func (s *State) base() uint64 {
-	if s.snapshot == nil {
-		return 0
-	}
-	return s.snapshot.LastIndex
-}
+func (s *State) base() uint64 { return s.floor }
 
 func (s *State) last() uint64 { return s.base() + uint64(len(s.log)) }
 
@@ -265,10 +298,7 @@
 
 func (s *State) termAt(i uint64) (uint64, bool) {
 	if i == s.base() {
-		if s.snapshot == nil {
-			return 0, true
-		}
-		return s.snapshot.LastTerm, true
+		return s.below, true
 	}
 	if e := s.entry(i); e != nil {
 		return e.Term, true
@@ -367,7 +397,7 @@
 
 func (s *State) saveHardState() {
 	s.hardStateAt = s.seq + 1
-	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_HardState{HardState: &wire.HardState{Term: s.term, Voted: s.voted}}})
+	s.record(&wire.Record{Body: &wire.Record_HardState{HardState: &wire.HardState{Term: s.term, Voted: s.voted}}})
 }
 
 func (s *State) enter(r Role) {
@@ -407,6 +437,7 @@
 		s.synced = min(s.synced, s.commit)
 	}
 	s.snapshot, s.known = bare(p), nil
+	s.floor, s.below = p.LastIndex, p.LastTerm
 	s.commit, s.applied = p.LastIndex, p.LastIndex
 	s.stamp = max(s.stamp, p.Stamp)
 	s.saveSnapshot()
@@ -416,8 +447,12 @@
 // saveSnapshot keeps the snapshot and the log behind it in one record, so that no crash parts them.
 func (s *State) saveSnapshot() {
 	p := bare(s.snapshot)
-	p.Log = append([]*wire.Entry(nil), s.log...)
-	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Snapshot{Snapshot: p}})
+	p.Log = append([]*wire.Entry(nil), s.log[p.LastIndex-s.floor:]...)
+	s.imageBytes = sizeOf(s.snapshot)
+	s.measure()
+	s.snapSeq, s.tight = s.seq+1, false
+	s.since = 0
+	s.record(&wire.Record{Body: &wire.Record_Snapshot{Snapshot: p}})
 }
 
 func (s *State) note(form string, args ...any) {
@@ -565,7 +600,8 @@
 
 func (s *State) push(e *wire.Entry) {
 	s.log = append(s.log, e)
-	s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Entry{Entry: e}})
+	s.logBytes += sizeOf(e)
+	s.record(&wire.Record{Body: &wire.Record_Entry{Entry: e}})
 	if e.Change.GetRoster() != nil {
 		s.known = nil
 	}
@@ -599,7 +635,7 @@
 }
 
 func (s *State) Propose(c *wire.Change, now ident.Moment) (uint64, bool) {
-	if !s.Steady(now) {
+	if !s.Steady(now) || !s.admits(c) {
 		return 0, false
 	}
 	s.tell(now)
@@ -864,24 +900,42 @@
 
 func (s *State) feed(id string, l *progress, now ident.Moment, beat bool) {
 	if l.next <= s.base() {
-		if s.snapshot != nil && (l.snapAt == 0 || now.Sub(l.snapAt) > time.Second) {
-			l.snapAt = now
-			p := s.snapshot
-			s.send(l.addr, &wire.Frame{Body: &wire.Frame_Snapshot{Snapshot: &wire.Snapshot{Term: s.term, Leader: string(s.Self.Voter), LeaderAddr: string(s.Self.Addr), LastIndex: p.LastIndex, LastTerm: p.LastTerm, Roster: p.Roster, Image: p.Image, Stamp: p.Stamp, Round: s.roundNow, Target: id}}})
-			return
+		if s.snapshot != nil {
+			s.transferTo(id, l, now)
 		}
-		if !beat {
-			return
+		if beat {
+			s.send(l.addr, s.appendTo(id, s.base(), 0))
 		}
-		s.send(l.addr, s.appendTo(id, s.base(), 0))
 		return
 	}
-	n := min(uint64(BatchEntries), s.last()+1-l.next)
+	n, size := uint64(0), int64(0)
+	for l.next+n <= s.last() && n < BatchEntries && !l.full {
+		e := sizeOf(s.entry(l.next + n))
+		if n > 0 && size+e > BatchBytes || l.flight > 0 && l.flight+size+e > FlightBytes {
+			break
+		}
+		size += e
+		n++
+	}
 	if n == 0 && !beat {
 		return
 	}
 	s.send(l.addr, s.appendTo(id, l.next-1, n))
-	l.next += n
+	if l.next += n; n > 0 {
+		l.flight += size
+		l.flights.PushBack(flight{l.next - 1, size})
+	}
+}
+
+func (l *progress) landed(match uint64) {
+	for l.flights.Len() > 0 && l.flights.Front().last <= match {
+		l.flight -= l.flights.PopFront().bytes
+	}
+}
+
+func (l *progress) ground() {
+	l.flights.Clear()
+	l.flight = 0
 }
 
 func (s *State) appendTo(id string, prev, n uint64) *wire.Frame {
@@ -898,7 +952,7 @@
 		return
 	}
 	reply := func(ok bool, match, hint uint64) *wire.Frame {
-		return &wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: s.term, Voter: string(s.Self.Voter), Ok: ok, Match: match, Hint: hint, Round: a.Round, Ailing: s.ailing, WallMs: s.Wall(now)}}}
+		return &wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: s.term, Voter: string(s.Self.Voter), Ok: ok, Match: match, Hint: hint, Round: a.Round, Ailing: s.ailing, WallMs: s.Wall(now), Chunks: true, RingBytes: uint64(s.capacity), Full: s.full > 0 && !s.fitsRing(s.full)}}}
 	}
 	if a.Term < s.term {
 		s.send(a.LeaderAddr, reply(false, 0, 0))
@@ -929,12 +983,17 @@
 	}
 	match := a.PrevIndex
 	for _, e := range a.Entries {
-		match = e.Index
+		if e.Index != match+1 || e.Term > a.Term {
+			s.note("Refused entries from %s: %d of term %d stands after %d.", a.Leader, e.Index, e.Term, match)
+			return
+		}
 		if e.Index <= s.base() {
+			match = e.Index
 			continue
 		}
 		if t, ok := s.termAt(e.Index); ok {
 			if t == e.Term {
+				match = e.Index
 				continue
 			}
 			if e.Index <= s.commit {
@@ -942,12 +1001,17 @@
 				return
 			}
 			s.log = append([]*wire.Entry(nil), s.log[:e.Index-s.base()-1]...)
-			s.recs = append(s.recs, &wire.Record{Body: &wire.Record_Cut{Cut: e.Index}})
+			s.record(&wire.Record{Body: &wire.Record_Cut{Cut: e.Index}})
 			s.synced = min(s.synced, e.Index-1)
 			s.clip(e.Index - 1)
 			s.known = nil
+			s.measure()
+		}
+		if !s.takes(e) {
+			break
 		}
 		s.push(e)
+		match = e.Index
 	}
 	if c := min(a.Commit, match); c > s.commit {
 		s.commit = c
@@ -1006,8 +1070,10 @@
 	if a.WallMs != 0 && a.Round >= l.wallRound {
 		l.wall, l.wallAt, l.wallRound = a.WallMs, now, a.Round
 	}
+	l.chunks, l.full, l.ringBytes = a.Chunks, a.Full, int64(a.RingBytes)
 	s.acked(l, a.Round)
 	if a.Ok {
+		l.landed(a.Match)
 		l.match = max(l.match, a.Match)
 		l.next = max(l.next, l.match+1)
 		s.advance()
@@ -1017,10 +1083,15 @@
 		l.ailing = true
 		return
 	}
+	if l.snap != nil {
+		s.lost(a.Voter, l, a.Round)
+		return
+	}
 	if l.reset == s.roundNow && a.Hint >= l.resetTo {
 		return
 	}
 	l.reset, l.resetTo = s.roundNow, a.Hint
+	l.ground()
 	l.next = min(l.next, a.Hint+1)
 	l.next = max(l.next, l.match+1)
 	if a.Hint < s.base() {
@@ -1041,7 +1112,8 @@
 	if s.role != Leader || a.Term != s.term || l == nil {
 		return
 	}
-	l.heard, l.snapAt = now, 0
+	l.heard, l.snapAt, l.snap = now, 0, nil
+	l.ground()
 	l.match = max(l.match, a.Match)
 	l.next = l.match + 1
 	s.acked(l, a.Round)
@@ -1106,18 +1178,40 @@
 	}
 }
 
+// Compact puts a snapshot in the place of what is applied, and keeps a bounded tail of entries in memory for those that lag.
 func (s *State) Compact(force bool) {
-	if s.Image == nil || s.applied <= s.base() || !force && s.applied < s.base()+2*KeepEntries {
+	if s.Image == nil || s.snapshot == nil || s.applied < s.snapshot.LastIndex {
+		return
+	}
+	if !force && (s.saving() || s.ailing || !s.ripe()) || force && s.applied == s.snapshot.LastIndex {
 		return
 	}
 	cut := s.applied
 	t, _ := s.termAt(cut)
-	roster := s.rosterBy(cut)
-	stamp := s.entry(cut).Stamp
-	s.known = nil
-	s.log = append([]*wire.Entry(nil), s.log[cut-s.base():]...)
+	roster, stamp := s.rosterBy(cut), s.snapshot.Stamp
+	if e := s.entry(cut); e != nil {
+		stamp = e.Stamp
+	}
 	s.snapshot = &wire.Snapshot{LastIndex: cut, LastTerm: t, Roster: roster, Image: s.Image(), Stamp: stamp}
+	s.known = nil
 	s.saveSnapshot()
+	s.trim()
+}
+
+func (s *State) trim() {
+	from, size := s.snapshot.LastIndex, int64(0)
+	for from > s.floor && s.snapshot.LastIndex-from < KeepEntries {
+		size += sizeOf(s.entry(from))
+		if size > KeepBytes {
+			break
+		}
+		from--
+	}
+	if from > s.floor {
+		t, _ := s.termAt(from)
+		s.log = append([]*wire.Entry(nil), s.log[from-s.floor:]...)
+		s.floor, s.below = from, t
+	}
 }
 
 func (s *State) Flush(now ident.Moment) *Out {
@@ -1133,6 +1227,8 @@
 		s.seq++
 		s.out.Persist = &Persist{Seq: s.seq, Records: s.recs}
 		s.recs = nil
+		s.owed.PushBack(owed{s.seq, s.recBytes})
+		s.recBytes = 0
 		s.marks.PushBack([2]uint64{s.seq, s.last()})
 	}
 	for s.wait.Len() > 0 {
--- a/control/node.go
+++ b/control/node.go
@@ -78,6 +78,7 @@
 			level.Warn(l).Log("part", "ring", "msg", "The last record was torn and is dropped.")
 		}
 		n.dir, n.ring, got = dir, ring, rec
+		b.Capacity, b.Room = ringfile.Capacity(d.Files, d.Size), ring.Room()
 		if n.shelf, b.Shelf, err = ringfile.OpenShelf(dir); err != nil {
 			level.Warn(l).Log("part", "shelf", "msg", "Copies of the cells are not kept.", "why", err)
 		} else {
@@ -169,7 +170,7 @@
 		took := int64(ident.Now().Sub(start))
 		n.Slow.Store(max(n.Slow.Load(), took))
 		n.Synced.Add(1)
-		n.Put(Synced{list[len(list)-1].Seq, n.ring.Used()})
+		n.Put(Synced{list[len(list)-1].Seq, n.ring.Used(), n.ring.Room()})
 	}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -50,6 +50,7 @@
 	Synced struct {
 		Seq  uint64
 		Used float64
+		Room int64
 	}
 	Disk     struct{ Ailing bool }
 	Shelved  struct{ OK bool }
@@ -100,6 +101,8 @@
 	Drain       time.Duration
 	Losses      int
 	ClockScale  int64
+	Capacity    int64
+	Room        int64
 	Shelf       []byte
 	Shelves     bool
 }
@@ -234,6 +237,7 @@
 			}
 			return out
 		}
+		s.Agree.Space(b.Capacity, b.Room)
 		s.Agree.Wall = s.wall
 		s.Agree.Image = func() []byte { return s.Book.Image() }
 		s.Agree.Reads = func(image []byte) error {
@@ -282,6 +286,7 @@
 		s.tick(now)
 	case Synced:
 		s.used = e.Used
+		s.Agree.Room(e.Seq, e.Room)
 		s.Agree.Synced(e.Seq, now)
 	case Disk:
 		if e.Ailing != s.Agree.Ailing() {
@@ -376,6 +381,10 @@
 		s.Agree.InstallSnapshot(b.Snapshot, now)
 	case *wire.Frame_SnapshotReply:
 		s.Agree.SnapshotReply(b.SnapshotReply, now)
+	case *wire.Frame_SnapshotChunk:
+		s.Agree.SnapshotChunk(b.SnapshotChunk, now)
+	case *wire.Frame_SnapshotChunkReply:
+		s.Agree.SnapshotChunkReply(b.SnapshotChunkReply, now)
 	case *wire.Frame_Handoff:
 		s.Agree.Handoff(b.Handoff, now)
 	case *wire.Frame_Founding:
@@ -550,6 +559,7 @@
 
 func (s *State) Settle(now ident.Moment) {
 	if s.Agree != nil {
+		s.Agree.Compact(false)
 		if s.Agree.Role() == agreement.Leader {
 			s.pump(now)
 		}
@@ -578,7 +588,7 @@
 			if len(o.Applied) == 0 {
 				break
 			}
-			s.Agree.Compact(s.used > 0.5)
+			s.Agree.Compact(false)
 			s.pump(now)
 		}
 		s.publish(now)
--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -30,6 +30,7 @@
 const (
 	headSize = 64
 	recHead  = 25
+	turnCost = 2*recHead + 64
 	magic    = "SLOERNG1"
 	whole    = 0
 	begin    = 1
@@ -418,6 +419,26 @@
 	return float64(n) / float64(len(r.slots))
 }
 
+// Room gives the bytes that may still be written, at least.
+func (r *Ring) Room() int64 {
+	room, n := int64(0), len(r.slots)
+	if r.at >= 0 {
+		room = max(0, r.Size-r.off-turnCost)
+	}
+	live := r.liveSeq()
+	for k := 1; k <= n; k++ {
+		i := (r.at + k + n) % n
+		if s := r.slots[i]; i == r.at || live > 0 && s.seq == live {
+			break
+		}
+		room += r.Size - headSize - turnCost
+	}
+	return room
+}
+
+// Capacity gives the bytes that a ring holds between the start of its live snapshot and its end, at least.
+func Capacity(files int, size int64) int64 { return int64(files-1) * (size - headSize - turnCost) }
+
 func (r *Ring) liveSeq() uint64 {
 	out := uint64(0)
 	for _, s := range r.slots {
