Ring: changes are refused by name before a majority's rings are full

Tests: the ring takes as many bytes as it says (400 random rings); growing images of 1.5, 3.4 and 3.9 MB on three files of 4 MB with changes of 200 bytes to 600 KB: no voter meets ErrFull, refusals are named, all of it is there after a power loss.

--- a/agreement/space.go
+++ b/agreement/space.go
@@ -11,6 +11,7 @@
 
 const (
 	recordCost = 64
+	smallEntry = 4 << 10
 	unbounded  = math.MaxInt64 / 8
 )
 
@@ -35,6 +36,9 @@
 func (s *State) record(r *wire.Record) {
 	s.recs = append(s.recs, r)
 	n := sizeOf(r)
+	if r.GetSnapshot() != nil {
+		n += 4 * recordCost
+	}
 	s.due += n
 	s.recBytes += n
 	s.since += n
@@ -60,15 +64,14 @@
 func (s *State) saving() bool { return s.snapSeq > s.seqDone }
 
 // holds tells whether a ring of that capacity takes a live snapshot, the next one and what was added.
-func (s *State) holds(capacity, more int64) bool {
-	return capacity == 0 || 2*(s.next()+more) <= capacity-capacity/32
+func (s *State) holds(capacity, more, spare int64) bool {
+	return capacity == 0 || 2*(s.next()+more) <= capacity-spare
 }
 
 // fitsRing tells whether the ring takes an entry of so many bytes and, after it, the next snapshot.
-func (s *State) fitsRing(n int64) bool {
-	spare := s.capacity / 32
+func (s *State) fitsRing(n, spare int64) bool {
 	if s.saving() {
-		return s.free()-n >= spare && s.holds(s.capacity, n)
+		return s.free()-n >= spare && s.holds(s.capacity, n, spare)
 	}
 	return s.free()-n >= s.next()+n+spare
 }
@@ -96,8 +99,11 @@
 	if s.capacity == 0 {
 		return true
 	}
-	n := int64(proto.Size(c)) + 2*recordCost
-	if s.fitsRing(n) && s.holds(s.quorumCapacity(), n) {
+	n, spare := int64(proto.Size(c))+2*recordCost, s.capacity/32
+	if n > smallEntry {
+		spare = s.capacity / 8
+	}
+	if s.fitsRing(n, spare) && s.holds(s.quorumCapacity(), n, spare) {
 		s.tight, s.Refused = false, false
 		return true
 	}
@@ -109,18 +115,43 @@
 	return false
 }
 
+// NoRoom tells whether the last change was refused and no snapshot that is under way or due will make room for it.
+func (s *State) NoRoom() bool { return s.Refused && !s.saving() && s.since < s.capacity/32 }
+
 func (s *State) takes(e *wire.Entry) bool {
-	if s.capacity == 0 || s.fitsRing(sizeOf(e)) {
-		s.full = 0
+	if s.capacity == 0 || s.fitsRing(sizeOf(e), s.capacity/32) {
+		s.full, s.fullBy = 0, false
 		return true
 	}
 	if s.full == 0 {
 		s.note("Takes no entry of %d bytes yet: %d bytes of the ring are free, the next snapshot needs %d.", sizeOf(e), s.free(), s.next())
 	}
-	s.full, s.tight = sizeOf(e), true
+	s.full, s.fullBy, s.tight = sizeOf(e), false, true
+	return false
+}
+
+// takesSnapshot tells whether a snapshot of so many bytes, and the log behind it, may be written.
+func (s *State) takesSnapshot(n int64) bool {
+	if s.capacity == 0 || s.free() >= n+s.logBytes+s.capacity/32 {
+		return true
+	}
+	if s.full == 0 {
+		s.note("Takes no snapshot of %d bytes: %d bytes of the ring are free; give the machine a larger disk.", n, s.free())
+	}
+	s.full, s.fullBy = n, true
 	return false
 }
 
+func (s *State) crowded() bool {
+	switch {
+	case s.full == 0:
+		return false
+	case s.fullBy:
+		return s.free() < s.full+s.logBytes+s.capacity/32
+	}
+	return !s.fitsRing(s.full, s.capacity/32)
+}
+
 // Full tells whether entries or changes wait for room in the ring.
 func (s *State) Full() bool { return s.Refused || s.full > 0 }
 
@@ -139,5 +170,5 @@
 	if s.capacity == 0 || s.since < s.capacity/32 {
 		return false
 	}
-	return s.tight || s.free() < s.next()+max(s.capacity/2-s.imageBytes, s.capacity/16)
+	return s.tight || 4*(s.next()-s.imageBytes) > s.capacity-s.capacity/8-2*s.imageBytes || s.free() < s.next()+max(s.capacity/2-s.imageBytes, s.capacity/16)
 }
--- a/agreement/state.go
+++ b/agreement/state.go
@@ -218,6 +218,7 @@
 	snapSeq    uint64
 	tight      bool
 	full       int64
+	fullBy     bool
 	Refused    bool
 	ailing     bool
 
@@ -416,7 +417,7 @@
 func (s *State) becomeFollower(now ident.Moment) {
 	s.enter(Follower)
 	s.quitAt = 0
-	s.progress = nil
+	s.progress, s.body = nil, nil
 	s.setElect(now)
 }
 
@@ -436,7 +437,7 @@
 		s.clip(s.commit)
 		s.synced = min(s.synced, s.commit)
 	}
-	s.snapshot, s.known = bare(p), nil
+	s.snapshot, s.known, s.part = bare(p), nil, nil
 	s.floor, s.below = p.LastIndex, p.LastTerm
 	s.commit, s.applied = p.LastIndex, p.LastIndex
 	s.stamp = max(s.stamp, p.Stamp)
@@ -451,8 +452,9 @@
 	s.imageBytes = sizeOf(s.snapshot)
 	s.measure()
 	s.snapSeq, s.tight = s.seq+1, false
-	s.since = 0
+	s.full, s.fullBy = 0, false
 	s.record(&wire.Record{Body: &wire.Record_Snapshot{Snapshot: p}})
+	s.since = 0
 }
 
 func (s *State) note(form string, args ...any) {
@@ -952,7 +954,7 @@
 		return
 	}
 	reply := func(ok bool, match, hint uint64) *wire.Frame {
-		return &wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: s.term, Voter: string(s.Self.Voter), Ok: ok, Match: match, Hint: hint, Round: a.Round, Ailing: s.ailing, WallMs: s.Wall(now), Chunks: true, RingBytes: uint64(s.capacity), Full: s.full > 0 && !s.fitsRing(s.full)}}}
+		return &wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: s.term, Voter: string(s.Self.Voter), Ok: ok, Match: match, Hint: hint, Round: a.Round, Ailing: s.ailing, WallMs: s.Wall(now), Chunks: true, RingBytes: uint64(s.capacity), Full: s.crowded()}}}
 	}
 	if a.Term < s.term {
 		s.send(a.LeaderAddr, reply(false, 0, 0))
@@ -1028,7 +1030,11 @@
 		return fmt.Errorf("index %d of term %d in term %d", p.LastIndex, p.LastTerm, p.Term)
 	case len(Voters(p.Roster)) == 0:
 		return fmt.Errorf("it names no voter")
-	case p.LastIndex <= s.commit || s.Reads == nil:
+	case p.LastIndex <= s.commit:
+		return nil
+	case !s.takesSnapshot(sizeOf(p)):
+		return fmt.Errorf("the ring has no room for it")
+	case s.Reads == nil:
 		return nil
 	}
 	return s.Reads(p.Image)
@@ -1113,6 +1119,7 @@
 		return
 	}
 	l.heard, l.snapAt, l.snap = now, 0, nil
+	s.release()
 	l.ground()
 	l.match = max(l.match, a.Match)
 	l.next = l.match + 1
--- a/agreement/transfer.go
+++ b/agreement/transfer.go
@@ -76,7 +76,7 @@
 
 // lost sends a chunk again once a later heartbeat was answered and the chunk was not.
 func (s *State) lost(id string, l *progress, round uint64) {
-	if round <= l.snap.round {
+	if round <= l.snap.round || l.full {
 		return
 	}
 	if l.snap.off == len(l.snap.data) {
@@ -85,6 +85,15 @@
 	s.chunk(id, l)
 }
 
+func (s *State) release() {
+	for _, l := range s.progress {
+		if l.snap != nil {
+			return
+		}
+	}
+	s.body = nil
+}
+
 func (s *State) SnapshotChunkReply(a *wire.SnapshotChunkReply, now ident.Moment) {
 	if s.role == Blank {
 		return
@@ -128,6 +137,9 @@
 	}
 	s.leader, s.leaderAddr, s.heardLead, s.stands = c.Leader, c.LeaderAddr, now, 0
 	s.setElect(now)
+	if c.LastIndex > s.commit && !s.takesSnapshot(int64(c.Size)) {
+		return
+	}
 	if s.part == nil || s.part.index != c.LastIndex || s.part.sum != c.Sum || s.part.size != c.Size {
 		s.part = &part{index: c.LastIndex, sum: c.Sum, size: c.Size}
 	}
--- a/control/events.go
+++ b/control/events.go
@@ -134,6 +134,8 @@
 		for _, f := range got.Faults {
 			t.Faults = append(t.Faults, desired.Fault{Path: f.Path, Text: f.Text})
 		}
+	case ledger.NoRoom:
+		t.Error = "no room on the disks of the control machines"
 	default:
 		t.Error = "outcome unknown; ask again with the same changeId"
 	}
--- a/control/held.go
+++ b/control/held.go
@@ -498,6 +498,9 @@
 	if i, ok := s.Agree.Propose(c, now); ok {
 		s.waits[i] = q.asker
 		s.setIndex, s.turning = i, false
+	} else if s.Agree.NoRoom() {
+		s.decide(duty.Decision{Decision: "refused change", Note: "no room in the ring: " + q.set.ChangeId})
+		s.reply(q.asker, &wire.ProposeReply{Code: uint32(ledger.NoRoom), Generation: uint64(s.Book.Generation), Edition: s.Book.EndEdition(), Tail: s.Book.Stands()})
 	}
 }
 
--- a/control/http.go
+++ b/control/http.go
@@ -182,6 +182,8 @@
 			faults = append(faults, desired.Fault{Path: f.Path, Text: f.Text})
 		}
 		duty.Wrong(w, 422, "desired state is not sound; nothing of it was taken", faults)
+	case ledger.NoRoom:
+		duty.Wrong(w, 507, "nothing of it was taken: the disks of the control machines have no room for it; see ring_free_bytes", nil)
 	default:
 		duty.Wrong(w, 504, "outcome unknown; ask again with the same change id", nil)
 	}
@@ -485,6 +487,11 @@
 			}
 			p("disk_ailing", map[bool]int{true: 1}[s.Agree.Ailing()])
 			p("ring_used_ratio", s.used)
+			free, next, capacity := s.Agree.Free()
+			p("ring_free_bytes", free)
+			p("ring_next_snapshot_bytes", next)
+			p("ring_capacity_bytes", capacity)
+			p("ring_full", map[bool]int{true: 1}[s.Agree.Full()])
 		}
 		return b.String()
 	})
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -27,10 +27,11 @@
 	Lost
 	Waiting
 	Held
+	NoRoom
 )
 
 func (c Code) String() string {
-	names := [...]string{"done", "not leader", "stale", "invalid", "no seat", "claimed", "full", "lost", "waiting", "held"}
+	names := [...]string{"done", "not leader", "stale", "invalid", "no seat", "claimed", "full", "lost", "waiting", "held", "no room"}
 	return names[min(int(c), len(names)-1)]
 }
 
--- a/ringfile/catchup_test.go
+++ b/ringfile/catchup_test.go
@@ -1,10 +1,16 @@
 package ringfile
 
 import (
+	"math/rand"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"sloeturn/agreement"
+	"sloeturn/wire"
 )
 
 const (
@@ -75,3 +81,104 @@
 		require.Less(t, v.big, 8, "1.2 MB of changes")
 	}
 }
+
+func TestARingTakesAsManyBytesAsItSaysThereIsRoomFor(t *testing.T) {
+	for seed := int64(0); seed < 400; seed++ {
+		rnd := rand.New(rand.NewSource(seed))
+		files := 3 + rnd.Intn(3)
+		d := memDir{}
+		r, _, err := Open(d, files, 16384)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, r.Room(), Capacity(files, 16384))
+		require.NoError(t, r.Write([]*wire.Record{snap(1, rnd.Intn(9000)), vow(1)}))
+		last := uint64(1)
+		for step := 0; step < 60; step++ {
+			if rnd.Intn(6) == 0 {
+				if p := snap(last, rnd.Intn(9000)); r.Room() >= costOf(p)+100 {
+					from := r.live
+					require.NoError(t, r.Write([]*wire.Record{p}), "seed %d step %d", seed, step)
+					require.Greater(t, r.live, from)
+					require.GreaterOrEqual(t, r.Room()+costOf(p)+100, Capacity(files, 16384), "seed %d step %d", seed, step)
+				}
+				continue
+			}
+			room := r.Room()
+			var recs []*wire.Record
+			for k := 0; k < 1+rnd.Intn(4); k++ {
+				e := entry(last+1, rnd.Intn(3000))
+				if rnd.Intn(5) == 0 {
+					e = entry(last+1, max(0, int(room)-200))
+				}
+				if room -= costOf(e); room < 0 {
+					break
+				}
+				last++
+				recs = append(recs, e)
+			}
+			require.NoError(t, r.Write(recs), "seed %d step %d", seed, step)
+			require.GreaterOrEqual(t, r.Room(), room, "seed %d step %d", seed, step)
+			if rnd.Intn(10) == 0 {
+				var got *agreement.Recovered
+				was := r.Room()
+				r, got, err = Open(d, files, 16384)
+				require.NoError(t, err)
+				require.Equal(t, was, r.Room())
+				require.Equal(t, last, got.Snapshot.LastIndex+uint64(len(got.Entries)))
+			}
+		}
+	}
+}
+
+func costOf(r *wire.Record) int64 { return int64(proto.Size(r)) + 64 }
+
+func (w *fleet) told(v *voter, word string) bool {
+	for _, n := range v.notes {
+		if strings.Contains(n, word) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestChangesAreRefusedByNameBeforeARingIsFull(t *testing.T) {
+	for _, size := range []int{1500 << 10, 3400 << 10, 3900 << 10} {
+		for _, part := range []int{200, 40 << 10, 600 << 10} {
+			w := newFleet(t, 1, 3, 4*mebi, size)
+			for _, v := range w.all {
+				v.grows = true
+			}
+			w.lead("")
+			taken, refused := 0, 0
+			for n := 0; n < 400 && refused < 50; n++ {
+				if part < 1000 && n > 100 {
+					break
+				}
+				if w.propose(part) {
+					taken++
+				} else if w.leader() != nil && w.leader().s.Refused {
+					refused++
+				}
+				w.run(2 * tick)
+			}
+			w.run(3 * time.Second)
+			lead := w.leader()
+			require.NotNil(t, lead)
+			require.GreaterOrEqual(t, lead.index, uint64(taken))
+			if part > 1000 {
+				require.True(t, refused >= 50, "%d taken", taken)
+				require.True(t, w.told(lead, "Refuses changes"))
+			}
+			for n, v := range w.all {
+				require.Equal(t, lead.index, v.index)
+				w.kill(n, true)
+			}
+			for n := range w.all {
+				w.start(n)
+			}
+			w.run(3 * time.Second)
+			require.NotNil(t, w.leader())
+			require.GreaterOrEqual(t, w.leader().index, uint64(taken))
+			t.Logf("image %d, changes of %d: %d taken, %d refused", size, part, taken, refused)
+		}
+	}
+}
--- a/ringfile/fleet_test.go
+++ b/ringfile/fleet_test.go
@@ -51,24 +51,26 @@
 	index uint64
 	doc   []byte
 	down  bool
+	grows bool
 	big   int
 	size  int
 	notes []string
 }
 
 type fleet struct {
-	t      *testing.T
-	rnd    *rand.Rand
-	now    ident.Moment
-	all    map[string]*voter
-	lines  map[[2]string]*line
-	post   []letter
-	seq    int
-	files  int
-	size   int64
-	sums   map[uint64]uint64
-	synced map[string]uint64
-	most   int
+	t     *testing.T
+	rnd   *rand.Rand
+	now   ident.Moment
+	all   map[string]*voter
+	lines map[[2]string]*line
+	post  []letter
+	seq   int
+	files int
+	size  int64
+	sums  map[uint64]uint64
+	sure  uint64
+	term  ident.Term
+	most  int
 }
 
 var poly = crc64.MakeTable(crc64.ECMA)
@@ -185,6 +187,10 @@
 		}
 		v.s.Tick(w.now)
 		w.settle(v)
+		if v.s.Role() == agreement.Leader && v.s.Term() > w.term {
+			w.term = v.s.Term()
+			require.GreaterOrEqual(w.t, uint64(v.s.Last()), w.sure, "%s leads with old state", v.name)
+		}
 		w.write(v)
 	}
 }
@@ -207,12 +213,15 @@
 			b, _ := proto.MarshalOptions{Deterministic: true}.Marshal(e)
 			v.index, v.sum = e.Index, crc64.Update(v.sum, poly, b)
 			if c := e.Change.GetClaim(); c != nil && len(c.Body) > 0 {
-				copy(v.doc, c.Body)
+				if copy(v.doc, c.Body); v.grows {
+					v.doc = append(v.doc, c.Body...)
+				}
 			}
 			if old, ok := w.sums[e.Index]; ok {
 				require.Equal(w.t, old, v.sum, "%s applied another entry %d", v.name, e.Index)
 			}
 			w.sums[e.Index] = v.sum
+			w.sure = max(w.sure, e.Index)
 		}
 		if len(o.Applied) == 0 {
 			return
@@ -226,7 +235,7 @@
 		return
 	}
 	if v.busy == 0 {
-		v.busy = w.now.Add(v.sync)
+		v.busy = max(1, w.now.Add(v.sync))
 		return
 	}
 	v.busy = 0
@@ -242,7 +251,16 @@
 	}
 	seq := v.owed[len(v.owed)-1].Seq
 	v.owed = nil
-	require.NoError(w.t, v.ring.Write(recs), "%s at index %d", v.name, v.index)
+	err := v.ring.Write(recs)
+	if err != nil {
+		require.NotErrorIs(w.t, err, ErrFull, "%s at index %d, %s", v.name, v.index, v.s.Text())
+		v.owed = []agreement.Persist{{Seq: seq}}
+		v.s.Disk(true, w.now)
+		return
+	}
+	if v.s.Ailing() {
+		v.s.Disk(false, w.now)
+	}
 	v.s.Room(seq, v.ring.Room())
 	v.s.Synced(seq, w.now)
 	w.settle(v)
--- a/wire/sample/samples.go
+++ b/wire/sample/samples.go
@@ -27,6 +27,8 @@
 		&Frame{Body: &Frame_Append{Append: &Append{Term: 2, Entries: []*Entry{entry}}}},
 		&Frame{Body: &Frame_AppendReply{AppendReply: &AppendReply{Term: 1, Voter: "c/d", Ok: true, Match: 9}}},
 		&Frame{Body: &Frame_Snapshot{Snapshot: &Snapshot{Term: 2, LastIndex: 5, LastTerm: 1, Target: "c/d", Image: []byte{1, 2}}}},
+		&Frame{Body: &Frame_SnapshotChunk{SnapshotChunk: &SnapshotChunk{Term: 2, LastIndex: 5, LastTerm: 1, Target: "c/d", Sum: 7, Size: 4, Data: []byte{1, 2}}}},
+		&Frame{Body: &Frame_SnapshotChunkReply{SnapshotChunkReply: &SnapshotChunkReply{Term: 2, Voter: "c/d", LastIndex: 5, Sum: 7, Have: 2}}},
 		&Frame{Body: &Frame_SnapshotReply{SnapshotReply: &SnapshotReply{Term: 1, Voter: "c/d", Match: 5}}},
 		&Frame{Body: &Frame_Handoff{Handoff: &Handoff{Term: 1, Target: "c/d"}}},
 		&Frame{Body: &Frame_Founding{Founding: &Founding{Voter: "c/e", Addr: "10.0.0.2:1", Blank: true}}},
