--- a/control/state.go
+++ b/control/state.go
@@ -54,6 +54,7 @@
 	Synced struct {
 		Seq  uint64
 		Used float64
+		Room int64
 	}
 	Disk     struct{ Ailing bool }
 	Shelved  struct{ OK bool }
@@ -105,6 +106,8 @@
 	Losses      int
 	Replace     time.Duration
 	ClockScale  int64
+	Capacity    int64
+	Room        int64
 	Shelf       []byte
 	Shelves     bool
 }
@@ -246,8 +249,13 @@
 			}
 			return out
 		}
+		s.Agree.Space(b.Capacity, b.Room)
 		s.Agree.Wall = s.wall
 		s.Agree.Image = func() []byte { return s.Book.Image() }
+		s.Agree.Reads = func(image []byte) error {
+			_, err := ledger.ReadBook(image)
+			return err
+		}
 		if got != nil && got.Snapshot != nil {
 			if err := s.load(got.Snapshot); err != nil {
 				return nil, err
@@ -290,6 +298,7 @@
 		s.tick(now)
 	case Synced:
 		s.used = e.Used
+		s.Agree.Room(e.Seq, e.Room)
 		s.Agree.Synced(e.Seq, now)
 	case Disk:
 		if e.Ailing != s.Agree.Ailing() {
@@ -388,6 +397,10 @@
 		s.Agree.InstallSnapshot(b.Snapshot, now)
 	case *wire.Frame_SnapshotReply:
 		s.Agree.SnapshotReply(b.SnapshotReply, now)
+	case *wire.Frame_SnapshotChunk:
+		s.Agree.SnapshotChunk(b.SnapshotChunk, now)
+	case *wire.Frame_SnapshotChunkReply:
+		s.Agree.SnapshotChunkReply(b.SnapshotChunkReply, now)
 	case *wire.Frame_Handoff:
 		s.Agree.Handoff(b.Handoff, now)
 	case *wire.Frame_Founding:
@@ -578,6 +591,7 @@
 
 func (s *State) Settle(now ident.Moment) {
 	if s.Agree != nil {
+		s.Agree.Compact(false)
 		if s.Agree.Role() == agreement.Leader {
 			s.pump(now)
 		}
@@ -591,6 +605,9 @@
 			for _, m := range o.Sends {
 				s.out = append(s.out, m)
 			}
+			for _, t := range o.Notes {
+				s.out = append(s.out, Note{t})
+			}
 			if o.Persist != nil {
 				s.out = append(s.out, *o.Persist)
 			}
@@ -603,7 +620,7 @@
 			if len(o.Applied) == 0 {
 				break
 			}
-			s.Agree.Compact(s.used > 0.5)
+			s.Agree.Compact(false)
 			s.pump(now)
 		}
 		s.publish(now)
--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -30,6 +30,7 @@
 const (
 	headSize = 64
 	recHead  = 25
+	turnCost = 2*recHead + 64
 	magic    = "SLOERNG1"
 	whole    = 0
 	begin    = 1
@@ -206,8 +207,8 @@
 					if started {
 						return nil, merry.Wrap(ErrCorrupt, merry.WithCause(err), merry.AppendMessagef("record %d", lsn))
 					}
-				} else {
-					r.replay(got, rec, partLsn, &started)
+				} else if err := r.replay(got, rec, partLsn, &started); err != nil {
+					return nil, merry.Wrap(ErrCorrupt, merry.WithCause(err), merry.AppendMessagef("record %d", lsn))
 				}
 			}
 			off = next
@@ -244,25 +245,15 @@
 	return nil
 }
 
-func (r *Ring) replay(got *agreement.Recovered, rec *wire.Record, lsn uint64, started *bool) {
+func (r *Ring) replay(got *agreement.Recovered, rec *wire.Record, lsn uint64, started *bool) error {
 	*started = true
-	switch b := rec.Body.(type) {
-	case *wire.Record_HardState:
-		got.Term, got.Voted = b.HardState.Term, b.HardState.Voted
-		r.vow = b.HardState
-	case *wire.Record_Entry:
-		for n := len(got.Entries); n > 0 && got.Entries[n-1].Index >= b.Entry.Index; n-- {
-			got.Entries = got.Entries[:n-1]
-		}
-		got.Entries = append(got.Entries, b.Entry)
-	case *wire.Record_Cut:
-		for n := len(got.Entries); n > 0 && got.Entries[n-1].Index >= b.Cut; n-- {
-			got.Entries = got.Entries[:n-1]
-		}
-	case *wire.Record_Snapshot:
-		got.Snapshot, got.Entries = b.Snapshot, nil
+	if v := rec.GetHardState(); v != nil {
+		r.vow = v
+	}
+	if rec.GetSnapshot() != nil {
 		r.live = lsn
 	}
+	return got.Replay(rec)
 }
 
 type mark struct {
@@ -428,6 +419,26 @@
 	return float64(n) / float64(len(r.slots))
 }
 
+// Room gives the bytes that may still be written, at least.
+func (r *Ring) Room() int64 {
+	room, n := int64(0), len(r.slots)
+	if r.at >= 0 {
+		room = max(0, r.Size-r.off-turnCost)
+	}
+	live := r.liveSeq()
+	for k := 1; k <= n; k++ {
+		i := (r.at + k + n) % n
+		if s := r.slots[i]; i == r.at || live > 0 && s.seq == live {
+			break
+		}
+		room += r.Size - headSize - turnCost
+	}
+	return room
+}
+
+// Capacity gives the bytes that a ring holds between the start of its live snapshot and its end, at least.
+func Capacity(files int, size int64) int64 { return int64(files-1) * (size - headSize - turnCost) }
+
 func (r *Ring) liveSeq() uint64 {
 	out := uint64(0)
 	for _, s := range r.slots {
