Wire: a link whose peer acknowledges nothing for a second is given up

Cause: a link between processes is one connection on which one side writes small frames; the bound on writing guards the socket's buffer only, which never fills. Now the kernel ends a connection with nothing acknowledged for 1 s, and the link is dialled anew, every 0.4 s at the most. Ruled out: an acknowledgement of our own on the wire, more bytes for the same. The new test fails without the option.

--- a/wire/link.go
+++ b/wire/link.go
@@ -9,11 +9,13 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -23,6 +25,7 @@
 	bufferSize  = 4 << 10
 	connectWait = 300 * time.Millisecond
 	writeWait   = 2 * time.Second
+	ackWait     = time.Second
 	redialPause = 100 * time.Millisecond
 	redialLeast = 10 * time.Millisecond
 )
@@ -72,7 +75,7 @@
 	h.held = map[net.Conn]struct{}{}
 	if h.dial == nil {
 		h.dial = func(done context.Context, to string) (net.Conn, error) {
-			return (&net.Dialer{}).DialContext(done, "tcp", to)
+			return (&net.Dialer{Control: unacknowledged}).DialContext(done, "tcp", to)
 		}
 	}
 	h.done, h.stop = context.WithCancel(context.Background())
@@ -85,6 +88,17 @@
 	return nil
 }
 
+// unacknowledged ends a connection whose peer acknowledges nothing for ackWait; TCP alone tries again later and later, so that a link stays dead for about as long again as a cut was.
+func unacknowledged(network, addr string, c syscall.RawConn) error {
+	var fault error
+	if err := c.Control(func(fd uintptr) {
+		fault = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackWait/time.Millisecond))
+	}); err != nil {
+		return err
+	}
+	return fault
+}
+
 func (h *Hub) Close() {
 	h.stop()
 	h.ear.Close()
--- a/wire/link_test.go
+++ b/wire/link_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -104,3 +105,20 @@
 	require.ElementsMatch(t, []uint64{9, 5}, seen, "what was to be sent is not lost")
 	require.Less(t, time.Since(start), 200*time.Millisecond)
 }
+
+func TestALinkWhosePeerAcknowledgesNothingIsGivenUpWithinASecond(t *testing.T) {
+	h := &Hub{Name: "a", Addr: "127.0.0.1:0", Log: log.NewNopLogger(), Take: func(*Frame) {}}
+	require.NoError(t, h.Open())
+	defer h.Close()
+	c, err := h.dial(t.Context(), h.ear.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	got := 0
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		got, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	require.NoError(t, err)
+	require.Equal(t, 1000, got)
+}
