Founding: a majority founds a fresh fleet; a claim of a founder lasts half a second

All three losing power before the fleet stood came back as joiners and never formed.

Now claims older than 0.5 s don't count; at the very first start (freshFleet, the platform's first start, kept on the disk) a majority of those that say so forms after 2 s, with a voter's name that nobody bears in the silent one's place. One that may have been wiped counts as silent. Ruled out: waiting for ever (today), a smaller roster (two rosters with majorities that need not meet).

Guards out, seen: age of claims, majority of first starters, the wait; each breaks a test. Without the check of freshFleet itself no test broke, for a founder that isn't fresh counts for none; it is kept as the first line of the same rule.

--- a/agreement/cluster_test.go
+++ b/agreement/cluster_test.go
@@ -20,7 +20,7 @@
 	held                   []func()
 	kept, pending          []*wire.Record
 	life                   int
-	joins                  bool
+	joins, first           bool
 	sync                   time.Duration
 	applied                []uint64
 }
@@ -81,7 +81,7 @@
 		founders = nil
 	}
 	m.state = New(Self{Voter: ident.Voter(m.id), Member: ident.Member(m.member), Addr: ident.Addr(a)}, founders, recoverFrom(m.kept), c.rand.Int63(), c.now)
-	m.state.Want, m.state.VoterReplace = c.want, c.replace
+	m.state.Want, m.state.VoterReplace, m.state.FreshFleet = c.want, c.replace, m.first
 	m.state.Image = func() []byte { return []byte("image") }
 	m.state.Doors = func() []ident.Addr {
 		var out []ident.Addr
@@ -98,17 +98,8 @@
 	}
 	got := &Recovered{}
 	for _, r := range list {
-		switch b := r.Body.(type) {
-		case *wire.Record_HardState:
-			got.Term, got.Voted = b.HardState.Term, b.HardState.Voted
-		case *wire.Record_Snapshot:
-			got.Snapshot, got.Entries = b.Snapshot, nil
-		case *wire.Record_Cut:
-			for n := len(got.Entries); n > 0 && got.Entries[n-1].Index >= b.Cut; n-- {
-				got.Entries = got.Entries[:n-1]
-			}
-		case *wire.Record_Entry:
-			got.Entries = append(got.Entries, b.Entry)
+		if err := got.Replay(r); err != nil {
+			panic(err)
 		}
 	}
 	return got
--- a/agreement/state.go
+++ b/agreement/state.go
@@ -35,6 +35,8 @@
 	StandsMost   = 20
 	QuorumLost   = 1200 * time.Millisecond
 	FoundEvery   = 200 * time.Millisecond
+	ClaimFor     = 500 * time.Millisecond
+	FoundWait    = 2 * time.Second
 	VoterReplace = 10 * time.Second
 	KeepEntries  = 4096
 	BatchEntries = 512
@@ -156,6 +158,12 @@
 	bytes int64
 }
 
+// claim is what a founder said of itself, and when.
+type claim struct {
+	*wire.Founding
+	at ident.Moment
+}
+
 type held struct {
 	seq  uint64
 	send wire.Send
@@ -230,9 +238,12 @@
 	ailing     bool
 
 	foundAt ident.Moment
-	found   map[string]*wire.Founding
+	found   map[string]claim
+	born    ident.Moment
 	Leaving bool
 	Want    int
+	// FreshFleet says that the whole fleet starts for the first time: then a majority of the founders may found it.
+	FreshFleet bool
 	// VoterReplace is how long a voter is silent before a learner that has caught up takes its place.
 	VoterReplace time.Duration
 	Image        func() []byte
@@ -242,7 +253,7 @@
 }
 
 func New(self Self, founders []ident.Addr, got *Recovered, seed int64, now ident.Moment) *State {
-	s := &State{Self: self, Founders: founders, Want: 3, VoterReplace: VoterReplace, rand: rand.New(rand.NewSource(seed)), found: map[string]*wire.Founding{}, out: &Out{}, Doors: func() []ident.Addr { return nil }, Wall: func(ident.Moment) int64 { return 0 }}
+	s := &State{Self: self, Founders: founders, Want: 3, VoterReplace: VoterReplace, rand: rand.New(rand.NewSource(seed)), found: map[string]claim{}, born: now, out: &Out{}, Doors: func() []ident.Addr { return nil }, Wall: func(ident.Moment) int64 { return 0 }}
 	s.asOf, s.heardLead = now, now
 	if got != nil && got.Snapshot != nil {
 		s.role = Follower
@@ -481,21 +492,47 @@
 		return
 	}
 	if f.Voter != "" || f.Answer && f.Blank {
-		s.found[f.Addr] = f
+		s.found[f.Addr] = claim{f, now}
 	}
-	r := &wire.Roster{}
+	s.foundFleet(now)
+}
+
+// foundFleet forms the fleet once each founder has said lately that it holds nothing. At the very first start a majority
+// that has may do without the silent ones after FoundWait: each has one identity in such a start, so that the silent one's
+// place in the roster, held by a name that nobody bears, counts in the same majorities whoever knows it.
+func (s *State) foundFleet(now ident.Moment) {
+	all, first := &wire.Roster{}, &wire.Roster{}
+	silent, known := 0, 0
 	for _, a := range s.Founders {
-		g := s.found[string(a)]
+		g, ok := s.found[string(a)]
 		if a == s.Self.Addr {
-			g = s.mine(false)
+			g, ok = claim{s.mine(false), now}, true
 		}
-		if g == nil || !g.Blank {
+		if ok && !g.Blank {
 			return
 		}
-		if g.Voter == "" {
+		ok = ok && now.Sub(g.at) <= ClaimFor
+		v := &wire.Voter{Id: "silent/" + string(a), Addr: string(a), Member: "silent at " + string(a)}
+		switch {
+		case !ok:
+			silent++
+		case g.Voter == "":
 			continue
+		default:
+			all.Voters = append(all.Voters, &wire.Voter{Id: g.Voter, Addr: g.Addr, Member: g.Member})
+			if g.First {
+				known++
+				v = all.Voters[len(all.Voters)-1]
+			}
+		}
+		first.Voters = append(first.Voters, v)
+	}
+	r := all
+	if silent > 0 {
+		if !s.FreshFleet || now.Sub(s.born) < FoundWait || known <= len(s.Founders)/2 {
+			return
 		}
-		r.Voters = append(r.Voters, &wire.Voter{Id: g.Voter, Addr: g.Addr, Member: g.Member})
+		r = first
 	}
 	sort.Slice(r.Voters, func(i, j int) bool { return r.Voters[i].Id < r.Voters[j].Id })
 	if find(r, string(s.Self.Voter)) != nil {
@@ -504,7 +541,7 @@
 }
 
 func (s *State) mine(answer bool) *wire.Founding {
-	return &wire.Founding{Voter: string(s.Self.Voter), Member: string(s.Self.Member), Addr: string(s.Self.Addr), Blank: s.role == Blank, Answer: answer, Term: s.term}
+	return &wire.Founding{Voter: string(s.Self.Voter), Member: string(s.Self.Member), Addr: string(s.Self.Addr), Blank: s.role == Blank, Answer: answer, Term: s.term, First: s.FreshFleet}
 }
 
 func (s *State) admit(f *wire.Founding) {
@@ -803,6 +840,7 @@
 					s.send(f.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: m}})
 				}
 			}
+			s.foundFleet(now)
 		}
 	case Leader:
 		s.tell(now)
--- a/boot/boot.go
+++ b/boot/boot.go
@@ -58,6 +58,8 @@
 	Losses   int      `arg:"--losses" help:"disk holders that may be lost at once; twice as many and one vote"`
 	Joins    bool     `arg:"--joins" help:"join a fleet that stands; never form one"`
 
+	FreshFleet bool `arg:"--fresh-fleet" help:"the whole fleet starts for the first time, with empty disks: a majority of the founders may form it"`
+
 	VoterReplaceMs int `arg:"--voter-replace-ms" help:"how long a voter must be silent before a learner that has caught up takes its place"`
 
 	ClockFromMs int64 `arg:"--clock-from-ms" help:"for trials of a calendar only: Unix milliseconds from which its clock runs faster"`
@@ -85,6 +87,8 @@
 	Losses    int      `json:"losses,omitempty"`
 	Joins     bool     `json:"joins,omitempty"`
 
+	FreshFleet bool `json:"freshFleet,omitempty"`
+
 	VoterReplaceMs int `json:"voterReplaceMs,omitempty"`
 
 	ClockFromMs int64 `json:"clockFromMs,omitempty"`
@@ -198,7 +202,7 @@
 		if d.VoterReplaceMs != 0 {
 			s.VoterReplaceMs = d.VoterReplaceMs
 		}
-		s.Joins = s.Joins || d.Joins
+		s.Joins, s.FreshFleet = s.Joins || d.Joins, s.FreshFleet || d.FreshFleet
 		if d.ClockFromMs != 0 {
 			s.ClockFromMs = d.ClockFromMs
 		}
@@ -285,6 +289,9 @@
 	if s.Joins && len(s.Founders) > 0 {
 		say("joins", "names no founders; holds %d", len(s.Founders))
 	}
+	if s.FreshFleet && (d == nil || s.Joins || s.Data == "") {
+		say("freshFleet", "is for control processes with a data folder, and not with joins")
+	}
 	if d != nil && (s.Files < 3 || s.Files > 256) {
 		say("ringFiles", "must be from 3 to 256; is %d", s.Files)
 	}
@@ -326,6 +333,7 @@
 		{"decisions", fmt.Sprint(s.Decisions), fmt.Sprint(n.Decisions)},
 		{"memoryMB", fmt.Sprint(s.MemoryMB), fmt.Sprint(n.MemoryMB)}, {"growth", fmt.Sprint(s.Growth), fmt.Sprint(n.Growth)},
 		{"losses", fmt.Sprint(s.Losses), fmt.Sprint(n.Losses)}, {"voterReplaceMs", fmt.Sprint(s.VoterReplaceMs), fmt.Sprint(n.VoterReplaceMs)}, {"joins", fmt.Sprint(s.Joins), fmt.Sprint(n.Joins)},
+		{"freshFleet", fmt.Sprint(s.FreshFleet), fmt.Sprint(n.FreshFleet)},
 		{"clockFromMs", fmt.Sprint(s.ClockFromMs), fmt.Sprint(n.ClockFromMs)}, {"clockScale", fmt.Sprint(s.ClockScale), fmt.Sprint(n.ClockScale)},
 		{"ringFiles", fmt.Sprint(s.Files), fmt.Sprint(n.Files)}, {"ringFileMB", fmt.Sprint(s.FileMB), fmt.Sprint(n.FileMB)},
 	} {
--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -54,6 +54,17 @@
 	require.Len(t, faults, 1)
 }
 
+func TestAFreshFleetIsForDisksThatFoundIt(t *testing.T) {
+	f := Flags{Name: "one", Cell: "a", Address: "127.0.0.1:1", HTTP: "127.0.0.1:2", Operators: "127.0.0.1:3", Seeds: []string{"127.0.0.2:1"}}
+	s, faults := Read(f, &DiskFlags{Data: "d", Founders: []string{"127.0.0.1:1"}, FreshFleet: true})
+	require.Empty(t, faults)
+	require.True(t, s.FreshFleet)
+	_, faults = Read(f, &DiskFlags{FreshFleet: true})
+	require.Equal(t, "freshFleet", faults[0].Path)
+	_, faults = Read(f, &DiskFlags{Data: "d", Joins: true, FreshFleet: true})
+	require.Equal(t, "freshFleet", faults[0].Path)
+}
+
 func TestTheTrialClockIsCheckedAndRunsFromItsMoment(t *testing.T) {
 	f := Flags{Name: "one", Cell: "a", Address: "127.0.0.1:1", HTTP: "127.0.0.1:2", Operators: "127.0.0.1:3", Seeds: []string{"127.0.0.2:1"}}
 	for _, d := range []DiskFlags{{ClockScale: 5}, {ClockFromMs: 5}, {ClockScale: -1, ClockFromMs: 5}, {ClockScale: 1 << 20, ClockFromMs: 5}} {
--- a/control/node.go
+++ b/control/node.go
@@ -88,6 +88,9 @@
 			}
 		}
 		b.Voter = ident.Voter(string(b.Member) + "/" + dir.ID)
+		if b.Founders, b.FreshFleet, err = founding(dir, b); err != nil {
+			return nil, merry.Wrap(ErrStart, merry.WithCause(err))
+		}
 	}
 	s, err := New(b, got, ident.Now())
 	if err != nil {
@@ -100,6 +103,22 @@
 	return n, nil
 }
 
+// founding keeps on the disk whom this disk founds with at the very first start, so that a restart before the fleet stands goes on with it.
+func founding(dir *ringfile.Dir, b Boot) (list []ident.Addr, first bool, err error) {
+	if b.FreshFleet {
+		texts := make([]string, len(b.Founders))
+		for i, a := range b.Founders {
+			texts[i] = string(a)
+		}
+		return b.Founders, true, dir.KeepFounders(texts)
+	}
+	kept, err := dir.Founders()
+	if len(kept) == 0 || len(b.Founders) > 0 {
+		return b.Founders, false, err
+	}
+	return boot.Addrs(kept), true, err
+}
+
 func (n *Node) Open() error {
 	n.Loop.Open()
 	if err := n.Hub.Open(); err != nil {
--- /dev/null
+++ b/control/node_test.go
@@ -0,0 +1,34 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/ident"
+	"sloeturn/ringfile"
+)
+
+func TestADiskThatWasToFoundTheFleetStillIsAfterARestartThatOnlyJoins(t *testing.T) {
+	path, list := t.TempDir(), []ident.Addr{"127.0.0.2:1", "127.0.0.3:1", "127.0.0.4:1"}
+	open := func(b Boot) ([]ident.Addr, bool) {
+		dir, err := ringfile.OpenDir(path)
+		require.NoError(t, err)
+		defer dir.Close()
+		got, fresh, err := founding(dir, b)
+		require.NoError(t, err)
+		return got, fresh
+	}
+	got, fresh := open(Boot{})
+	require.Empty(t, got, "a disk that never heard of founders joins")
+	require.False(t, fresh)
+	got, fresh = open(Boot{FreshFleet: true, Founders: list})
+	require.Equal(t, list, got)
+	require.True(t, fresh)
+	got, fresh = open(Boot{})
+	require.Equal(t, list, got)
+	require.True(t, fresh)
+	got, fresh = open(Boot{Founders: list[:1]})
+	require.Equal(t, list[:1], got, "founders that are told go before")
+	require.False(t, fresh)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -96,6 +96,7 @@
 	Incarnation ident.Incarnation
 	Seeds       []ident.Addr
 	Founders    []ident.Addr
+	FreshFleet  bool
 	Voter       ident.Voter
 	Build       string
 	Seed        int64
@@ -229,6 +230,7 @@
 	s.unshelve()
 	if b.Voter != "" {
 		s.Agree = agreement.New(agreement.Self{Voter: b.Voter, Member: b.Member, Addr: b.Addr}, b.Founders, got, b.Seed, now)
+		s.Agree.FreshFleet = b.FreshFleet
 		if b.Losses > 0 {
 			s.Agree.Want = 2*b.Losses + 1
 		}
--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -4,12 +4,15 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"sort"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
@@ -494,6 +497,23 @@
 	return d, d.syncDir()
 }
 
+// KeepFounders keeps the founders' addresses, synced.
+func (d *Dir) KeepFounders(list []string) error {
+	if err := writeSynced(filepath.Join(d.Path, "founders"), []byte(strings.Join(list, " "))); err != nil {
+		return merry.Wrap(ErrOpen, merry.WithCause(err))
+	}
+	return d.syncDir()
+}
+
+// Founders gives what was kept, nothing where nothing was.
+func (d *Dir) Founders() ([]string, error) {
+	b, err := os.ReadFile(filepath.Join(d.Path, "founders"))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, merry.Wrap(ErrOpen, merry.WithCause(err))
+	}
+	return strings.Fields(string(b)), nil
+}
+
 func writeSynced(name string, b []byte) error {
 	f, err := os.OpenFile(name+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o640)
 	if err != nil {
