Agreement: a fleet forms only when every founder, blank, names the same voters

Cause: a blank founder kept the last word of each other founder and formed as soon as all had once said 'blank'. One that missed the founding (cut off from its start) and held an old word of the second founder formed a second fleet with the first, wiped since: {new a, b, c} beside {a, b, c}. With a's blank new disk it had a majority, while what the first fleet had committed lay on b alone.

Now a blank founder names the voters that it sees (Founding.sees), or repeats the list it was asked with if it stands in it, and one forms only with a list that every other founder has named while blank. A list with a new disk in it can't have been named by one that had joined the old fleet before, so of two lists that were formed the second finds nothing committed that its majorities miss. A single founder forms as before; one without a disk has no say.

Changed test: TestAFounderWithoutADiskIsPassedOverOnceItSaidSo formed at the word 'blank', which was the fault; it asks for the same voters now, and that a founder without a disk is passed over and four wrong lists form nothing. Seen failing with the old rule: that test and TestAFounderThatMissedTheFounding...; without the repeated list a wiped founder that joins (no founders of its own) is waited for in vain (TestAFoundingInterruptedByAWipe...). Foundings cut by a wipe or by a kill of all at each 2 ms of the first 160 form all the same.

--- a/agreement/found_test.go
+++ b/agreement/found_test.go
@@ -17,10 +17,80 @@
 	s.Founding(&wire.Founding{Voter: "c/1", Member: "c", Addr: "c:1", Blank: true, Answer: true}, now)
 	require.Equal(t, Blank, s.Role(), "one founder has not spoken")
 	s.Founding(&wire.Founding{Member: "b", Addr: "b:1", Blank: true, Answer: true}, now.Add(time.Millisecond))
+	for _, sees := range [][]string{nil, {"a/1"}, {"a/0", "c/1"}, {"a/1", "b/1", "c/1"}} {
+		s.Founding(&wire.Founding{Voter: "c/1", Member: "c", Addr: "c:1", Blank: true, Answer: true, Sees: sees}, now.Add(time.Millisecond))
+		require.Equal(t, Blank, s.Role(), "the other has not said that it sees the same")
+	}
+	s.Founding(&wire.Founding{Voter: "c/1", Member: "c", Addr: "c:1", Blank: true, Answer: true, Sees: []string{"a/1", "c/1"}}, now.Add(time.Millisecond))
 	require.Equal(t, Follower, s.Role())
-	var ids []string
-	for _, v := range Voters(s.Roster()) {
-		ids = append(ids, v.Id)
+	require.Len(t, Voters(s.Roster()), 2)
+	require.Equal(t, []string{"a/1", "c/1"}, ids(s.Roster()))
+}
+
+func TestAFounderThatMissedTheFoundingFormsNoSecondFleetWithAWipedOne(t *testing.T) {
+	for _, joins := range []bool{true, false} {
+		c := newCluster(t, 3, 1, 1)
+		told := false
+		c.drop = func(from, to string, f *wire.Frame) bool {
+			if to != "a2" {
+				return false
+			}
+			if from == "a1" && f.GetFounding().GetBlank() {
+				told = true
+				return false
+			}
+			return true
+		}
+		c.until(3*time.Second, func() bool { return c.leader() != nil })
+		require.True(t, told, "the one that is left out has heard once that another is blank")
+		require.Equal(t, Blank, c.all["a2"].state.Role())
+		require.True(t, c.commits(time.Second))
+		at := c.all["a1"].state.commit
+		c.wipe("a0")
+		c.all["a0"].joins = joins
+		c.start("a0")
+		c.drop = func(from, to string, f *wire.Frame) bool {
+			return from == "a1" && to == "a2" || from == "a2" && to == "a1"
+		}
+		c.run(5 * time.Second)
+		require.Equal(t, Blank, c.all["a2"].state.Role(), "it knows nothing, and the wiped one neither")
+		require.Nil(t, c.leader())
+		c.drop = nil
+		require.True(t, c.commits(5*time.Second))
+		require.Greater(t, c.leader().state.commit, at)
+		c.until(5*time.Second, c.settled(3))
+		require.Len(t, c.voters(), 3)
+	}
+}
+
+func TestAFoundingInterruptedByAWipeFormsAllTheSame(t *testing.T) {
+	for ms := 0; ms < 160; ms += 2 {
+		for _, joins := range []bool{true, false} {
+			c := newCluster(t, 3, 1, int64(ms))
+			c.run(time.Duration(ms) * time.Millisecond)
+			a := []string{"a0", "a1", "a2"}[ms/2%3]
+			c.wipe(a)
+			c.all[a].joins = joins
+			c.run(300 * time.Millisecond)
+			c.start(a)
+			c.until(5*time.Second, func() bool { return len(c.voters()) == 3 && c.votes(a) })
+			require.True(t, c.votes(a), "wiped after %d ms, joins %v", ms, joins)
+			require.Len(t, c.voters(), 3)
+		}
+	}
+}
+
+func TestAFoundingInterruptedByAKillOfAllFormsAllTheSame(t *testing.T) {
+	for ms := 0; ms < 160; ms += 2 {
+		c := newCluster(t, 3, 1, int64(ms))
+		c.run(time.Duration(ms) * time.Millisecond)
+		for a := range c.all {
+			c.kill(a)
+		}
+		for _, a := range []string{"a1", "a2", "a0"} {
+			c.start(a)
+		}
+		c.until(5*time.Second, c.settled(3))
+		require.Len(t, c.voters(), 3, "killed after %d ms", ms)
 	}
-	require.Equal(t, []string{"a/1", "c/1"}, ids)
 }
--- a/agreement/state.go
+++ b/agreement/state.go
@@ -233,6 +233,7 @@
 
 	foundAt ident.Moment
 	found   map[string]*wire.Founding
+	sees    string
 	Leaving bool
 	Want    int
 	// VoterReplace is how long a voter is silent before a learner that has caught up takes its place.
@@ -469,11 +470,13 @@
 	s.out.Notes = append(s.out.Notes, fmt.Sprintf(form, args...))
 }
 
+// Founding forms a fleet of blank founders: each must have said, while blank, that it sees the very voters that this one sees.
+// So none forms beside a fleet that took a founder in and lost another since.
 func (s *State) Founding(f *wire.Founding, now ident.Moment) {
-	if !f.Answer {
-		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: s.mine(true)}})
-	}
 	if s.role != Blank {
+		if !f.Answer {
+			s.send(f.Addr, foundingFrame(s.mine(true)))
+		}
 		if s.role == Leader && (f.Learn || f.Blank) {
 			s.admit(f)
 		}
@@ -482,28 +485,75 @@
 	if f.Voter != "" || f.Answer && f.Blank {
 		s.found[f.Addr] = f
 	}
+	r := s.founders()
+	if !f.Answer {
+		m := s.mine(true)
+		if slices.Contains(f.Sees, string(s.Self.Voter)) {
+			m.Sees = f.Sees
+		}
+		s.send(f.Addr, foundingFrame(m))
+	}
+	if r == nil {
+		return
+	}
+	agreed := true
+	for _, v := range r.Voters {
+		agreed = agreed && (v.Id == string(s.Self.Voter) || slices.Equal(s.found[v.Addr].Sees, ids(r)))
+	}
+	if agreed {
+		s.bootstrap(r, now)
+		return
+	}
+	if now := strings.Join(ids(r), " "); s.sees != now {
+		s.sees = now
+		for _, v := range r.Voters {
+			if v.Id != string(s.Self.Voter) {
+				s.send(v.Addr, foundingFrame(s.mine(false)))
+			}
+		}
+	}
+}
+
+func foundingFrame(f *wire.Founding) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Founding{Founding: f}}
+}
+
+func ids(r *wire.Roster) []string {
+	var out []string
+	for _, v := range r.GetVoters() {
+		out = append(out, v.Id)
+	}
+	return out
+}
+
+// founders is the roster of those that would form the fleet, once each has said that it is blank, and this one is among them.
+func (s *State) founders() *wire.Roster {
 	r := &wire.Roster{}
 	for _, a := range s.Founders {
 		g := s.found[string(a)]
 		if a == s.Self.Addr {
-			g = s.mine(false)
+			g = &wire.Founding{Voter: string(s.Self.Voter), Member: string(s.Self.Member), Addr: string(s.Self.Addr), Blank: true}
 		}
 		if g == nil || !g.Blank {
-			return
+			return nil
 		}
-		if g.Voter == "" {
-			continue
+		if g.Voter != "" {
+			r.Voters = append(r.Voters, &wire.Voter{Id: g.Voter, Addr: g.Addr, Member: g.Member})
 		}
-		r.Voters = append(r.Voters, &wire.Voter{Id: g.Voter, Addr: g.Addr, Member: g.Member})
 	}
 	sort.Slice(r.Voters, func(i, j int) bool { return r.Voters[i].Id < r.Voters[j].Id })
-	if find(r, string(s.Self.Voter)) != nil {
-		s.bootstrap(r, now)
+	if find(r, string(s.Self.Voter)) == nil {
+		return nil
 	}
+	return r
 }
 
 func (s *State) mine(answer bool) *wire.Founding {
-	return &wire.Founding{Voter: string(s.Self.Voter), Member: string(s.Self.Member), Addr: string(s.Self.Addr), Blank: s.role == Blank, Answer: answer, Term: s.term}
+	f := &wire.Founding{Voter: string(s.Self.Voter), Member: string(s.Self.Member), Addr: string(s.Self.Addr), Blank: s.role == Blank, Answer: answer, Term: s.term}
+	if s.role == Blank {
+		f.Sees = ids(s.founders())
+	}
+	return f
 }
 
 func (s *State) admit(f *wire.Founding) {
