Ringfile: a disk whose ring is gone gets a new id

Cause: the id of a disk (file disk) outlived its ring: with ring-00 or a middle file missing, the ring was made anew beside the old id, and a blank voter named in a candidate's roster forms from it and votes. A voter that had forgotten its vote and its log could so elect old state.

A ring that grows keeps the id. Folders that are made for the data are synced into the folder above them.

--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
@@ -74,7 +75,7 @@
 func Open(dir Folder, count int, size int64) (*Ring, *agreement.Recovered, error) {
 	r := &Ring{Size: size, lsn: 1}
 	for i := 0; i < count; i++ {
-		f, err := dir.Open(fmt.Sprintf("ring-%02d", i), size)
+		f, err := dir.Open(ringName(i), size)
 		if err != nil {
 			return nil, nil, merry.Wrap(ErrOpen, merry.WithCause(err))
 		}
@@ -461,8 +462,10 @@
 	ID   string
 }
 
+// OpenDir opens or makes the folder, and gives the disk its id. An id is given up for a new one
+// where files of the ring are gone: its records may be gone with them, and nobody may vote for whom it forgot.
 func OpenDir(path string) (*Dir, error) {
-	if err := os.MkdirAll(path, 0o750); err != nil {
+	if err := makeDir(path); err != nil {
 		return nil, merry.Wrap(ErrOpen, merry.WithCause(err))
 	}
 	d := &Dir{Path: path}
@@ -477,8 +480,8 @@
 	d.lock = lock
 	name := filepath.Join(path, "disk")
 	b, err := os.ReadFile(name)
-	if err != nil || len(b) != 16 {
-		if _, ring := os.Stat(filepath.Join(path, "ring-00")); ring == nil && err == nil {
+	if err != nil || len(b) != 16 || ringGone(path) {
+		if _, ring := os.Stat(filepath.Join(path, "ring-00")); ring == nil && err == nil && len(b) != 16 {
 			lock.Close()
 			return nil, merry.Wrap(ErrCorrupt, merry.AppendMessage("the file named disk does not hold an id"))
 		}
@@ -494,6 +497,44 @@
 	return d, d.syncDir()
 }
 
+// makeDir makes the folders that are missing, each kept over a loss of power.
+func makeDir(path string) error {
+	if _, err := os.Stat(path); err == nil {
+		return nil
+	}
+	up := filepath.Dir(path)
+	if up != path {
+		if err := makeDir(up); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(path, 0o750); err != nil && !os.IsExist(err) {
+		return err
+	}
+	return (&Dir{Path: up}).syncDir()
+}
+
+func ringGone(path string) bool {
+	list, err := os.ReadDir(path)
+	if err != nil {
+		return true
+	}
+	n := 0
+	for _, f := range list {
+		if strings.HasPrefix(f.Name(), "ring-") {
+			n++
+		}
+	}
+	for i := range n {
+		if _, err := os.Stat(filepath.Join(path, ringName(i))); err != nil {
+			return true
+		}
+	}
+	return n == 0
+}
+
+func ringName(i int) string { return fmt.Sprintf("ring-%02d", i) }
+
 func writeSynced(name string, b []byte) error {
 	f, err := os.OpenFile(name+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o640)
 	if err != nil {
