--- a/agreement/state.go
+++ b/agreement/state.go
@@ -135,6 +135,7 @@
 	round     uint64
 	heard     ident.Moment
 	ailing    bool
+	leaving   bool
 	snapAt    ident.Moment
 	reset     uint64
 	resetTo   uint64
@@ -198,6 +199,7 @@
 	votes      map[string]bool
 	pre        bool
 	handoff    bool
+	released   uint64
 	known      *wire.Roster
 	knownAt    uint64
 
@@ -239,6 +241,7 @@
 
 	foundAt ident.Moment
 	found   map[string]claim
+	sees    string
 	born    ident.Moment
 	Leaving bool
 	Want    int
@@ -388,10 +391,7 @@
 	return nil
 }
 
-func (s *State) voting() bool {
-	v := find(s.Roster(), string(s.Self.Voter))
-	return v != nil && !v.Learner
-}
+func (s *State) voting() bool { return votes(s.Roster(), string(s.Self.Voter)) }
 
 func (s *State) setElect(now ident.Moment) {
 	s.electAt = now.Add(ElectLeast + time.Duration(s.rand.Int63n(int64(ElectSpread))))
@@ -429,7 +429,7 @@
 }
 
 func (s *State) toTerm(t uint64, now ident.Moment) {
-	s.term, s.voted, s.leader, s.leaderAddr = t, "", "", ""
+	s.term, s.voted, s.leader, s.leaderAddr, s.released = t, "", "", "", 0
 	s.saveHardState()
 	s.becomeFollower(now)
 }
@@ -481,11 +481,13 @@
 	s.out.Notes = append(s.out.Notes, fmt.Sprintf(form, args...))
 }
 
+// Founding forms a fleet of blank founders: each must have said, while blank, that it sees the very voters that this one sees.
+// So none forms beside a fleet that took a founder in and lost another since.
 func (s *State) Founding(f *wire.Founding, now ident.Moment) {
-	if !f.Answer {
-		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: s.mine(true)}})
-	}
 	if s.role != Blank {
+		if !f.Answer {
+			s.send(f.Addr, foundingFrame(s.mine(true)))
+		}
 		if s.role == Leader && (f.Learn || f.Blank) {
 			s.admit(f)
 		}
@@ -494,15 +496,79 @@
 	if f.Voter != "" || f.Answer && f.Blank {
 		s.found[f.Addr] = claim{f, now}
 	}
-	s.foundFleet(now)
+	r := s.founders()
+	if !f.Answer {
+		m := s.mine(true)
+		if slices.Contains(f.Sees, string(s.Self.Voter)) {
+			m.Sees = f.Sees
+		}
+		s.send(f.Addr, foundingFrame(m))
+	}
+	if r == nil {
+		s.foundByMajority(now)
+		return
+	}
+	agreed := true
+	for _, v := range r.Voters {
+		agreed = agreed && (v.Id == string(s.Self.Voter) || slices.Equal(s.found[v.Addr].Sees, ids(r)))
+	}
+	if agreed {
+		s.bootstrap(r, now)
+		return
+	}
+	if now := strings.Join(ids(r), " "); s.sees != now {
+		s.sees = now
+		for _, v := range r.Voters {
+			if v.Id != string(s.Self.Voter) {
+				s.send(v.Addr, foundingFrame(s.mine(false)))
+			}
+		}
+	}
+	s.foundByMajority(now)
+}
+
+func foundingFrame(f *wire.Founding) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Founding{Founding: f}}
+}
+
+func ids(r *wire.Roster) []string {
+	var out []string
+	for _, v := range r.GetVoters() {
+		out = append(out, v.Id)
+	}
+	return out
 }
 
-// foundFleet forms the fleet once each founder has said lately that it holds nothing. At the very first start a majority
-// that has may do without the silent ones after FoundWait: each has one identity in such a start, so that the silent one's
-// place in the roster, held by a name that nobody bears, counts in the same majorities whoever knows it.
-func (s *State) foundFleet(now ident.Moment) {
-	all, first := &wire.Roster{}, &wire.Roster{}
-	silent, known := 0, 0
+// founders is the roster of those that would form the fleet, once each has said that it is blank, and this one is among them.
+func (s *State) founders() *wire.Roster {
+	r := &wire.Roster{}
+	for _, a := range s.Founders {
+		g := s.found[string(a)].Founding
+		if a == s.Self.Addr {
+			g = &wire.Founding{Voter: string(s.Self.Voter), Member: string(s.Self.Member), Addr: string(s.Self.Addr), Blank: true}
+		}
+		if g == nil || !g.Blank {
+			return nil
+		}
+		if g.Voter != "" {
+			r.Voters = append(r.Voters, &wire.Voter{Id: g.Voter, Addr: g.Addr, Member: g.Member})
+		}
+	}
+	sort.Slice(r.Voters, func(i, j int) bool { return r.Voters[i].Id < r.Voters[j].Id })
+	if find(r, string(s.Self.Voter)) == nil {
+		return nil
+	}
+	return r
+}
+
+// foundByMajority forms the fleet, at its very first start, without a founder that is silent after FoundWait. Each founder has
+// one identity in such a start; so the silent one's place in the roster, held by a name that nobody bears, counts in the same
+// majorities whoever knows it. One that may have been wiped counts as silent.
+func (s *State) foundByMajority(now ident.Moment) {
+	if !s.FreshFleet || now.Sub(s.born) < FoundWait {
+		return
+	}
+	r, silent, known := &wire.Roster{}, 0, 0
 	for _, a := range s.Founders {
 		g, ok := s.found[string(a)]
 		if a == s.Self.Addr {
@@ -511,37 +577,30 @@
 		if ok && !g.Blank {
 			return
 		}
-		ok = ok && now.Sub(g.at) <= ClaimFor
-		v := &wire.Voter{Id: "silent/" + string(a), Addr: string(a), Member: "silent at " + string(a)}
-		switch {
-		case !ok:
-			silent++
-		case g.Voter == "":
+		switch heard := ok && now.Sub(g.at) <= ClaimFor; {
+		case heard && g.Voter == "":
 			continue
-		default:
-			all.Voters = append(all.Voters, &wire.Voter{Id: g.Voter, Addr: g.Addr, Member: g.Member})
-			if g.First {
-				known++
-				v = all.Voters[len(all.Voters)-1]
-			}
-		}
-		first.Voters = append(first.Voters, v)
-	}
-	r := all
-	if silent > 0 {
-		if !s.FreshFleet || now.Sub(s.born) < FoundWait || known <= len(s.Founders)/2 {
-			return
+		case heard && g.First:
+			known++
+			r.Voters = append(r.Voters, &wire.Voter{Id: g.Voter, Addr: g.Addr, Member: g.Member})
+			continue
+		case !heard:
+			silent++
 		}
-		r = first
+		r.Voters = append(r.Voters, &wire.Voter{Id: "silent/" + string(a), Addr: string(a), Member: "silent at " + string(a)})
 	}
 	sort.Slice(r.Voters, func(i, j int) bool { return r.Voters[i].Id < r.Voters[j].Id })
-	if find(r, string(s.Self.Voter)) != nil {
+	if silent > 0 && known > len(s.Founders)/2 && find(r, string(s.Self.Voter)) != nil {
 		s.bootstrap(r, now)
 	}
 }
 
 func (s *State) mine(answer bool) *wire.Founding {
-	return &wire.Founding{Voter: string(s.Self.Voter), Member: string(s.Self.Member), Addr: string(s.Self.Addr), Blank: s.role == Blank, Answer: answer, Term: s.term, First: s.FreshFleet}
+	f := &wire.Founding{Voter: string(s.Self.Voter), Member: string(s.Self.Member), Addr: string(s.Self.Addr), Blank: s.role == Blank, Answer: answer, Term: s.term, First: s.FreshFleet}
+	if s.role == Blank {
+		f.Sees = ids(s.founders())
+	}
+	return f
 }
 
 func (s *State) admit(f *wire.Founding) {
@@ -609,9 +668,10 @@
 	}
 }
 
+// readyLearner is the one that joined last: in a rolling restart it has its own restart behind it.
 func (s *State) readyLearner(r *wire.Roster, now ident.Moment) string {
-	for _, v := range r.GetVoters() {
-		if v.Learner && s.able(v.Id, now) {
+	for _, v := range slices.Backward(r.GetVoters()) {
+		if v.Learner && s.able(v.Id, now) && !s.progress[v.Id].leaving {
 			return v.Id
 		}
 	}
@@ -668,6 +728,17 @@
 		s.promote(r, ready)
 		return
 	}
+	for _, v := range voters {
+		switch {
+		case !s.leaves(v.Id):
+		case s.spareVoter(voters, v.Id, now):
+			s.remove(r, v.Id)
+			return
+		case ready != "" && len(voters) == s.Want:
+			s.promote(r, ready)
+			return
+		}
+	}
 	for _, v := range r.GetVoters() {
 		if p := s.progress[v.Id]; v.Learner && p != nil && now.Sub(p.heard) > LearnerKept*s.VoterReplace {
 			s.remove(r, v.Id)
@@ -676,6 +747,51 @@
 	}
 }
 
+func (s *State) leaves(id string) bool {
+	p := s.progress[id]
+	return p != nil && p.leaving && p.live(s.beatAt)
+}
+
+// spareVoter says that the voters do no worse without this one: more stand than wanted, or an even number, and the rest is an able majority.
+func (s *State) spareVoter(voters []*wire.Voter, id string, now ident.Moment) bool {
+	return (len(voters) > s.Want || len(voters)%2 == 0) && s.majorityWithout(voters, id, now)
+}
+
+// releaseFor is the last index that a live majority of the voters has on disk without this one, which wants to leave;
+// none while its place is being taken or a learner is on its way to do so.
+func (s *State) releaseFor(id string, now ident.Moment) uint64 {
+	r := s.Roster()
+	voters := Voters(r)
+	if v := find(r, id); v == nil || v.Learner || !s.leaves(id) || s.spareVoter(voters, id, now) {
+		return 0
+	}
+	for _, v := range r.GetVoters() {
+		if p := s.progress[v.Id]; v.Learner && p != nil && now.Sub(p.heard) < LiveFor && !p.ailing && !p.leaving {
+			return 0
+		}
+	}
+	var got []uint64
+	for _, v := range voters {
+		p := s.progress[v.Id]
+		switch {
+		case v.Id == id:
+			got = append(got, 0)
+		case v.Id == string(s.Self.Voter):
+			got = append(got, s.synced)
+		case p.live(now) && !p.ailing && !p.leaving:
+			got = append(got, p.match)
+		default:
+			got = append(got, 0)
+		}
+	}
+	return quorumIndex(got)
+}
+
+func quorumIndex(got []uint64) uint64 {
+	sort.Slice(got, func(i, j int) bool { return got[i] > got[j] })
+	return got[len(got)/2]
+}
+
 func (s *State) remove(r *wire.Roster, id string) {
 	s.change(r, func(v *wire.Voter) *wire.Voter {
 		if v.Id == id {
@@ -768,7 +884,7 @@
 	best, most := "", uint64(0)
 	for _, v := range Voters(s.Roster()) {
 		l := s.progress[v.Id]
-		if l != nil && !l.ailing && now.Sub(l.heard) < 500*time.Millisecond && l.match >= most {
+		if l != nil && !l.ailing && !l.leaving && now.Sub(l.heard) < LiveFor && l.match >= most {
 			best, most = v.Id, l.match
 		}
 	}
@@ -798,25 +914,40 @@
 	return out, len(all)
 }
 
+// Needed says that this voter's going would leave the others without a majority that holds all it holds,
+// or that its place is being taken just now.
 func (s *State) Needed(now ident.Moment) bool {
-	all := Voters(s.Roster())
-	if !s.voting() || len(all) == 1 {
-		return false
+	r, at := s.rosterAt()
+	all := Voters(r)
+	if !s.voting() {
+		return at > s.commit && s.role != Blank && votes(s.rosterBy(at-1), string(s.Self.Voter))
 	}
 	if s.role != Leader {
-		return now.Sub(s.heardLead) > time.Second
+		return now.Sub(s.heardLead) > time.Second || s.released < s.last()
 	}
-	n := 0
-	for _, v := range all {
-		if l := s.progress[v.Id]; l != nil && l.round > 0 && !l.ailing && now.Sub(l.heard) < time.Second {
+	n, heirs := 0, 0
+	for _, v := range r.GetVoters() {
+		switch p := s.progress[v.Id]; {
+		case !p.live(now) || p.ailing || p.leaving:
+		case v.Learner:
+			heirs++
+		default:
 			n++
 		}
 	}
-	return n < len(all)/2+1
+	if len(all) == 1 {
+		return heirs > 0
+	}
+	return n < (len(all)+1)/2
+}
+
+func votes(r *wire.Roster, id string) bool {
+	v := find(r, id)
+	return v != nil && !v.Learner
 }
 
 func (s *State) Handoff(h *wire.Handoff, now ident.Moment) {
-	if h.Term != s.term || h.Target != string(s.Self.Voter) || s.role != Follower || !s.voting() || s.ailing {
+	if h.Term != s.term || h.Target != string(s.Self.Voter) || s.role != Follower || !s.voting() || s.ailing || s.Leaving {
 		return
 	}
 	s.campaign(now, false, true)
@@ -840,7 +971,7 @@
 					s.send(f.Addr, &wire.Frame{Body: &wire.Frame_Founding{Founding: m}})
 				}
 			}
-			s.foundFleet(now)
+			s.foundByMajority(now)
 		}
 	case Leader:
 		s.tell(now)
@@ -1065,7 +1196,7 @@
 
 func (s *State) appendTo(id string, prev, n uint64) *wire.Frame {
 	t, _ := s.termAt(prev)
-	a := &wire.Append{Term: s.term, Leader: string(s.Self.Voter), LeaderAddr: string(s.Self.Addr), PrevIndex: prev, PrevTerm: t, Commit: s.commit, Round: s.roundNow, Target: id}
+	a := &wire.Append{Term: s.term, Leader: string(s.Self.Voter), LeaderAddr: string(s.Self.Addr), PrevIndex: prev, PrevTerm: t, Commit: s.commit, Round: s.roundNow, Target: id, Release: s.releaseFor(id, s.beatAt)}
 	for i := prev + 1; i <= prev+n; i++ {
 		a.Entries = append(a.Entries, s.entry(i))
 	}
@@ -1077,7 +1208,7 @@
 		return
 	}
 	reply := func(ok bool, match, hint uint64) *wire.Frame {
-		return &wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: s.term, Voter: string(s.Self.Voter), Ok: ok, Match: match, Hint: hint, Round: a.Round, Ailing: s.ailing, WallMs: s.Wall(now), Chunks: true, RingBytes: uint64(s.capacity), Full: s.crowded()}}}
+		return &wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: s.term, Voter: string(s.Self.Voter), Ok: ok, Match: match, Hint: hint, Round: a.Round, Ailing: s.ailing, WallMs: s.Wall(now), Leaving: s.Leaving, Chunks: true, RingBytes: uint64(s.capacity), Full: s.crowded()}}}
 	}
 	if a.Term < s.term {
 		f := reply(false, 0, 0)
@@ -1087,7 +1218,7 @@
 	}
 	if s.role == Blank {
 		f := reply(false, 0, 0)
-		f.GetAppendReply().Term = a.Term
+		f.GetAppendReply().Term, f.GetAppendReply().Round = a.Term, 0
 		s.send(a.LeaderAddr, f)
 		return
 	}
@@ -1096,7 +1227,7 @@
 	} else if s.role != Follower {
 		s.becomeFollower(now)
 	}
-	s.leader, s.leaderAddr, s.heardLead, s.stands = a.Leader, a.LeaderAddr, now, 0
+	s.leader, s.leaderAddr, s.heardLead, s.stands, s.released = a.Leader, a.LeaderAddr, now, 0, a.Release
 	s.setElect(now)
 	if a.PrevIndex > s.last() {
 		s.sendSynced(a.LeaderAddr, reply(false, 0, s.last()))
@@ -1197,7 +1328,7 @@
 	if s.role != Leader || a.Term != s.term || l == nil {
 		return
 	}
-	l.heard, l.ailing = now, a.Ailing
+	l.heard, l.ailing, l.leaving = now, a.Ailing, a.Leaving
 	if a.WallMs != 0 && a.Round >= l.wallRound {
 		l.wall, l.wallAt, l.wallRound = a.WallMs, now, a.Round
 	}
--- a/control/node_test.go
+++ b/control/node_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -15,6 +17,9 @@
 		dir, err := ringfile.OpenDir(path)
 		require.NoError(t, err)
 		defer dir.Close()
+		ring, _, err := ringfile.Open(dir, 3, 1<<16)
+		require.NoError(t, err)
+		defer ring.Close()
 		got, fresh, err := founding(dir, b)
 		require.NoError(t, err)
 		return got, fresh
@@ -31,4 +36,8 @@
 	got, fresh = open(Boot{Founders: list[:1]})
 	require.Equal(t, list[:1], got, "founders that are told go before")
 	require.False(t, fresh)
+	require.NoError(t, os.Remove(filepath.Join(path, "ring-00")))
+	got, fresh = open(Boot{})
+	require.Empty(t, got, "a disk whose ring is gone is another one")
+	require.False(t, fresh)
 }
