Ring: three voters on real rings over random kills, power losses, refusals, cuts and chunks

60 seeds of 150 troubles each on a fake clock: kills with and without power, disks that refuse after some operations, slow syncs, cut and lossy slow links, doubled and reordered frames, forced compactions, images of 100 bytes to 400 KB.

--- a/ringfile/catchup_test.go
+++ b/ringfile/catchup_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sloeturn/agreement"
+	"sloeturn/ident"
 	"sloeturn/wire"
 )
 
@@ -182,3 +183,71 @@
 		}
 	}
 }
+
+func (w *fleet) trouble(n int) {
+	names := []string{"a", "b", "c"}
+	for range n {
+		v := w.all[names[w.rnd.Intn(3)]]
+		switch k := w.rnd.Intn(12); {
+		case k < 3 && v.down:
+			v.left = 1 << 40
+			w.start(v.name)
+		case k < 2:
+			w.kill(v.name, w.rnd.Intn(2) == 0)
+		case k == 2:
+			w.cut(v.name, true)
+		case k < 6:
+			w.cut(v.name, false)
+			w.slow(v.name, 0, 0)
+		case k == 6:
+			w.slow(v.name, twoMbits*4, 0.1)
+		case k == 7:
+			v.left = w.rnd.Intn(12)
+		case k == 8:
+			v.left = 1 << 40
+		case k == 9:
+			v.sync = time.Duration(1+w.rnd.Intn(400)) * time.Millisecond
+		case k == 10 && !v.down:
+			v.s.Compact(true)
+			w.settle(v)
+		default:
+			for range 1 + w.rnd.Intn(20) {
+				if w.propose(w.rnd.Intn(3000)) {
+					w.asked++
+				}
+			}
+		}
+		w.run(time.Duration(w.rnd.Intn(600)) * time.Millisecond)
+	}
+}
+
+func (w *fleet) mend() {
+	for _, n := range []string{"a", "b", "c"} {
+		v := w.all[n]
+		v.left, v.sync = 1<<40, 5*time.Millisecond
+		w.cut(n, false)
+		w.slow(n, 0, 0)
+		if v.down {
+			w.start(n)
+		}
+	}
+}
+
+func TestNoVoterLeadsWithOldStateOrStaysBehindOverRandomTroubles(t *testing.T) {
+	asked, sure, led := 0, uint64(0), ident.Term(0)
+	for seed := int64(1); seed <= 60; seed++ {
+		w := newFleet(t, seed, 3, 1*mebi, []int{100, 90 << 10, 400 << 10}[seed%3])
+		w.doubles, w.jitter = 0.05, 30*time.Millisecond
+		w.trouble(150)
+		w.mend()
+		w.run(8 * time.Second)
+		lead := w.leader()
+		require.NotNil(t, lead, "seed %d", seed)
+		require.GreaterOrEqual(t, lead.index, w.sure, "seed %d", seed)
+		for _, v := range w.all {
+			require.Equal(t, lead.index, v.index, "seed %d: %s %s", seed, v.name, v.s.Text())
+		}
+		asked, sure, led = asked+w.asked, sure+w.sure, led+w.term
+	}
+	t.Logf("%d changes asked, %d entries committed, %d terms", asked, sure, led)
+}
--- a/ringfile/fleet_test.go
+++ b/ringfile/fleet_test.go
@@ -58,19 +58,22 @@
 }
 
 type fleet struct {
-	t     *testing.T
-	rnd   *rand.Rand
-	now   ident.Moment
-	all   map[string]*voter
-	lines map[[2]string]*line
-	post  []letter
-	seq   int
-	files int
-	size  int64
-	sums  map[uint64]uint64
-	sure  uint64
-	term  ident.Term
-	most  int
+	t       *testing.T
+	rnd     *rand.Rand
+	now     ident.Moment
+	all     map[string]*voter
+	lines   map[[2]string]*line
+	post    []letter
+	seq     int
+	files   int
+	size    int64
+	sums    map[uint64]uint64
+	sure    uint64
+	term    ident.Term
+	asked   int
+	jitter  time.Duration
+	doubles float64
+	most    int
 }
 
 var poly = crc64.MakeTable(crc64.ECMA)
@@ -155,8 +158,13 @@
 		at = l.free.Add(l.late)
 	}
 	l.bytes += len(b)
-	w.seq++
-	w.post = append(w.post, letter{at, w.seq, m.To, b})
+	for n := 0; n == 0 || n == 1 && w.rnd.Float64() < w.doubles; n++ {
+		if w.jitter > 0 {
+			at = at.Add(time.Duration(w.rnd.Int63n(int64(w.jitter))))
+		}
+		w.seq++
+		w.post = append(w.post, letter{at, w.seq, m.To, b})
+	}
 }
 
 func (w *fleet) step() {
