Ring: records of a write that was cut short never join on to later ones

Cause: after a write that was cut short, recovery went on from the first record that did not read, and wiped what lay beyond only if that very place held a later number. Records further on stayed; later writes of the same sizes reached them with the right number, and the next recovery took old, never acknowledged records (entries, terms, votes) for the newest.

Mend: after recovery, and before the next write after a refusal, all that is numbered beyond the end is wiped and synced. Ruled out: numbers that jump at each start, for older builds could not read the ring.

--- a/ringfile/catchup_test.go
+++ b/ringfile/catchup_test.go
@@ -251,3 +251,98 @@
 	}
 	t.Logf("%d changes asked, %d entries committed, %d terms", asked, sure, led)
 }
+
+func TestChunksThatAreLostAreSentAgain(t *testing.T) {
+	for seed := int64(1); seed <= 5; seed++ {
+		w := newFleet(t, seed, 3, 4*mebi, 1500<<10)
+		w.lead("c")
+		w.kill("c", false)
+		for range 300 {
+			require.True(t, w.propose(8<<10))
+			w.run(20 * time.Millisecond)
+		}
+		w.slow("c", 8*twoMbits, 0.1)
+		w.start("c")
+		from := w.now
+		for w.now.Sub(from) < 60*time.Second && w.all["c"].index < w.leader().index {
+			w.run(100 * time.Millisecond)
+		}
+		t.Logf("seed %d: %v", seed, w.now.Sub(from))
+		require.Less(t, w.now.Sub(from), 30*time.Second, "seed %d", seed)
+	}
+}
+
+func TestPowerLossAtAnyStepOfAWriteLeavesAPrefix(t *testing.T) {
+	for seed := int64(0); seed < 1500; seed++ {
+		rnd := rand.New(rand.NewSource(seed))
+		d := memDir{}
+		left := 1 << 40
+		r, _, err := Open(moody{d, &left}, 3, 4096)
+		require.NoError(t, err)
+		log := []*wire.Record{snap(1, 10), vow(1)}
+		require.NoError(t, r.Write(log))
+		last, term := uint64(1), uint64(1)
+		for step := 0; step < 25; step++ {
+			var recs []*wire.Record
+			for range 1 + rnd.Intn(4) {
+				switch k := rnd.Intn(5); {
+				case k == 0:
+					p := snap(last, rnd.Intn(2200))
+					recs = append(recs, p)
+				case k == 1:
+					term++
+					recs = append(recs, vow(term))
+				default:
+					last++
+					recs = append(recs, entry(last, rnd.Intn(200)))
+				}
+			}
+			total := int64(200)
+			for _, e := range recs {
+				total += costOf(e) + 100
+			}
+			if r.Room() < total {
+				recs = []*wire.Record{snap(last, rnd.Intn(900))}
+			}
+			left = rnd.Intn(14)
+			if err := r.Write(recs); err == nil {
+				log = append(log, recs...)
+				if rnd.Intn(3) > 0 {
+					left = 1 << 40
+					continue
+				}
+				recs = nil
+			}
+			left = 1 << 40
+			d.powerLoss(rnd)
+			var got *agreement.Recovered
+			r, got, err = Open(moody{d, &left}, 3, 4096)
+			require.NoError(t, err, "seed %d step %d", seed, step)
+			found := -1
+			for k := len(recs); k >= 0 && found < 0; k-- {
+				want := &agreement.Recovered{}
+				for _, e := range append(append([]*wire.Record{}, log...), recs[:k]...) {
+					require.NoError(t, want.Replay(e))
+				}
+				if same(want, got) && got.Term >= want.Term {
+					found = k
+				}
+			}
+			require.GreaterOrEqual(t, found, 0, "seed %d step %d", seed, step)
+			log = append(log, recs[:found]...)
+			last, term = got.Snapshot.LastIndex+uint64(len(got.Entries)), got.Term
+		}
+	}
+}
+
+func same(a, b *agreement.Recovered) bool {
+	if !proto.Equal(a.Snapshot, b.Snapshot) || len(a.Entries) != len(b.Entries) {
+		return false
+	}
+	for i := range a.Entries {
+		if !proto.Equal(a.Entries[i], b.Entries[i]) {
+			return false
+		}
+	}
+	return true
+}
--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -68,6 +68,7 @@
 	synced uint64
 	vow    *wire.HardState
 	owed   []*wire.Record
+	cut    bool
 	Torn   bool
 }
 
@@ -229,12 +230,70 @@
 	}
 	r.synced = lsn - 1
 	r.lsn = lsn
+	if err := r.scrub(); err != nil {
+		return nil, err
+	}
 	if got.Snapshot == nil && got.Term == 0 {
 		return nil, nil
 	}
 	return got, nil
 }
 
+func stale(b []byte, from int64, lsn uint64) bool {
+	for off := pad(from); off+recHead <= int64(len(b)); off += 8 {
+		if binary.LittleEndian.Uint64(b[off+8:]) < lsn {
+			continue
+		}
+		if _, _, _, ok := readAt(b, off, 0); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// scrub wipes what a write that was cut short left beyond the end, lest later records join on to it.
+func (r *Ring) scrub() error {
+	if r.at < 0 {
+		return nil
+	}
+	b := make([]byte, r.Size)
+	old := func(i int, from int64) (bool, error) {
+		if _, err := r.slots[i].file.ReadAt(b, 0); err != nil {
+			return false, merry.Wrap(ErrOpen, merry.WithCause(err))
+		}
+		return stale(b, from, r.lsn), nil
+	}
+	var free []int
+	last := -1
+	live := r.liveSeq()
+	for k := 1; k < len(r.slots); k++ {
+		i := (r.at + k) % len(r.slots)
+		if t := r.slots[i]; t.seq >= live && t.seq > 0 {
+			break
+		}
+		free = append(free, i)
+		is, err := old(i, headSize)
+		if err != nil {
+			return err
+		}
+		if is {
+			last = len(free) - 1
+		}
+	}
+	for _, i := range free[:last+1] {
+		if err := r.wipe(r.slots[i], 0); err != nil {
+			return err
+		}
+		r.slots[i].seq, r.slots[i].first = 0, 0
+	}
+	is, err := old(r.at, r.off)
+	if err != nil || !is {
+		return err
+	}
+	r.Torn = true
+	return r.wipe(r.slots[r.at], r.off)
+}
+
 func (r *Ring) wipe(s *slot, off int64) error {
 	if _, err := s.file.WriteAt(make([]byte, r.Size-off), off); err != nil {
 		return merry.Wrap(ErrWrite, merry.WithCause(err))
@@ -283,10 +342,18 @@
 func (r *Ring) Write(recs []*wire.Record) error {
 	recs = append(r.owed, recs...)
 	r.owed = nil
+	if r.cut {
+		if err := r.scrub(); err != nil {
+			r.owed = recs
+			return err
+		}
+		r.cut = false
+	}
 	m := r.mark()
 	kept, err := r.write(recs, &m)
 	if err != nil {
 		r.back(m)
+		r.cut = true
 		r.owed = recs[kept:]
 	}
 	return err
