--- a/ringfile/ring_test.go
+++ b/ringfile/ring_test.go
@@ -5,6 +5,7 @@
 	"math/rand"
 	"testing"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/stretchr/testify/require"
 
 	"sloeturn/agreement"
@@ -221,3 +222,12 @@
 		}
 	}
 }
+
+func TestAMissingEntryIsToldNotPassedOver(t *testing.T) {
+	d := memDir{}
+	r, _ := reopen(t, d)
+	require.NoError(t, r.Write([]*wire.Record{snap(1, 10), vow(1), entry(2, 10), entry(4, 10)}))
+	_, _, err := Open(d, 4, 16384)
+	require.ErrorIs(t, err, ErrCorrupt)
+	require.ErrorContains(t, merry.Cause(err), "entry 4 stands after 2")
+}
--- a/wire/link.go
+++ b/wire/link.go
@@ -26,6 +26,7 @@
 	connectWait = 300 * time.Millisecond
 	writeWait   = 2 * time.Second
 	ackWait     = time.Second
+	pieceSize   = 16 << 10
 	redialPause = 100 * time.Millisecond
 	redialLeast = 10 * time.Millisecond
 )
@@ -274,9 +275,8 @@
 		c.Read(b[:])
 		close(gone)
 	}()
-	out := bufio.NewWriterSize(c, bufferSize)
+	out := bufio.NewWriterSize(&paced{c}, bufferSize)
 	for {
-		c.SetWriteDeadline(time.Now().Add(writeWait))
 		if g.GetHello().Terse {
 			f = &Frame{Body: f.Body}
 		}
@@ -300,6 +300,19 @@
 	}
 }
 
+// paced bounds the time of each piece, not of a whole frame: a large one may take its time on a slow link.
+type paced struct{ net.Conn }
+
+func (p *paced) Write(b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		p.SetWriteDeadline(time.Now().Add(writeWait))
+		k := 0
+		k, err = p.Conn.Write(b[n:min(n+pieceSize, len(b))])
+		n += k
+	}
+	return n, err
+}
+
 func (l *link) connect() (net.Conn, error) {
 	select {
 	case <-l.up:
--- a/wire/link_test.go
+++ b/wire/link_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"net"
@@ -43,6 +44,30 @@
 	require.ErrorIs(t, err, ErrFrame)
 }
 
+type noted struct {
+	net.Conn
+	writes []int
+	waits  int
+}
+
+func (n *noted) Write(b []byte) (int, error)      { n.writes = append(n.writes, len(b)); return len(b), nil }
+func (n *noted) SetWriteDeadline(time.Time) error { n.waits++; return nil }
+
+func TestALargeFrameIsGivenItsTimePieceByPiece(t *testing.T) {
+	n := &noted{}
+	out := bufio.NewWriterSize(&paced{n}, bufferSize)
+	_, err := writeTo(out, &Frame{Body: &Frame_Snapshot{Snapshot: &Snapshot{Image: make([]byte, 1<<20)}}})
+	require.NoError(t, err)
+	require.NoError(t, out.Flush())
+	sum := 0
+	for _, k := range n.writes {
+		require.LessOrEqual(t, k, pieceSize, "a slow link gets this through in one wait")
+		sum += k
+	}
+	require.Greater(t, sum, 1<<20)
+	require.Equal(t, len(n.writes), n.waits)
+}
+
 func TestATerseLinkSaysWhoSpeaksOnce(t *testing.T) {
 	took := make(chan *Frame, 8)
 	hub := func(name string) *Hub {
