--- a/agreement/state.go
+++ b/agreement/state.go
@@ -159,8 +159,8 @@
 	bytes int64
 }
 
-// claim is what a founder said of itself, and when.
-type claim struct {
+// founderClaim is what a founder said of itself, and when.
+type founderClaim struct {
 	*wire.Founding
 	at ident.Moment
 }
@@ -240,7 +240,7 @@
 	ailing     bool
 
 	foundAt ident.Moment
-	found   map[string]claim
+	found   map[string]founderClaim
 	sees    string
 	born    ident.Moment
 	Leaving bool
@@ -256,7 +256,7 @@
 }
 
 func New(self Self, founders []ident.Addr, got *Recovered, seed int64, now ident.Moment) *State {
-	s := &State{Self: self, Founders: founders, Want: 3, VoterReplace: VoterReplace, rand: rand.New(rand.NewSource(seed)), found: map[string]claim{}, born: now, out: &Out{}, Doors: func() []ident.Addr { return nil }, Wall: func(ident.Moment) int64 { return 0 }}
+	s := &State{Self: self, Founders: founders, Want: 3, VoterReplace: VoterReplace, rand: rand.New(rand.NewSource(seed)), found: map[string]founderClaim{}, born: now, out: &Out{}, Doors: func() []ident.Addr { return nil }, Wall: func(ident.Moment) int64 { return 0 }}
 	s.asOf, s.heardLead = now, now
 	if got != nil && got.Snapshot != nil {
 		s.role = Follower
@@ -494,7 +494,7 @@
 		return
 	}
 	if f.Voter != "" || f.Answer && f.Blank {
-		s.found[f.Addr] = claim{f, now}
+		s.found[f.Addr] = founderClaim{f, now}
 	}
 	r := s.founders()
 	if !f.Answer {
@@ -572,7 +572,7 @@
 	for _, a := range s.Founders {
 		g, ok := s.found[string(a)]
 		if a == s.Self.Addr {
-			g, ok = claim{s.mine(false), now}, true
+			g, ok = founderClaim{s.mine(false), now}, true
 		}
 		if ok && !g.Blank {
 			return
@@ -1108,7 +1108,7 @@
 	n := 0
 	all := Voters(s.Roster())
 	for _, v := range all {
-		if s.votes[v.Id] {
+		if s.votes[v.Id] && (s.pre || v.Id != string(s.Self.Voter) || s.seqDone >= s.hardStateAt) {
 			n++
 		}
 	}
@@ -1437,9 +1437,12 @@
 	for s.marks.Len() > 0 && s.marks.Front()[0] <= seq {
 		s.synced = max(s.synced, min(s.marks.PopFront()[1], s.last()))
 	}
-	if s.role == Leader {
+	switch {
+	case s.role == Leader:
 		s.freshen()
 		s.advance()
+	case s.role == Candidate && !s.pre && s.votes != nil:
+		s.tally(now)
 	}
 }
 
