Simulate: a control process cut off for 20 s in six ways while one operator orders and others read

An operator builds each change on what it was acknowledged last and goes from process to process; readers ask the process that is cut off as often as all others together. No order may be refused or take longer than the tenure and 5 s, no read may be older than what was acknowledged before it was asked.

--- a/simulate/lease.go
+++ b/simulate/lease.go
@@ -117,6 +117,107 @@
 	}
 }
 
+// operate has one operator build change upon change, each on what was acknowledged last, and go from process to process until it hears yes.
+func (w *World) operate(r *Result, most time.Duration) (stop func()) {
+	on, n := true, 0
+	var next func()
+	next = func() {
+		if n++; !on {
+			return
+		}
+		id, from, done := fmt.Sprint("step-", n), w.Now, false
+		c := &wire.SetDesired{Basis: w.acked, ChangeId: id, Doc: []byte(w.Doc0(w.Nodes, n%3, 2, Cap))}
+		var try func(k int)
+		try = func(k int) {
+			moved := false
+			move := func() {
+				if !moved && !done && k < 60 {
+					moved = true
+					w.at(20*ms, func() { try(k + 1) })
+				}
+			}
+			w.change(w.someControl(), c, func(a *wire.ProposeReply) {
+				switch code := ledger.Code(a.Code); {
+				case done:
+				case code == ledger.Lost:
+					move()
+				case code != ledger.Done:
+					done = true
+					w.Break("a proper order was refused", "%s on %d: %s", id, c.Basis, code)
+				default:
+					done = true
+					w.yes(id, a)
+					w.acked, w.ackedDoc, w.ackAt = max(w.acked, a.Generation), id, w.Now
+					r.Ack = max(r.Ack, w.Now.Sub(from))
+					if w.Now.Sub(from) > most {
+						w.Break("an order was acknowledged late", "%s after %v, bound %v", id, w.Now.Sub(from), most)
+					}
+					w.at(time.Duration(w.Rand.Intn(600))*ms, next)
+				}
+			})
+			w.at(silence, move)
+		}
+		try(0)
+	}
+	next()
+	return func() { on = false }
+}
+
+// readers read the newest state at any control process, by way of the leader that it names, and never one older than what was acknowledged before they asked.
+func (w *World) readers(most *Proc) (stop func()) {
+	on := true
+	var ask func(p *Proc, asked ident.Moment, acked uint64, hops int, until ident.Moment)
+	ask = func(p *Proc, asked ident.Moment, acked uint64, hops int, until ident.Moment) {
+		if !p.up || p.frozen || p.control == nil || w.Now.After(until) {
+			return
+		}
+		if w.Weak == "read" {
+			asked = 0
+		}
+		switch f := p.control.Read(0, false, asked, p.clock()); {
+		case f.Wait:
+			w.at(5*ms, func() { ask(p, asked, acked, hops, until) })
+		case f.Lead != "" && hops == 0:
+			for _, q := range w.Procs[:w.Controls] {
+				if q.control != nil && f.Lead == q.http() && !w.cut[[2]string{p.Name, q.Name}] && !w.cut[[2]string{q.Name, p.Name}] {
+					w.at(ms, func() { ask(q, q.clock(), acked, 1, until) })
+				}
+			}
+		case f.OK:
+			w.Count["reads"]++
+			if uint64(f.Generation) < acked {
+				w.Break("an old configuration was read", "%s says %d, acknowledged before %d", p.Name, f.Generation, acked)
+			}
+		}
+	}
+	var look func()
+	look = func() {
+		if on {
+			p := w.someControl()
+			if w.Rand.Intn(2) == 0 {
+				p = most
+			}
+			ask(p, p.clock(), w.acked, 0, w.Now.Add(700*ms))
+			w.at(time.Duration(10+w.Rand.Intn(30))*ms, look)
+		}
+	}
+	look()
+	return func() { on = false }
+}
+
+func (p *Proc) http() string { return "http-" + p.Name }
+
+// severs cuts a process off from some others, one way or both.
+func (w *World) severs(p *Proc, from func(q *Proc) bool, in, out bool) {
+	w.Say("%s is cut off, in %v, out %v", p.Name, in, out)
+	for _, q := range w.Procs {
+		if q != p && from(q) {
+			w.cut[[2]string{q.Name, p.Name}] = w.cut[[2]string{q.Name, p.Name}] || in
+			w.cut[[2]string{p.Name, q.Name}] = w.cut[[2]string{p.Name, q.Name}] || out
+		}
+	}
+}
+
 var leaseScenes = []*Scene{
 	{Name: "silent-seats", Text: "nodes are frozen, killed or cut off, both ways or one, while twelve orders come 0.4 s apart, again and again", config: func(c *Config) {}, play: func(w *World, r *Result, gen *uint64) {
 		n := 0
@@ -177,6 +278,34 @@
 	}},
 }
 
+func init() {
+	leaseScenes = append(leaseScenes, &Scene{Name: "cut-control", Text: "a control process, often the leader, is cut off for 20 s in six ways while an operator orders and others read at it and elsewhere", config: func(c *Config) { c.Rate = 15 }, play: func(w *World, r *Result, gen *uint64) {
+		w.catchUp(gen)
+		w.acked = max(w.acked, *gen)
+		stop := w.operate(r, relay.CoreTenure+5*time.Second)
+		for range 3 {
+			w.Run(time.Duration(2000+w.Rand.Intn(1500)) * ms)
+			p := w.Control(w.Rand.Intn(w.Controls))
+			if l := w.Leader(); l != nil && w.Rand.Intn(3) > 0 {
+				p = l
+			}
+			from := func(q *Proc) bool { return true }
+			if w.Rand.Intn(2) == 0 {
+				from = func(q *Proc) bool { return q.control != nil }
+			}
+			way := w.Rand.Intn(3)
+			quiet := w.readers(p)
+			w.severs(p, from, way != 1, way != 2)
+			w.Run(20 * time.Second)
+			quiet()
+			w.Heal()
+		}
+		w.Run(3 * time.Second)
+		stop()
+		w.Run(relay.CoreTenure + 5*time.Second)
+	}})
+}
+
 func init() { Scenes = append(Scenes, leaseScenes...) }
 
 // heedless makes a node take any word as its lease and never ask for a revoked one.
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -258,7 +258,7 @@
 	w.lives[uint64(inc)] = len(w.lives)
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
-		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
+		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, HTTP: p.http(), Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
 		if w.Weak == "lapse" {
 			b.Tenure = 300 * ms
 		}
