--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -411,7 +411,7 @@
 	if err != nil {
 		return failed, err
 	}
-	s.table(list(v["seats"]), "seat", "member", "incarnation", "staged", "shrunk")
+	s.table(list(v["seats"]), "seat", "member", "incarnation", "staged", "shrunk", "lease")
 	s.note("%s seats in all; generation %s, in force %s, grown %s; told by %s, %s ms old", str(v["seatCount"]), str(v["generation"]), str(v["inForce"]), str(v["grown"]), from, str(v["coreAgeMs"]))
 	return good, nil
 }
--- a/control/http.go
+++ b/control/http.go
@@ -397,7 +397,7 @@
 		Incarnation string `json:"incarnation"`
 		Staged      uint64 `json:"staged"`
 		Shrunk      uint64 `json:"shrunk"`
-		Lease       string `json:"lease,omitempty"`
+		Lease       string `json:"lease"`
 	}
 	revoked := map[uint32]*wire.Revoked{}
 	for _, r := range s.Relay.Core.GetRevoked() {
--- a/control/lease.go
+++ b/control/lease.go
@@ -14,7 +14,6 @@
 const (
 	LeaseEvery = 100 * time.Millisecond
 	RevokeRest = 5 * time.Second
-	HeldUp     = time.Second
 )
 
 type leases struct {
@@ -77,13 +76,13 @@
 	return c.State != member.Live && led > UnseenWait
 }
 
-// holdsUp says that a seat alone has kept a generation waiting for long.
+// holdsUp says that a seat has kept a generation waiting for half a tenure.
 func (s *State) holdsUp(v *wire.Seat, now ident.Moment) bool {
 	g := s.Book.InForce
 	if c := s.Relay.ConfirmOf(v.Member); c != nil && c.Incarnation == v.Incarnation {
 		g = max(g, ident.Generation(c.Staged))
 	}
-	return g < s.Book.Generation && now.Sub(max(s.takenAt[g+1], s.Agree.LedSince())) > HeldUp
+	return g < s.Book.Generation && now.Sub(max(s.takenAt[g+1], s.Agree.LedSince())) > s.Relay.Tenure/2
 }
 
 // silent lists the seats whose leases are to be revoked: a wrong guess costs the node nothing, for it asks for its lease again long before it ends.
@@ -159,7 +158,7 @@
 func standing(r *wire.Revoked) string {
 	switch {
 	case r == nil:
-		return ""
+		return "held"
 	case r.Fenced:
 		return "fenced"
 	}
