Leases: a seat revoked and restored again and again rests longer each time

Cause, from review: a member that two of its watchers can't hear, though news reaches it, was revoked and restored every 5 s for as long as the cut lasted; each is an entry and a new core for every node. Now 5, 10, 20, 40 and at most 80 s lie between, forgotten after two minutes; shown on the fake clock: five revocations in 100 s.

--- a/control/force_test.go
+++ b/control/force_test.go
@@ -183,6 +183,27 @@
 	require.LessOrEqual(t, f.Book.Version, at+1, "one entry for the fence, no more")
 }
 
+func TestASeatThatIsRevokedAndRestoredAgainAndAgainRestsLonger(t *testing.T) {
+	f := seated(t, "a", "b")
+	f.run(time.Second, "a", "b")
+	f.cards = f.cards[:1]
+	f.step(Got{&wire.Frame{From: "a", Addr: "a:1", Incarnation: 10, Body: &wire.Frame_Table{Table: &wire.Table{Reply: true, Cards: []*wire.Card{{Id: "b", Addr: "b:1", Cell: "a", Role: member.Data, Incarnation: 11, Rank: 1, Version: 2, State: member.Silent}}}}}})
+	var at []ident.Moment
+	for end := f.now.Add(100 * time.Second); f.now.Before(end); {
+		f.run(100*time.Millisecond, "a", "b")
+		if r := f.Book.Revoked[1]; r != nil {
+			at = append(at, f.now)
+			f.Relay.Confirm(&wire.Confirm{Member: "b", Incarnation: 11, Staged: f.lives(), Restores: r.Version})
+			f.run(200*time.Millisecond, "a", "b")
+			require.Empty(t, f.Book.Revoked, "it asked by way of the tree")
+		}
+	}
+	require.Len(t, at, 5, "after 5, 10, 20 and 40 s")
+	for i, d := range []time.Duration{5, 10, 20, 40} {
+		require.InDelta(t, float64(d*time.Second), float64(at[i+1].Sub(at[i])), 1e9)
+	}
+}
+
 func TestEachGenerationComesIntoForceATenureAfterItsOwnBeginWhileASeatIsSilent(t *testing.T) {
 	f := seated(t, "a", "b")
 	f.Book.Seats[1].Heeds = false
--- a/control/lease.go
+++ b/control/lease.go
@@ -14,18 +14,30 @@
 const (
 	LeaseEvery = 100 * time.Millisecond
 	RevokeRest = 5 * time.Second
+	RestsMost  = 4
+	RestLife   = 2 * time.Minute
 )
 
+// rest is when a seat's lease was last restored, and how often lately.
+type rest struct {
+	at    ident.Moment
+	times int
+}
+
+func (r rest) over(now ident.Moment) bool {
+	return r.times == 0 || now.Sub(r.at) >= RevokeRest<<min(r.times-1, RestsMost)
+}
+
 type leases struct {
 	leaseAt    ident.Moment
 	leaseIndex uint64
 	revokedAt  map[uint64]ident.Moment
-	restoredAt map[string]ident.Moment
+	rests      map[string]rest
 	restores   map[ident.Seat]uint64
 }
 
 func newLeases() leases {
-	return leases{revokedAt: map[uint64]ident.Moment{}, restoredAt: map[string]ident.Moment{}, restores: map[ident.Seat]uint64{}}
+	return leases{revokedAt: map[uint64]ident.Moment{}, rests: map[string]rest{}, restores: map[ident.Seat]uint64{}}
 }
 
 // restore takes up what a revoked seat's node asks for; anything else in such an entry is the leader's own to say.
@@ -50,7 +62,7 @@
 			}
 		case ledger.Restore:
 			delete(s.revokedAt, m.Version)
-			s.restoredAt[m.Member] = now
+			s.rests[m.Member] = rest{now, s.rests[m.Member].times + 1}
 		}
 	}
 }
@@ -90,7 +102,7 @@
 	var away, slow []*wire.Seat
 	for _, k := range ident.Keys(s.Book.Seats) {
 		v := s.Book.Seats[k]
-		if at := s.restoredAt[v.Member]; s.Book.Revoked[k] != nil || !s.heeds(v) || at != 0 && now.Sub(at) < RevokeRest {
+		if s.Book.Revoked[k] != nil || !s.heeds(v) || !s.rests[v.Member].over(now) {
 			continue
 		}
 		switch {
@@ -126,7 +138,7 @@
 		}
 	}
 	clear(s.restores)
-	maps.DeleteFunc(s.restoredAt, func(_ string, at ident.Moment) bool { return now.Sub(at) > RevokeRest })
+	maps.DeleteFunc(s.rests, func(_ string, r rest) bool { return now.Sub(r.at) > RestLife })
 	maps.DeleteFunc(s.revokedAt, func(version uint64, _ ident.Moment) bool { return !s.standsRevoked(version) })
 	for _, v := range s.silent(now) {
 		add(ledger.Revoke, v.Seat, v.Member, v.Incarnation, 0)
