--- a/control/lease.go
+++ b/control/lease.go
@@ -14,19 +14,30 @@
 const (
 	LeaseEvery = 100 * time.Millisecond
 	RevokeRest = 5 * time.Second
-	HeldUp     = time.Second
+	RestsMost  = 4
+	RestLife   = 2 * time.Minute
 )
 
+// rest is when a seat's lease was last restored, and how often lately.
+type rest struct {
+	at    ident.Moment
+	times int
+}
+
+func (r rest) over(now ident.Moment) bool {
+	return r.times == 0 || now.Sub(r.at) >= RevokeRest<<min(r.times-1, RestsMost)
+}
+
 type leases struct {
 	leaseAt    ident.Moment
 	leaseIndex uint64
 	revokedAt  map[uint64]ident.Moment
-	restoredAt map[string]ident.Moment
+	rests      map[string]rest
 	restores   map[ident.Seat]uint64
 }
 
 func newLeases() leases {
-	return leases{revokedAt: map[uint64]ident.Moment{}, restoredAt: map[string]ident.Moment{}, restores: map[ident.Seat]uint64{}}
+	return leases{revokedAt: map[uint64]ident.Moment{}, rests: map[string]rest{}, restores: map[ident.Seat]uint64{}}
 }
 
 // restore takes up what a revoked seat's node asks for; anything else in such an entry is the leader's own to say.
@@ -51,7 +62,7 @@
 			}
 		case ledger.Restore:
 			delete(s.revokedAt, m.Version)
-			s.restoredAt[m.Member] = now
+			s.rests[m.Member] = rest{now, s.rests[m.Member].times + 1}
 		}
 	}
 }
@@ -77,13 +88,13 @@
 	return c.State != member.Live && led > UnseenWait
 }
 
-// holdsUp says that a seat alone has kept a generation waiting for long.
+// holdsUp says that a seat has kept a generation waiting for half a tenure.
 func (s *State) holdsUp(v *wire.Seat, now ident.Moment) bool {
 	g := s.Book.InForce
 	if c := s.Relay.ConfirmOf(v.Member); c != nil && c.Incarnation == v.Incarnation {
 		g = max(g, ident.Generation(c.Staged))
 	}
-	return g < s.Book.Generation && now.Sub(max(s.takenAt[g+1], s.Agree.LedSince())) > HeldUp
+	return g < s.Book.Generation && now.Sub(max(s.takenAt[g+1], s.Agree.LedSince())) > s.Relay.Tenure/2
 }
 
 // silent lists the seats whose leases are to be revoked: a wrong guess costs the node nothing, for it asks for its lease again long before it ends.
@@ -91,7 +102,7 @@
 	var away, slow []*wire.Seat
 	for _, k := range ident.Keys(s.Book.Seats) {
 		v := s.Book.Seats[k]
-		if at := s.restoredAt[v.Member]; s.Book.Revoked[k] != nil || !s.heeds(v) || at != 0 && now.Sub(at) < RevokeRest {
+		if s.Book.Revoked[k] != nil || !s.heeds(v) || !s.rests[v.Member].over(now) {
 			continue
 		}
 		switch {
@@ -127,7 +138,7 @@
 		}
 	}
 	clear(s.restores)
-	maps.DeleteFunc(s.restoredAt, func(_ string, at ident.Moment) bool { return now.Sub(at) > RevokeRest })
+	maps.DeleteFunc(s.rests, func(_ string, r rest) bool { return now.Sub(r.at) > RestLife })
 	maps.DeleteFunc(s.revokedAt, func(version uint64, _ ident.Moment) bool { return !s.standsRevoked(version) })
 	for _, v := range s.silent(now) {
 		add(ledger.Revoke, v.Seat, v.Member, v.Incarnation, 0)
@@ -159,7 +170,7 @@
 func standing(r *wire.Revoked) string {
 	switch {
 	case r == nil:
-		return ""
+		return "held"
 	case r.Fenced:
 		return "fenced"
 	}
