Simulate: the scene orders, operators' histories judged for linearizability

Five operators replace, modify (by patch, and as the platform's door does: read, lay onto, replace), read and send again, each call to any control process, with answers and calls lost, a second's patience and a pause that grows; leaders and others are killed, cut off both ways and one way, frozen, disks stall, links are poor. A burst of calls falls into the time in which a cut-off leader doesn't know it and the next one leads. After the mending every order is sent once more and must have a clear answer, every control process is read at, and the whole history goes to the checker; one that isn't judged within 20 s breaks a promise too. Reading is now a function of the state (Find), used by the HTTP door and the simulator alike.

Test changed: the table of guards has five lines more.

--- a/control/cut_test.go
+++ b/control/cut_test.go
@@ -117,15 +117,15 @@
 		k := w.order(old, 0, 1)
 		w.run(time.Second)
 		require.Equal(t, "done", w.says(k))
-		require.True(t, old.read(0, false, w.now.Add(-200*time.Millisecond), w.now).ok)
+		require.True(t, old.Find(0, false, w.now.Add(-200*time.Millisecond), w.now).OK)
 		w.cut[string(old.Addr)] = true
 		w.run(wait)
 		at := w.now
 		late, right := w.order(old, 7, 2), w.order(old, 1, 2)
 		for range 200 {
 			w.run(hop)
-			f := old.read(0, false, at, w.now)
-			require.False(t, f.ok, "read %v after it was cut off", wait)
+			f := old.Find(0, false, at, w.now)
+			require.False(t, f.OK, "read %v after it was cut off", wait)
 		}
 		for _, k := range []uint64{late, right} {
 			require.Equal(t, "lost", w.says(k), "asked %v after it was cut off", wait)
@@ -162,7 +162,7 @@
 			s = k
 		}
 	}
-	require.NotEmpty(t, s.read(0, false, w.now, w.now).lead)
+	require.NotEmpty(t, s.Find(0, false, w.now, w.now).Lead)
 	w.cut[string(s.Addr)] = true
 	w.run(100 * time.Millisecond)
 	k, at := w.order(s, 0, 1), w.now
@@ -170,7 +170,7 @@
 	require.Equal(t, "lost", w.says(k))
 	require.Less(t, w.at[k].Sub(at), time.Second)
 	w.run(CutOffFor)
-	require.Equal(t, found{}, s.read(0, false, w.now, w.now))
+	require.Equal(t, Found{}, s.Find(0, false, w.now, w.now))
 	k, at = w.order(s, 0, 1), w.now
 	w.run(time.Second)
 	require.Equal(t, "lost", w.says(k))
--- a/control/holdings.go
+++ b/control/holdings.go
@@ -115,7 +115,7 @@
 		return heldFound{}
 	}
 	v, err := n.Query(read)
-	for err == nil && v.(heldFound).wait && ident.Now().Sub(asked) < readWait {
+	for err == nil && v.(heldFound).wait && ident.Now().Sub(asked) < ReadWait {
 		time.Sleep(5 * time.Millisecond)
 		v, err = n.Query(read)
 	}
--- a/control/http.go
+++ b/control/http.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	readWait     = 700 * time.Millisecond
+	ReadWait     = 700 * time.Millisecond
 	onwardWait   = 900 * time.Millisecond
 	editionBasis = "Sloeturn-Edition-Basis"
 )
@@ -201,57 +201,58 @@
 	return fmt.Sprintf(`"%d"`, gen)
 }
 
-type found struct {
-	doc  []byte
-	gen  uint64
-	lead string
-	ok   bool
-	wait bool
+// Found is a state as one control process reads it: Lead names where to ask instead, Wait that no majority was heard since Asked.
+type Found struct {
+	Doc  []byte
+	Gen  uint64
+	Lead string
+	OK   bool
+	Wait bool
 }
 
-// read answers from the book of a leader that a majority has confirmed after the moment of asking; a generation by number never changes and may be read anywhere.
-func (s *State) read(want uint64, end bool, asked, now ident.Moment) found {
+// Find answers from the book of a leader that a majority has confirmed after the moment of asking; a generation by number never changes and may be read anywhere.
+func (s *State) Find(want uint64, end bool, asked, now ident.Moment) Found {
 	if want != 0 {
 		if l := s.Book.Line(ident.Generation(want)); l != nil {
-			return found{doc: l.Doc, gen: want, ok: true}
+			return Found{Doc: l.Doc, Gen: want, OK: true}
 		}
 	}
 	at, leads := s.leads()
 	switch {
 	case leads && at.Before(asked):
-		return found{wait: true}
+		return Found{Wait: true}
 	case want != 0:
-		return found{ok: leads}
+		return Found{OK: leads}
 	case !leads && now.Sub(s.Relay.CoreAsOf) >= CutOffFor:
-		return found{}
+		return Found{}
 	case !leads:
 		for _, k := range s.Members.Cards() {
 			if k.Addr == s.leaderAddr() && k.Id != string(s.Member) {
-				return found{lead: k.Http}
+				return Found{Lead: k.Http}
 			}
 		}
-		return found{}
+		return Found{}
 	case end && len(s.Book.Held) > 0:
-		return found{doc: desired.Write(s.endTree()), gen: uint64(s.Book.Generation), ok: true}
+		return Found{Doc: desired.Write(s.endTree()), Gen: uint64(s.Book.Generation), OK: true}
 	}
 	if l := s.Book.Line(s.Book.Generation); l != nil {
-		return found{doc: l.Doc, gen: l.Generation, ok: true}
+		return Found{Doc: l.Doc, Gen: l.Generation, OK: true}
 	}
-	return found{doc: []byte("{}"), ok: true}
+	return Found{Doc: []byte("{}"), OK: true}
 }
 
-func (n *Node) find(want uint64, end bool) (found, error) {
+func (n *Node) find(want uint64, end bool) (Found, error) {
 	asked := ident.Now()
-	read := func(s *State, now ident.Moment) any { return s.read(want, end, asked, now) }
+	read := func(s *State, now ident.Moment) any { return s.Find(want, end, asked, now) }
 	v, err := n.Query(read)
-	for err == nil && v.(found).wait && ident.Now().Sub(asked) < readWait {
+	for err == nil && v.(Found).Wait && ident.Now().Sub(asked) < ReadWait {
 		time.Sleep(5 * time.Millisecond)
 		v, err = n.Query(read)
 	}
 	if err != nil {
-		return found{}, err
+		return Found{}, err
 	}
-	return v.(found), nil
+	return v.(Found), nil
 }
 
 func (n *Node) Newest(done context.Context) (doc []byte, ok bool) { return n.newest(done, false) }
@@ -261,10 +262,10 @@
 	if err != nil {
 		return nil, false
 	}
-	if f.lead == "" {
-		return f.doc, f.ok
+	if f.Lead == "" {
+		return f.Doc, f.OK
 	}
-	resp, err := n.onward(done, f.lead, "/desired"+map[bool]string{true: "?end=1"}[end])
+	resp, err := n.onward(done, f.Lead, "/desired"+map[bool]string{true: "?end=1"}[end])
 	if err != nil {
 		return nil, false
 	}
@@ -303,22 +304,22 @@
 		duty.Wrong(w, 503, err.Error(), nil)
 		return
 	}
-	if f.lead != "" && r.Header.Get("Sloeturn-Hop") == "" {
-		n.pass(w, r, f.lead)
+	if f.Lead != "" && r.Header.Get("Sloeturn-Hop") == "" {
+		n.pass(w, r, f.Lead)
 		return
 	}
-	if !f.ok {
+	if !f.OK {
 		w.Header().Set("Retry-After", "1")
 		duty.Wrong(w, 503, "no leader to read from just now", nil)
 		return
 	}
-	if f.doc == nil {
+	if f.Doc == nil {
 		duty.Wrong(w, 404, "that generation is not kept", nil)
 		return
 	}
-	w.Header().Set("ETag", fmt.Sprintf(`"%d"`, f.gen))
+	w.Header().Set("ETag", fmt.Sprintf(`"%d"`, f.Gen))
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(f.doc)
+	w.Write(f.Doc)
 }
 
 func (n *Node) pass(w http.ResponseWriter, r *http.Request, places string) {
--- a/simulate/seeds_test.go
+++ b/simulate/seeds_test.go
@@ -40,6 +40,7 @@
 		"wrong-answers answers": "garbled answer passed on", "stops drain": "planned stop cut a visit", "restarts seat": "a dead self took a seat", "hands stands": "ran on a service nobody allowed",
 		"peak law": "too many connections", "tries budget": "too many further tries", "waits patience": "refusal late", "routes again": "ran twice", "routes turned": "told not run, but it ran", "routes life": "ran on a service nobody allowed", "routes ack": "older routes after a yes", "route-tries budget": "too many further tries",
 		"route-drains vows": "sent to a leaving backend", "route-drains fresh": "sent to a leaving backend", "handover will": "a planned hand-over left a gap",
+		"orders basis": "orders are not linear", "orders ids": "orders are not linear", "orders reads": "orders are not linear", "orders contact": "orders are not linear", "orders sync": "orders are not linear",
 		"holiday still": "routing moved in a blackout period", "holiday clock": "routing moved in a blackout period", "flapping-seats heed": "older generation served", "silent-seats lapse": "older generation served",
 	} {
 		t.Run(weak, func(t *testing.T) {
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -1,6 +1,7 @@
 package simulate
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand"
 	"time"
@@ -10,6 +11,7 @@
 	"sloeturn/agreement"
 	"sloeturn/control"
 	"sloeturn/data"
+	"sloeturn/desired"
 	"sloeturn/forward"
 	"sloeturn/ident"
 	"sloeturn/ledger"
@@ -258,7 +260,7 @@
 	w.lives[uint64(inc)] = len(w.lives)
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
-		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
+		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), HTTP: p.Addr, Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
 		if w.Weak == "lapse" {
 			b.Tenure = 300 * ms
 		}
@@ -645,10 +647,18 @@
 		}
 	case "basis":
 		if c := f.GetPropose().GetChange().GetSetDesired(); c != nil {
-			if l := p.w.Leader(); l != nil {
+			if l := p.w.Leader(); l != nil && !c.ByEdition {
 				c.Basis = uint64(l.control.Book.Generation)
+			} else if l != nil {
+				c.Basis = l.control.Book.EndEdition()
+				tree, _ := desired.ReadTree(c.Doc)
+				c.Doc = desired.Write(desired.Merge(tree, map[string]any{"edition": json.Number(fmt.Sprint(c.Basis + 1))}))
 			}
 		}
+	case "ids":
+		if c := f.GetPropose().GetChange().GetSetDesired(); c != nil {
+			c.ChangeId = fmt.Sprint(w.Rand.Uint64())
+		}
 	case "law":
 		if c := f.GetNews().GetCore(); c != nil && p.w.Leader() != nil {
 			book := p.w.Leader().control.Book
