--- a/cmd/fleetrun/fault.go
+++ b/cmd/fleetrun/fault.go
@@ -21,7 +21,8 @@
 }
 
 var faults = map[string]fault{
-	"holiday": {true, func(done context.Context, f *fleet) (string, error) { return f.holiday(done) }},
+	"holiday":   {true, func(done context.Context, f *fleet) (string, error) { return f.holiday(done) }},
+	"operators": {true, func(done context.Context, f *fleet) (string, error) { return f.operators(done) }},
 	"kill-node": {true, func(done context.Context, f *fleet) (string, error) {
 		p := f.data[0]
 		p.kill()
