Control: an order that waits is queued once, and at most 256 wait

Cause: the courier sends an order again every 100 ms until it is answered, and each sending was queued with its whole document; while a change is under way, or no majority tells its wall clock, the queue grew by ten documents a second and order and was never emptied of what had been given up. Test first: 100 sendings of two orders made a queue of 100, now 2. One beyond 256 gets no answer and comes again.

--- a/control/again.go
+++ b/control/again.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"strings"
 
 	"sloeturn/desired"
@@ -12,6 +13,16 @@
 	"sloeturn/wire"
 )
 
+// QueueMost bounds the orders that wait for a decision; one beyond it gets no answer and is sent again.
+const QueueMost = 256
+
+func (s *State) enqueue(q desiredAsk) {
+	same := func(o desiredAsk) bool { return o.asker == q.asker }
+	if len(s.queue) < QueueMost && !slices.ContainsFunc(s.queue, same) {
+		s.queue = append(s.queue, q)
+	}
+}
+
 // again answers an order that was taken before with what it was then; nothing is applied a second time.
 func (s *State) again(q desiredAsk, k *ledger.Key) {
 	switch {
@@ -33,12 +44,9 @@
 // refuseWith refuses only once a majority was heard after the order came: a leader that is cut off without knowing it may not have what another one took meanwhile.
 func (s *State) refuseWith(q desiredAsk, note string, r *wire.ProposeReply) {
 	if at, ok := s.Agree.AsOf(); !ok || at.Before(q.at) {
-		for _, o := range s.unsure {
-			if o.asker == q.asker {
-				return
-			}
+		if !slices.ContainsFunc(s.unsure, func(o desiredAsk) bool { return o.asker == q.asker }) {
+			s.unsure = append(s.unsure, q)
 		}
-		s.unsure = append(s.unsure, q)
 		return
 	}
 	s.decide(duty.Decision{Decision: "refused change", Note: note})
--- a/control/again_test.go
+++ b/control/again_test.go
@@ -106,3 +106,24 @@
 	l.Settle(l.now)
 	require.Equal(t, 1, replies())
 }
+
+func TestAnOrderThatWaitsIsQueuedOnceHoweverOftenItIsSent(t *testing.T) {
+	l := begin(t)
+	l.setIndex = uint64(l.Book.Index) + 1000
+	ask := func(token uint64) {
+		l.Step(l.now, Got{&wire.Frame{Addr: "other", Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: token, Change: &wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{ChangeId: fmt.Sprint(token), ByEdition: true, Doc: edition(1)}}}}}}})
+	}
+	for i := 0; i < 50; i++ {
+		ask(1)
+		ask(2)
+	}
+	require.Len(t, l.queue, 2)
+	for i := uint64(3); i < 2*QueueMost; i++ {
+		ask(i)
+	}
+	require.Len(t, l.queue, QueueMost)
+	l.setIndex = 0
+	l.ticks(time.Second)
+	require.Empty(t, l.queue)
+	require.EqualValues(t, 1, l.Book.Generation)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -425,7 +425,7 @@
 		return
 	}
 	if set := c.GetSetDesired(); set != nil {
-		s.queue = append(s.queue, desiredAsk{a, set, now})
+		s.enqueue(desiredAsk{a, set, now})
 		s.pump(now)
 		return
 	}
