Control: an order under way while its leader is cut off, at each hop of its way

Held before; no mend. Cut off after 0 to 39 hops of 5 ms, then the same order and a rival on the same basis at the next leader: exactly one is done, the order if it was acknowledged; after healing it is acknowledged (or refused) alike at every process, with one generation. All three ways occur: never logged, logged and kept, acknowledged.

--- a/control/again_test.go
+++ b/control/again_test.go
@@ -127,3 +127,43 @@
 	require.Empty(t, l.queue)
 	require.EqualValues(t, 1, l.Book.Generation)
 }
+
+func TestAnOrderUnderWayWhenItsLeaderIsCutOffIsTakenOnceOrNever(t *testing.T) {
+	took := map[string]int{}
+	for hops := 0; hops < 40; hops++ {
+		w := three(t)
+		send := func(s *State, id string) uint64 {
+			w.token++
+			w.step(s, Change{Token: w.token, Change: &wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{ChangeId: id, ByEdition: true, Doc: edition(1)}}}, Wait: 8 * time.Second})
+			return w.token
+		}
+		old := w.leader()
+		first := send(old, "x")
+		w.run(time.Duration(hops) * hop)
+		heard := w.says(first)
+		w.cut[string(old.Addr)] = true
+		w.run(1500 * time.Millisecond)
+		n := w.leader()
+		require.NotNil(t, n)
+		y := send(n, "y")
+		x := send(n, "x")
+		w.run(time.Second)
+		require.ElementsMatch(t, []string{"done", "stale"}, []string{w.says(x), w.says(y)}, "cut off after %d hops", hops)
+		if heard == "done" {
+			require.Equal(t, "done", w.says(x), "cut off after %d hops", hops)
+		}
+		w.cut = map[string]bool{}
+		w.run(2 * time.Second)
+		for a, s := range w.all {
+			again := send(s, "x")
+			w.run(500 * time.Millisecond)
+			require.Equal(t, w.says(x), w.says(again), "at %s, cut off after %d hops", a, hops)
+			require.EqualValues(t, 1, w.heard[again].Generation)
+			require.EqualValues(t, 1, s.Book.Generation)
+		}
+		took[heard+" then "+w.says(x)]++
+	}
+	require.Positive(t, took["nothing then done"], took)
+	require.Positive(t, took["nothing then stale"], took)
+	require.Positive(t, took["done then done"], took)
+}
