--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -875,6 +875,10 @@
 			s.note("generation %d is in force, after %v", v.Generation, time.Since(start).Round(time.Millisecond))
 			return good, nil
 		case 202:
+			if v.Until == "" {
+				s.note("was held in place %d, and is not any more; generation %d stays in force", v.Place, v.Generation)
+				return good, nil
+			}
 			s.note("held in place %d until %s, for %s stands still; generation %d stays in force", v.Place, v.Until, strings.Join(v.Regions, ", "), v.Generation)
 			return good, nil
 		case 412:
--- a/ledger/held.go
+++ b/ledger/held.go
@@ -39,15 +39,6 @@
 	return out
 }
 
-func (b *Book) ByHeld(id string) *wire.Held {
-	for _, h := range b.Held {
-		if h.ChangeId == id && !h.Applied {
-			return h
-		}
-	}
-	return nil
-}
-
 func (b *Book) ByPlace(place uint64) *wire.Held {
 	for _, h := range b.Held {
 		if h.Place == place && !h.Applied {
--- a/simulate/operators.go
+++ b/simulate/operators.go
@@ -302,7 +302,7 @@
 	for i := 0; i < operators; i++ {
 		d.work(i, &stop)
 	}
-	kinds := []int{1, 1, 2, 4, 5, 6, 7, 12, 17, 20, 21, 21, 22, 35}
+	kinds := []int{1, 1, 2, 3, 4, 5, 6, 7, 12, 13, 17, 20, 21, 21, 21, 22, 29, 32, 35}
 	for k, end := 0, w.Now.Add(25*time.Second); w.Now.Before(end); k++ {
 		name := w.cause(kinds[w.Rand.Intn(len(kinds))], k, gen)
 		if r.Faults[name]++; name == "isolate the leader" {
--- a/simulate/scene.go
+++ b/simulate/scene.go
@@ -112,7 +112,9 @@
 	repeated("stops", "processes stop as planned, one after another", 19, 22),
 	repeated("wrong-answers", "backends lose, garble and hang", 11, 11, 11),
 	repeated("races", "operators race", 14),
-	{Name: "orders", Text: "operators replace, modify, read and send again, answers get lost, leaders are killed, cut off and frozen; the history is judged", config: func(c *Config) { c.Nodes, c.Backends, c.Rate = 3, 4, 20 }, play: func(w *World, r *Result, gen *uint64) {
+	{Name: "orders", Text: "operators replace, modify, read and send again, answers get lost, leaders are killed, cut off and frozen; the history is judged", config: func(c *Config) {
+		c.Controls, c.Nodes, c.Backends, c.Rate = []int{4, 3, 5, 2, 8}[c.Seed%5], 3, 4, 20
+	}, play: func(w *World, r *Result, gen *uint64) {
 		w.ordered(r, gen)
 	}},
 	repeated("hands", "addresses go to other services, old beats under way, nodes frozen", 10, 27, 33),
