Ledger: documents that an older build has dropped lend nothing

Cause: a build that is rolled back keeps the few documents of a newer image and writes an image of its own; read again, the generations between Grown and the first document were passed over, and Floors and SeatCount came from the later ones alone (3 seats where nothing may be lent). Such a gap counts as a state without lots and seats, as the older build itself counts it. Test first, seen failing.

--- a/ledger/keys.go
+++ b/ledger/keys.go
@@ -119,8 +119,9 @@
 // fromLines reads what an image of older books says of keys and steps: they lie in its whole documents.
 func (b *Book) fromLines(m *wire.Image) {
 	b.seats = nil
-	if b.Grown == 0 {
-		b.seats = newSteps(0)
+	next := uint64(b.Grown)
+	if next == 0 {
+		b.seats, next = newSteps(0), 1
 	}
 	for _, l := range m.History {
 		e := desired.EditionOf(l.Doc)
@@ -133,6 +134,10 @@
 		if l.Generation < uint64(b.Grown) {
 			continue
 		}
+		if l.Generation != next {
+			b.raise(l.Generation-1, nil)
+		}
+		next = l.Generation + 1
 		s, faults := desired.Read(l.Doc)
 		if len(faults) > 0 {
 			s = nil
--- a/ledger/retention_test.go
+++ b/ledger/retention_test.go
@@ -226,3 +226,23 @@
 		require.ErrorIs(t, err, ErrImage, name)
 	}
 }
+
+func TestAGapInAnOlderImagesDocumentsLendsNothing(t *testing.T) {
+	h := &hand{Book: NewBook()}
+	old := &wire.Image{Generation: 5, InForce: 2, Grown: 2}
+	for g := uint64(1); g <= 5; g++ {
+		h.set(3, int(g), 60)
+		if g > 3 {
+			old.History = append(old.History, proto.Clone(h.Line(ident.Generation(g))).(*wire.DesiredLine))
+		}
+	}
+	image, err := proto.Marshal(old)
+	require.NoError(t, err)
+	b, err := ReadBook(image)
+	require.NoError(t, err)
+	require.Zero(t, b.SeatCount())
+	require.Empty(t, b.Floors())
+	b.Apply(&wire.Entry{Index: 9, Change: &wire.Change{Body: &wire.Change_Mark{Mark: &wire.Mark{Grown: 4}}}})
+	require.Equal(t, 3, b.SeatCount())
+	require.Equal(t, 4, b.Floors()[Lot{"l", "s"}])
+}
