--- a/control/again_test.go
+++ b/control/again_test.go
@@ -106,3 +106,64 @@
 	l.Settle(l.now)
 	require.Equal(t, 1, replies())
 }
+
+func TestAnOrderThatWaitsIsQueuedOnceHoweverOftenItIsSent(t *testing.T) {
+	l := begin(t)
+	l.setIndex = uint64(l.Book.Index) + 1000
+	ask := func(token uint64) {
+		l.Step(l.now, Got{&wire.Frame{Addr: "other", Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: token, Change: &wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{ChangeId: fmt.Sprint(token), ByEdition: true, Doc: edition(1)}}}}}}})
+	}
+	for i := 0; i < 50; i++ {
+		ask(1)
+		ask(2)
+	}
+	require.Len(t, l.queue, 2)
+	for i := uint64(3); i < 2*QueueMost; i++ {
+		ask(i)
+	}
+	require.Len(t, l.queue, QueueMost)
+	l.setIndex = 0
+	l.ticks(time.Second)
+	require.Empty(t, l.queue)
+	require.EqualValues(t, 1, l.Book.Generation)
+}
+
+func TestAnOrderUnderWayWhenItsLeaderIsCutOffIsTakenOnceOrNever(t *testing.T) {
+	took := map[string]int{}
+	for hops := 0; hops < 40; hops++ {
+		w := three(t)
+		send := func(s *State, id string) uint64 {
+			w.token++
+			w.step(s, Change{Token: w.token, Change: &wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{ChangeId: id, ByEdition: true, Doc: edition(1)}}}, Wait: 8 * time.Second})
+			return w.token
+		}
+		old := w.leader()
+		first := send(old, "x")
+		w.run(time.Duration(hops) * hop)
+		heard := w.says(first)
+		w.cut[string(old.Addr)] = true
+		w.run(1500 * time.Millisecond)
+		n := w.leader()
+		require.NotNil(t, n)
+		y := send(n, "y")
+		x := send(n, "x")
+		w.run(time.Second)
+		require.ElementsMatch(t, []string{"done", "stale"}, []string{w.says(x), w.says(y)}, "cut off after %d hops", hops)
+		if heard == "done" {
+			require.Equal(t, "done", w.says(x), "cut off after %d hops", hops)
+		}
+		w.cut = map[string]bool{}
+		w.run(2 * time.Second)
+		for a, s := range w.all {
+			again := send(s, "x")
+			w.run(500 * time.Millisecond)
+			require.Equal(t, w.says(x), w.says(again), "at %s, cut off after %d hops", a, hops)
+			require.EqualValues(t, 1, w.heard[again].Generation)
+			require.EqualValues(t, 1, s.Book.Generation)
+		}
+		took[heard+" then "+w.says(x)]++
+	}
+	require.Positive(t, took["nothing then done"], took)
+	require.Positive(t, took["nothing then stale"], took)
+	require.Positive(t, took["done then done"], took)
+}
--- a/control/http.go
+++ b/control/http.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	readWait     = 700 * time.Millisecond
+	ReadWait     = 700 * time.Millisecond
 	onwardWait   = 900 * time.Millisecond
 	editionBasis = "Sloeturn-Edition-Basis"
 )
@@ -245,7 +245,7 @@
 	asked := ident.Now()
 	read := func(s *State, now ident.Moment) any { return s.Read(want, end, asked, now) }
 	v, err := n.Query(read)
-	for err == nil && v.(Found).Wait && ident.Now().Sub(asked) < readWait {
+	for err == nil && v.(Found).Wait && ident.Now().Sub(asked) < ReadWait {
 		time.Sleep(5 * time.Millisecond)
 		v, err = n.Query(read)
 	}
--- a/simulate/lease.go
+++ b/simulate/lease.go
@@ -205,7 +205,7 @@
 	return func() { on = false }
 }
 
-func (p *Proc) http() string { return "http-" + p.Name }
+func (p *Proc) http() string { return p.Addr }
 
 // severs cuts a process off from some others, one way or both.
 func (w *World) severs(p *Proc, from func(q *Proc) bool, in, out bool) {
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -1,6 +1,7 @@
 package simulate
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand"
 	"time"
@@ -10,6 +11,7 @@
 	"sloeturn/agreement"
 	"sloeturn/control"
 	"sloeturn/data"
+	"sloeturn/desired"
 	"sloeturn/forward"
 	"sloeturn/ident"
 	"sloeturn/ledger"
@@ -645,10 +647,18 @@
 		}
 	case "basis":
 		if c := f.GetPropose().GetChange().GetSetDesired(); c != nil {
-			if l := p.w.Leader(); l != nil {
+			if l := p.w.Leader(); l != nil && !c.ByEdition {
 				c.Basis = uint64(l.control.Book.Generation)
+			} else if l != nil {
+				c.Basis = l.control.Book.EndEdition()
+				tree, _ := desired.ReadTree(c.Doc)
+				c.Doc = desired.Write(desired.Merge(tree, map[string]any{"edition": json.Number(fmt.Sprint(c.Basis + 1))}))
 			}
 		}
+	case "ids":
+		if c := f.GetPropose().GetChange().GetSetDesired(); c != nil {
+			c.ChangeId = fmt.Sprint(w.Rand.Uint64())
+		}
 	case "law":
 		if c := f.GetNews().GetCore(); c != nil && p.w.Leader() != nil {
 			book := p.w.Leader().control.Book
