Visits: what a shot heard is bound to its number

Cause: the word that a shot was not written or how it ended carried the visit alone. Each executor says it once, so nothing is known to have gone wrong; but a word said twice or late was taken for the next shot's, and a visit that may not be repeated was sent a third time. The reducer now takes only the word of the shot that is out.

Before: the model's property test red by such words (a visit sent again though it may have run; a 503 after a shot that may have run). After: TestWordOfAnEarlierShotChangesNothing; tests of forward, data, replay, hollow and simulate green.

--- a/data/node.go
+++ b/data/node.go
@@ -433,7 +433,7 @@
 func (n *Node) write(e forward.Write) {
 	k := n.find(e.Visit)
 	if k == nil || k.conn == nil {
-		n.Put(NotWritten{e.Visit, "no connection"})
+		n.Put(NotWritten{e.Visit, e.Shot, "no connection"})
 		return
 	}
 	c := k.conn
@@ -441,31 +441,31 @@
 	req := k.build(c.key.Addr)
 	words, err := k.words(req)
 	if err != nil {
-		n.finish(k, c, true, false, NotWritten{e.Visit, "visit could not be put in words"})
+		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, "visit could not be put in words"})
 		return
 	}
 	c.SetDeadline(time.Now().Add(e.Until.Sub(ident.Now())))
 	if !c.quiet() {
 		n.finish(k, c, false, true)
-		n.Put(NotWritten{e.Visit, "connection spoke or ended before the first byte"})
+		n.Put(NotWritten{e.Visit, e.Shot, "connection spoke or ended before the first byte"})
 		return
 	}
 	if ident.Now().After(e.NotAfter) {
-		n.finish(k, c, true, false, NotWritten{e.Visit, "tenure ran out before writing"})
+		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, "tenure ran out before writing"})
 		return
 	}
 	if !k.sending() {
-		n.finish(k, c, true, false, NotWritten{e.Visit, "given up before writing"})
+		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, "given up before writing"})
 		return
 	}
 	sent, err := c.Write(words)
 	if err != nil && sent == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
 		n.finish(k, c, false, true)
-		n.Put(NotWritten{e.Visit, "connection broke before the first byte"})
+		n.Put(NotWritten{e.Visit, e.Shot, "connection broke before the first byte"})
 		return
 	}
 	if err != nil {
-		n.finish(k, c, false, true, Ended{e.Visit, forward.Broken, 0})
+		n.finish(k, c, false, true, Ended{e.Visit, e.Shot, forward.Broken, 0})
 		return
 	}
 	resp, body, keep, ending := k.read(c, req)
@@ -479,7 +479,7 @@
 	if resp != nil {
 		status = resp.StatusCode
 	}
-	n.finish(k, c, keep && (ending == forward.Whole || ending == forward.Turned), ending == forward.Broken, Ended{e.Visit, ending, status})
+	n.finish(k, c, keep && (ending == forward.Whole || ending == forward.Turned), ending == forward.Broken, Ended{e.Visit, e.Shot, ending, status})
 }
 
 // sending decides for the visit and its shot beside it: once true, neither is refused any more.
--- a/data/state.go
+++ b/data/state.go
@@ -54,10 +54,12 @@
 	}
 	NotWritten struct {
 		Visit ident.Visit
+		Shot  int
 		Why   string
 	}
 	Ended struct {
 		Visit  ident.Visit
+		Shot   int
 		Ending forward.Ending
 		Status int
 	}
@@ -401,9 +403,9 @@
 	case LinkFailed:
 		s.LinkFailed(e.Visit, e.Shot, e.Key, e.Bar, now)
 	case NotWritten:
-		s.NotWritten(e.Visit, e.Why, now)
+		s.NotWritten(e.Visit, e.Shot, e.Why, now)
 	case Ended:
-		s.Ended(e.Visit, e.Ending, e.Status, now)
+		s.Ended(e.Visit, e.Shot, e.Ending, e.Status, now)
 	case Freed:
 		s.Freed(e.Key, e.Keep, e.Bar, now)
 	case IdleBroke:
--- a/forward/shots_test.go
+++ b/forward/shots_test.go
@@ -62,7 +62,7 @@
 }
 
 func (r *road) hears(d Dial, e Ending, status int) {
-	r.Ended(d.Visit, e, status, r.now)
+	r.Ended(d.Visit, d.Shot, e, status, r.now)
 	r.Freed(d.Key, e == Whole || e == Turned, false, r.now)
 }
 
@@ -218,7 +218,7 @@
 			"unwritten": func(r *road) {
 				for shot := 2; shot <= 3; shot++ {
 					d := r.sends(shot)
-					r.NotWritten(d.Visit, "broke", r.now)
+					r.NotWritten(d.Visit, d.Shot, "broke", r.now)
 					r.Freed(d.Key, false, true, r.now)
 				}
 			},
@@ -279,7 +279,7 @@
 		at = r.now
 		v = r.come(route)
 		r.now = r.now.Add(most / 2)
-		r.Ended(busy, Whole, 200, r.now)
+		r.Ended(busy, 1, Whole, 200, r.now)
 		r.Freed(pass.Key{Lane: "r", Addr: "b0"}, false, false, r.now)
 		d := pick[Dial](r.Flush())[0]
 		require.Equal(t, v, d.Visit)
@@ -310,7 +310,7 @@
 		r.hears(d, Turned, 503)
 		at = r.now
 		r.now = r.now.Add(most / 2)
-		r.Ended(busy, Whole, 200, r.now)
+		r.Ended(busy, 1, Whole, 200, r.now)
 		r.Freed(other.Key, false, false, r.now)
 		d = pick[Dial](r.Flush())[0]
 		require.Equal(t, 2, d.Shot)
@@ -400,7 +400,7 @@
 		require.Len(t, pick[Claim](r.Flush()), 1)
 		r.Claimed(v, ledger.Done, 0, r.now)
 		r.Flush()
-		r.NotWritten(v, "broke", r.now)
+		r.NotWritten(v, 1, "broke", r.now)
 		r.Freed(d.Key, false, true, r.now)
 		all := r.Flush()
 		require.Empty(t, pick[Release](all), name)
@@ -428,7 +428,7 @@
 	r.come("once")
 	d := r.sends(1)
 	r.now = r.now.Add(100 * time.Millisecond)
-	r.NotWritten(d.Visit, "connection broke before the first byte", r.now)
+	r.NotWritten(d.Visit, d.Shot, "connection broke before the first byte", r.now)
 	require.Empty(t, pick[Answer](r.Flush()))
 	r.now = start.Add(GiveUp)
 	r.Tick(r.now)
@@ -447,7 +447,7 @@
 	v := r.come("aim")
 	d := r.sends(1)
 	r.now = r.now.Add(80 * time.Millisecond)
-	r.NotWritten(v, "broke", r.now)
+	r.NotWritten(v, 1, "broke", r.now)
 	r.Freed(d.Key, false, false, r.now)
 	for r.Find(v) != nil {
 		r.now = r.now.Add(time.Millisecond)
@@ -459,6 +459,19 @@
 	v = r.come("aim")
 	r.sends(1)
 	r.now = r.now.Add(100 * time.Millisecond)
-	r.NotWritten(v, "broke", r.now)
+	r.NotWritten(v, 1, "broke", r.now)
 	require.Nil(t, r.Find(v))
 }
+
+func TestWordOfAnEarlierShotChangesNothing(t *testing.T) {
+	r := newRoad(t, 6, 4, 10, 200)
+	v := r.come("once")
+	r.hears(r.sends(1), Turned, 503)
+	two := r.sends(2)
+	r.NotWritten(v, 1, "broke", r.now)
+	r.Ended(v, 1, Turned, 503, r.now)
+	r.Ended(v, 1, Whole, 200, r.now)
+	require.Empty(t, r.Flush())
+	r.hears(two, Whole, 200)
+	r.delivers(2)
+}
--- a/forward/state.go
+++ b/forward/state.go
@@ -449,9 +449,9 @@
 	s.emit(Write{v.Visit, v.Shot, min(at, v.Expiry), v.Reclaim})
 }
 
-func (s *State) NotWritten(id ident.Visit, why string, now ident.Moment) {
+func (s *State) NotWritten(id ident.Visit, shot int, why string, now ident.Moment) {
 	v := s.visits[id]
-	if v == nil || v.Phase != Sent {
+	if v == nil || v.Phase != Sent || v.Shot != shot {
 		return
 	}
 	s.move(v, Claimed, "not written")
@@ -546,9 +546,9 @@
 	s.end(v, Answer{Reason: "whole"})
 }
 
-func (s *State) Ended(id ident.Visit, e Ending, status int, now ident.Moment) {
+func (s *State) Ended(id ident.Visit, shot int, e Ending, status int, now ident.Moment) {
 	v := s.visits[id]
-	if v == nil || v.Phase != Sent {
+	if v == nil || v.Phase != Sent || v.Shot != shot {
 		return
 	}
 	s.Counts["ended "+e.String()]++
--- a/forward/state_test.go
+++ b/forward/state_test.go
@@ -92,7 +92,7 @@
 	require.Len(t, used, 3)
 	for _, d := range used {
 		b.Linked(d.Visit, d.Shot, b.now)
-		b.Ended(d.Visit, Whole, 200, b.now)
+		b.Ended(d.Visit, d.Shot, Whole, 200, b.now)
 		b.Freed(d.Key, true, false, b.now)
 	}
 	b.Wanted("s")
@@ -132,7 +132,7 @@
 	b.Gone(v, b.now)
 	w := b.arrive("g")
 	require.Empty(t, pick[Dial](b.Flush()))
-	b.Ended(v, Whole, 200, b.now)
+	b.Ended(v, 1, Whole, 200, b.now)
 	b.Freed(d.Key, true, false, b.now)
 	got := pick[Dial](b.Flush())
 	require.Len(t, got, 1)
@@ -154,7 +154,7 @@
 	b.now = b.now.Add(2 * b.d.Lanes["g"].Whole)
 	b.Tick(b.now)
 	require.Len(t, pick[Cut](b.Flush()), 1)
-	b.Ended(v, Late, 0, b.now)
+	b.Ended(v, 1, Late, 0, b.now)
 	require.Empty(t, pick[Answer](b.Flush()))
 	require.Zero(t, b.Open())
 }
@@ -196,7 +196,7 @@
 	v := b.arrive("g")
 	b.Linked(v, 1, b.now)
 	b.Flush()
-	b.Ended(v, Whole, 503, b.now)
+	b.Ended(v, 1, Whole, 503, b.now)
 	a := pick[Answer](b.Flush())[0]
 	require.Equal(t, 502, a.Status)
 	require.Equal(t, RanUnknown, a.Ran)
--- a/hollow/member.go
+++ b/hollow/member.go
@@ -249,7 +249,7 @@
 			m.trips[e.Visit] = e.Key
 			m.wait(1, data.Linked{Visit: e.Visit, Shot: e.Shot})
 		case forward.Write:
-			m.wait(workTime, data.Ended{Visit: e.Visit, Ending: forward.Whole, Status: 200})
+			m.wait(workTime, data.Ended{Visit: e.Visit, Shot: e.Shot, Ending: forward.Whole, Status: 200})
 			m.wait(workTime, data.Freed{Key: m.trips[e.Visit], Keep: true})
 			m.idle[m.trips[e.Visit]] = append(m.idle[m.trips[e.Visit]], m.w.round+workTime)
 			delete(m.trips, e.Visit)
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -221,10 +221,17 @@
 	if e.Status == 0 {
 		how = forward.Broken
 	}
-	p.Ended(v, how, e.Status, p.now)
+	p.Ended(v, p.shot(v), how, e.Status, p.now)
 	p.Freed(k, how == forward.Whole, how != forward.Whole, p.now)
 }
 
+func (p *Player) shot(v ident.Visit) int {
+	if k := p.Find(v); k != nil {
+		return k.Shot
+	}
+	return 0
+}
+
 func (p *Player) obey() {
 	for list := p.Flush(); len(list) > 0; list = p.Flush() {
 		for _, e := range list {
@@ -257,7 +264,7 @@
 	case forward.Cut:
 		if k, ok := p.keys[e.Visit]; ok {
 			delete(p.keys, e.Visit)
-			p.Ended(e.Visit, forward.Late, 0, p.now)
+			p.Ended(e.Visit, p.shot(e.Visit), forward.Late, 0, p.now)
 			p.Freed(k, false, false, p.now)
 		}
 	case forward.Bar:
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -366,20 +366,20 @@
 	}
 	t := n.trips[e.Visit]
 	if t == nil || t.link == nil {
-		n.p.step(data.NotWritten{Visit: e.Visit, Why: "no connection"})
+		n.p.step(data.NotWritten{Visit: e.Visit, Shot: e.Shot, Why: "no connection"})
 		return
 	}
 	l := t.link
 	if !l.open {
 		t.link = nil
 		delete(n.links, l.id)
-		n.p.step(data.NotWritten{Visit: e.Visit, Why: "broke before the first byte"})
+		n.p.step(data.NotWritten{Visit: e.Visit, Shot: e.Shot, Why: "broke before the first byte"})
 		n.p.step(data.Freed{Key: l.key, Bar: true})
 		return
 	}
 	w := n.p.w
 	if n.p.clock().After(e.NotAfter) && w.Weak != "gate" {
-		n.p.step(data.NotWritten{Visit: e.Visit, Why: "tenure ran out"})
+		n.p.step(data.NotWritten{Visit: e.Visit, Shot: e.Shot, Why: "tenure ran out"})
 		n.keep(e.Visit)
 		return
 	}
@@ -401,9 +401,9 @@
 		l.busy = ""
 		how = t.heard(n.p.w, how, status)
 		if how == forward.Broken && n.p.w.Weak == "told" {
-			n.p.step(data.NotWritten{Visit: t.visit, Why: "a lie"})
+			n.p.step(data.NotWritten{Visit: t.visit, Shot: t.shot, Why: "a lie"})
 		} else {
-			n.p.step(data.Ended{Visit: t.visit, Ending: how, Status: status})
+			n.p.step(data.Ended{Visit: t.visit, Shot: t.shot, Ending: how, Status: status})
 		}
 		b := n.p.w.byPlace[l.place]
 		keep := (how == forward.Whole || how == forward.Turned) && l.open && !b.closes
