Visits: a requester that leaves is heard by the shot that is left

Cause: once the first of two shots had ended, the leaving of the requester found no visit by its name, and the shot beside was still sent, for nobody.

Before: TestALeavingRequesterIsHeardByTheShotThatIsLeft red; found by the model's property test. After: forward's tests green.

--- a/forward/beside_test.go
+++ b/forward/beside_test.go
@@ -134,3 +134,17 @@
 		}
 	}
 }
+
+func TestALeavingRequesterIsHeardByTheShotThatIsLeft(t *testing.T) {
+	r := newRoad(t, 3, 3, 10, 200)
+	r.learn("again")
+	v := r.come("again")
+	first := r.sends(1)
+	second := pick[Dial](r.wait(60 * time.Millisecond))[0]
+	r.hears(first, Broken, 0)
+	r.Gone(v, r.now)
+	r.Flush()
+	require.False(t, r.Linked(second.Visit, second.Shot, r.now))
+	require.Empty(t, r.Flush())
+	require.Zero(t, r.Open())
+}
--- a/forward/state.go
+++ b/forward/state.go
@@ -33,7 +33,10 @@
 	RanUnknown Ran = "unknown"
 )
 
-const GiveUp = 180 * time.Millisecond
+const (
+	GiveUp     = 180 * time.Millisecond
+	besideName = "-beside"
+)
 
 type Arrival struct {
 	Visit   ident.Visit
@@ -503,7 +506,7 @@
 		return
 	}
 	t := &Visit{Arrival: v.Arrival, Shot: v.Rule.Shots - 1, Unsure: true, twin: true, mate: v.Visit, skip: map[ident.Addr]bool{v.Backend.Addr: true}}
-	t.Visit += "-beside"
+	t.Visit += besideName
 	for a := range v.skip {
 		t.skip[a] = true
 	}
@@ -645,6 +648,9 @@
 
 func (s *State) Gone(id ident.Visit, now ident.Moment) {
 	v := s.visits[id]
+	if v == nil {
+		v = s.visits[id+besideName]
+	}
 	if v == nil {
 		return
 	}
