--- /dev/null
+++ b/data/visits_property_test.go
@@ -0,0 +1,614 @@
+package data
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"sloeturn/duty"
+	"sloeturn/ident"
+)
+
+// play is what a backend does with one arrival.
+type play struct {
+	Read    int    // bytes of the request that are read before the end; -1: all
+	Kind    string // which answer
+	Coded   bool   // its body in chunks, with a trailer
+	Before  string // a surplus answer ahead of it
+	After   string // surplus bytes right behind it
+	Later   string // surplus bytes once the requester has heard, or with the next arrival
+	Cut     int    // bytes of the answer that are written; -1: all
+	Spoil   int    // byte of the answer's head that is changed; -1: none
+	End     string // what becomes of the connection
+	Halting bool   // pieces of the answer are written one by one
+}
+
+// made is one request of a requester.
+type made struct {
+	ID, Method, Path, Body string
+	Coded                  bool
+	Left                   int
+	Sent                   int // bytes that are sent before the requester ends; -1: all
+	Pieces                 int
+	plays                  []play
+	words                  []byte
+}
+
+// line is one requester's connection.
+type line struct {
+	All       []*made
+	Pipelined bool
+	End       string // after the last request: half, reset, close or hear
+}
+
+type ran struct {
+	whole int
+	told  []string
+}
+
+// stage holds the backends of one round and what they saw.
+type stage struct {
+	lock   sync.Mutex
+	plays  map[string][]play
+	made   map[string]*made
+	ran    map[string]*ran
+	later  map[string][]func()
+	faults []string
+	serial int
+	at     map[string]int
+	done   chan struct{}
+}
+
+func (s *stage) fault(f string, a ...any) { s.faults = append(s.faults, fmt.Sprintf(f, a...)) }
+
+func wordsOf(kind, id, method, token string, coded bool) (string, bool) {
+	head, good, runs := "", true, true
+	name := "Visit-Name: " + id + "\r\n"
+	body := strings.Repeat("["+id+"."+token+"]", 3)
+	switch kind {
+	case "sound", "late":
+		head = "200 OK\r\nSealed: wax-" + id + "\r\n"
+	case "own 500", "own 502", "own 504", "own 404":
+		head = kind[4:] + " Own\r\nSealed: wax-" + id + "\r\n"
+	case "bare 503", "bare 429", "bare 408", "bare 421":
+		head = kind[5:] + " Bare\r\n"
+	case "turned 503", "turned 429", "turned 400", "turned 421":
+		head, runs = kind[7:]+" Full\r\nTurned-Away: full\r\nRetry-After: 0.01\r\n", false
+	case "nameless 503":
+		head, name = "503 Full\r\nTurned-Away: full\r\n", ""
+	case "nameless 500":
+		head, name = "500 Own\r\n", ""
+	case "nameless 200":
+		head, name = "200 OK\r\nSealed: wax\r\n", ""
+	case "no seal":
+		head = "200 OK\r\n"
+	case "turned 200":
+		head = "200 OK\r\nSealed: wax\r\nTurned-Away: full\r\n"
+	case "two names":
+		head, name = "200 OK\r\nSealed: wax\r\n", name+"Visit-Name: other\r\n"
+	case "packed":
+		head = "200 OK\r\nSealed: wax\r\nContent-Encoding: gzip\r\n"
+	case "odd 099":
+		head = "099 Odd\r\nSealed: wax\r\n"
+	}
+	words := "HTTP/1.1 " + head + name
+	if method == "HEAD" {
+		return words + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n", runs && good
+	}
+	if coded {
+		words += "Transfer-Encoding: chunked\r\nTrailer: Visit-Name\r\n\r\n"
+		for at := 0; at < len(body); at += 20 {
+			part := body[at:min(len(body), at+20)]
+			words += fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
+		return words + "0\r\nVisit-Name: trailer\r\n\r\n", runs
+	}
+	return words + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body, runs
+}
+
+func (s *stage) surplus(kind, id, token string) string {
+	inner, _ := wordsOf("sound", id, "GET", token, false)
+	switch kind {
+	case "again":
+		return inner
+	case "another":
+		w, _ := wordsOf("sound", "other-"+id, "GET", token, false)
+		return w
+	case "another's failure":
+		w, _ := wordsOf("own 500", "other-"+id, "GET", token, true)
+		return w
+	case "another, turned":
+		w, _ := wordsOf("turned 503", "other-"+id, "GET", token, false)
+		return w
+	case "another around":
+		w, _ := wordsOf("sound", id, "GET", "smuggled", false)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nVisit-Name: other-%s\r\nSealed: wax\r\nContent-Length: %d\r\n\r\n%s", id, len(w), w)
+	case "nameless":
+		return "HTTP/1.1 408 Request Timeout\r\nTurned-Away: idle\r\nContent-Length: 0\r\n\r\n"
+	case "nameless 200":
+		return "HTTP/1.1 200 OK\r\nSealed: wax\r\nContent-Length: 5\r\n\r\nextra"
+	case "noise":
+		return "\x00\x01HTTP/1.1 2"
+	case "early":
+		return "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	case "line":
+		return "\r\n"
+	}
+	return ""
+}
+
+func end(con net.Conn, how string) bool {
+	switch how {
+	case "reset":
+		con.(*net.TCPConn).SetLinger(0)
+		con.Close()
+	case "close":
+		con.Close()
+	case "half":
+		con.(*net.TCPConn).CloseWrite()
+		return false
+	default:
+		return false
+	}
+	return true
+}
+
+// serve plays each arrival by the stage of its requester.
+func (h *theatre) serve(con net.Conn) {
+	defer con.Close()
+	b := bufio.NewReader(con)
+	var wait func()
+	for {
+		if _, err := b.Peek(1); err != nil {
+			return
+		}
+		if wait != nil {
+			wait()
+			wait = nil
+		}
+		head, err := headLines(b)
+		if err != nil {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head)))
+		if err != nil {
+			h.stray.Store(head, true)
+			return
+		}
+		id := r.Header.Get("Visit-Name")
+		found, ok := h.stages.Load(id)
+		if !ok {
+			h.stray.Store(head, true)
+			return
+		}
+		s := found.(*stage)
+		s.lock.Lock()
+		m := s.made[id]
+		p := play{Read: -1, Kind: "sound", Cut: -1, Spoil: -1}
+		if at := s.at[id]; at < len(m.plays) {
+			p = m.plays[at]
+		}
+		s.at[id]++
+		s.serial++
+		token := strconv.Itoa(s.serial)
+		s.lock.Unlock()
+		length, _ := strconv.Atoi(r.Header.Get("Content-Length"))
+		if p.Read >= 0 && p.Read < len(head)+length {
+			io.CopyN(io.Discard, b, int64(max(0, p.Read-len(head))))
+			end(con, "reset")
+			return
+		}
+		if p.Kind == "early" {
+			say, _ := wordsOf("turned 503", id, r.Method, token, false)
+			io.WriteString(con, say)
+		}
+		body := make([]byte, length)
+		if _, err := io.ReadFull(b, body); err != nil {
+			return
+		}
+		line, _, _ := strings.Cut(head, "\r\n")
+		if want := m.Method + " " + m.Path + " HTTP/1.1"; line != want || string(body) != m.Body {
+			s.lock.Lock()
+			s.fault("%s was changed: %q %q", id, line, body)
+			s.lock.Unlock()
+		}
+		if p.Kind == "early" {
+			if end(con, p.End) {
+				return
+			}
+			continue
+		}
+		say, runs := "", true
+		if p.Kind != "hang" {
+			say, runs = wordsOf(p.Kind, id, m.Method, token, p.Coded)
+		}
+		s.lock.Lock()
+		if runs {
+			s.ran[id].whole++
+		}
+		s.lock.Unlock()
+		if p.Kind == "hang" || p.Kind == "late" {
+			<-s.done
+		}
+		if p.Kind == "hang" {
+			return
+		}
+		if p.Spoil >= 0 {
+			at := p.Spoil % strings.Index(say, "\r\n\r\n")
+			say = say[:at] + string(say[at]^0x15) + say[at+1:]
+		}
+		whole := s.surplus(p.Before, id, token) + say + s.surplus(p.After, id, token)
+		cut := p.Cut >= 0 && p.Cut < len(whole)
+		if cut {
+			whole = whole[:p.Cut]
+		}
+		if p.Halting {
+			for at := 0; at < len(whole); at += 40 {
+				io.WriteString(con, whole[at:min(len(whole), at+40)])
+			}
+		} else {
+			io.WriteString(con, whole)
+		}
+		if cut && p.End == "" {
+			con.Close()
+			return
+		}
+		if end(con, p.End) {
+			return
+		}
+		if p.Later != "" {
+			words := s.surplus(p.Later, id, token)
+			switch p.Later {
+			case "close", "reset", "half":
+				wait = func() { end(con, p.Later) }
+			default:
+				wait = func() { io.WriteString(con, words) }
+			}
+			if p.Halting {
+				then := wait
+				wait = nil
+				s.lock.Lock()
+				s.later[id] = append(s.later[id], then)
+				s.lock.Unlock()
+			}
+		}
+	}
+}
+
+func headLines(b *bufio.Reader) (string, error) {
+	var all strings.Builder
+	for {
+		l, err := b.ReadString('\n')
+		if err != nil {
+			return "", err
+		}
+		all.WriteString(l)
+		if l == "\r\n" {
+			return all.String(), nil
+		}
+	}
+}
+
+type theatre struct {
+	*gateway
+	stages sync.Map
+	stray  sync.Map
+	front  string
+	round  int
+	tally  sync.Map
+}
+
+func (h *theatre) count(what string) {
+	n, _ := h.tally.LoadOrStore(what, new(atomic.Int64))
+	n.(*atomic.Int64).Add(1)
+}
+
+func newTheatre(t *testing.T) *theatre {
+	g := newGateway(t, "s", "s", "s")
+	h := &theatre{gateway: g}
+	for _, ear := range g.ears {
+		ear.Close()
+	}
+	g.ears = nil
+	for range g.serve {
+		ear, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { ear.Close() })
+		g.ears = append(g.ears, ear)
+		go func() {
+			for {
+				c, err := ear.Accept()
+				if err != nil {
+					return
+				}
+				go h.serve(c)
+			}
+		}()
+	}
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	web := &http.Server{Handler: g.Front(tongue), ConnContext: duty.WithConn}
+	go web.Serve(duty.Patient(ear, g.waits))
+	t.Cleanup(func() { web.Close() })
+	h.front = ear.Addr().String()
+	g.up()
+	return h
+}
+
+func someLine(t *rapid.T, name func() string) *line {
+	l := &line{Pipelined: rapid.Bool().Draw(t, "pipelined"), End: rapid.SampledFrom([]string{"hear", "hear", "hear", "half", "reset", "close"}).Draw(t, "end")}
+	for i := rapid.IntRange(1, 3).Draw(t, "requests"); i > 0; i-- {
+		m := &made{ID: name(), Left: rapid.IntRange(30, 250).Draw(t, "left"), Sent: -1, Pieces: rapid.IntRange(1, 4).Draw(t, "pieces")}
+		m.Method = rapid.SampledFrom([]string{"GET", "POST", "POST", "HEAD", "PUT"}).Draw(t, "method")
+		m.Path = rapid.SampledFrom([]string{"/a/", "/a/", "/one/", "/r/", "/aim/"}).Draw(t, "route") + m.ID + "?q=%zz"
+		if m.Method == "POST" || m.Method == "PUT" {
+			m.Body = strings.Repeat(rapid.SampledFrom([]string{"x", "GET /a/smuggled HTTP/1.1\r\nHost: h.example\r\nVisit-Name: smuggled\r\n\r\n", "content-length: 3\r\n"}).Draw(t, "body"), rapid.IntRange(0, 50).Draw(t, "times"))
+			m.Coded = rapid.Bool().Draw(t, "coded")
+		}
+		for range 3 {
+			m.plays = append(m.plays, somePlay(t))
+		}
+		m.words = m.put()
+		l.All = append(l.All, m)
+	}
+	if l.End != "hear" && rapid.Bool().Draw(t, "cut off") {
+		last := l.All[len(l.All)-1]
+		last.Sent = rapid.IntRange(0, len(last.words)).Draw(t, "sent")
+	}
+	return l
+}
+
+func somePlay(t *rapid.T) play {
+	p := play{Read: -1, Kind: "sound", Cut: -1, Spoil: -1}
+	if rapid.IntRange(0, 2).Draw(t, "good") == 0 {
+		return p
+	}
+	p.Kind = rapid.SampledFrom([]string{"sound", "sound", "sound", "own 500", "own 502", "own 504", "own 404", "bare 503", "bare 429", "bare 408", "bare 421", "turned 503", "turned 503", "turned 429", "turned 400", "turned 421", "nameless 503", "nameless 500", "nameless 200", "no seal", "turned 200", "two names", "packed", "odd 099", "hang", "late", "early"}).Draw(t, "kind")
+	p.Coded, p.Halting = rapid.Bool().Draw(t, "chunks"), rapid.Bool().Draw(t, "halting")
+	more := []string{"", "", "", "", "again", "another", "another's failure", "another, turned", "another around", "nameless", "nameless 200", "noise", "early", "line"}
+	p.Before = rapid.SampledFrom([]string{"", "", "", "", "another", "another's failure", "another, turned", "another around", "early"}).Draw(t, "before")
+	p.After = rapid.SampledFrom(more).Draw(t, "after")
+	p.Later = rapid.SampledFrom(append(more, "close", "reset", "half")).Draw(t, "later")
+	p.End = rapid.SampledFrom([]string{"", "", "", "close", "reset", "half"}).Draw(t, "ends")
+	switch rapid.IntRange(0, 7).Draw(t, "harm") {
+	case 0:
+		p.Cut = rapid.IntRange(0, 400).Draw(t, "cut")
+	case 1:
+		p.Spoil = rapid.IntRange(0, 200).Draw(t, "spoil")
+	case 2:
+		p.Read = rapid.IntRange(0, 300).Draw(t, "read")
+	}
+	return p
+}
+
+func (m *made) put() []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h.example\r\nVisit-Name: %s\r\nLeft-Ms: %d\r\n", m.Method, m.Path, m.ID, m.Left)
+	switch {
+	case m.Method != "POST" && m.Method != "PUT":
+		b.WriteString("\r\n")
+	case m.Coded:
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		if m.Body != "" {
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(m.Body), m.Body)
+		}
+		b.WriteString("0\r\n\r\n")
+	default:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(m.Body), m.Body)
+	}
+	return b.Bytes()
+}
+
+func (h *theatre) ask(l *line, s *stage) {
+	c, err := net.Dial("tcp", h.front)
+	if err != nil {
+		s.lock.Lock()
+		s.fault("the front refused: %v", err)
+		s.lock.Unlock()
+		return
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(4 * time.Second))
+	b := bufio.NewReader(c)
+	send := func(m *made) bool {
+		w := m.words
+		if m.Sent >= 0 {
+			w = w[:m.Sent]
+		}
+		step := max(1, len(w)/m.Pieces)
+		for at := 0; at < len(w); at += step {
+			if _, err := c.Write(w[at:min(len(w), at+step)]); err != nil {
+				return false
+			}
+		}
+		return true
+	}
+	last := l.All[len(l.All)-1]
+	if l.Pipelined {
+		for _, m := range l.All {
+			if !send(m) {
+				break
+			}
+		}
+	}
+	for _, m := range l.All {
+		if !l.Pipelined && !send(m) {
+			return
+		}
+		if m == last && end(c, l.End) {
+			h.count("requester " + l.End)
+			return
+		}
+		if !h.hear(b, m, s, l) {
+			return
+		}
+	}
+	if l.End == "hear" {
+		c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if x, err := b.Peek(1); err == nil {
+			s.lock.Lock()
+			s.fault("bytes after the last answer to %s: %q", last.ID, x)
+			s.lock.Unlock()
+		}
+	}
+}
+
+// hear reads and judges the answer to one request; false: nothing more can come on this connection.
+func (h *theatre) hear(b *bufio.Reader, m *made, s *stage, l *line) bool {
+	resp, err := http.ReadResponse(b, &http.Request{Method: m.Method})
+	if err != nil {
+		h.count("no answer")
+		if e, ok := err.(net.Error); ok && e.Timeout() {
+			s.lock.Lock()
+			s.fault("%s was never answered", m.ID)
+			s.lock.Unlock()
+		}
+		return false
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		h.count("broken answer")
+		return false
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	h.count(fmt.Sprint("answer ", resp.StatusCode))
+	own := "[" + m.ID + "."
+	for id := range s.made {
+		if id != m.ID && strings.Contains(string(body)+fmt.Sprint(resp.Header), id+".") {
+			s.fault("%s heard of %s: %v %q", m.ID, id, resp.Header, body)
+		}
+	}
+	if strings.Contains(string(body), "other-") || strings.Contains(string(body), "smuggled") || strings.Contains(string(body), "extra") {
+		s.fault("%s heard surplus bytes: %q", m.ID, body)
+	}
+	if name := resp.Header.Get("Visit-Name"); name != "" && name != m.ID {
+		s.fault("%s heard the answer to %s", m.ID, name)
+	}
+	if resp.StatusCode < 300 {
+		if resp.Header.Get("Sealed") != "wax-"+m.ID && !h.spoilt(m) {
+			s.fault("%s heard a success sealed %q", m.ID, resp.Header.Get("Sealed"))
+		}
+		if resp.Header.Get("Sealed") == "" || resp.Header.Get("Visit-Name") != m.ID {
+			s.fault("%s heard a success without name or seal", m.ID)
+		}
+		if m.Method != "HEAD" && !h.spoilt(m) {
+			parts := strings.Split(string(body), "]")
+			if len(parts) != 4 || parts[0] != parts[1] || parts[1] != parts[2] || !strings.HasPrefix(parts[0], own) {
+				s.fault("%s heard a body that isn't whole: %q", m.ID, body)
+			}
+		}
+	}
+	switch resp.StatusCode {
+	case 408, 421, 429, 503:
+		s.ran[m.ID].told = append(s.ran[m.ID].told, strconv.Itoa(resp.StatusCode))
+	}
+	if resp.StatusCode < 200 {
+		s.fault("%s heard %d", m.ID, resp.StatusCode)
+	}
+	return !resp.Close
+}
+
+func (h *theatre) spoilt(m *made) bool {
+	for _, p := range m.plays {
+		if p.Spoil >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *theatre) perform(lines []*line) []string {
+	s := &stage{made: map[string]*made{}, ran: map[string]*ran{}, at: map[string]int{}, later: map[string][]func(){}, done: make(chan struct{})}
+	for _, l := range lines {
+		for _, m := range l.All {
+			s.made[m.ID], s.ran[m.ID] = m, &ran{}
+			h.stages.Store(m.ID, s)
+		}
+	}
+	h.lift()
+	h.query(func(st *State, now ident.Moment) any { st.Credit("s", 100); return nil })
+	var all sync.WaitGroup
+	for _, l := range lines {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			h.ask(l, s)
+			for _, m := range l.All {
+				s.lock.Lock()
+				list := s.later[m.ID]
+				delete(s.later, m.ID)
+				s.lock.Unlock()
+				for _, f := range list {
+					f()
+				}
+			}
+		}()
+	}
+	all.Wait()
+	close(s.done)
+	for end := ident.Now().Add(4 * time.Second); ident.Now().Before(end); {
+		if h.query(func(st *State, now ident.Moment) any { return st.Open() == 0 }).(bool) {
+			break
+		}
+	}
+	return h.judge(s, true)
+}
+
+// judge tells what is wrong with a round; requests of requesters that left may still come in after it.
+func (h *theatre) judge(s *stage, first bool) []string {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	h.stray.Range(func(k, _ any) bool { s.fault("a backend heard what nobody sent: %q", k); return true })
+	for id, r := range s.ran {
+		again := strings.HasPrefix(s.made[id].Path, "/r/")
+		if r.whole > 1 && !again {
+			s.fault("%s may not be repeated and ran %d times", id, r.whole)
+		}
+		if r.whole > 0 && len(r.told) > 0 {
+			s.fault("%s ran %d times and heard %v", id, r.whole, r.told)
+		}
+		if n := s.at[id]; n > 3 {
+			s.fault("%s was sent %d times", id, n)
+		} else if n > 1 && first {
+			h.count("sent again")
+		}
+		if first {
+			h.count(fmt.Sprint("ran ", min(r.whole, 2)))
+		}
+	}
+	return s.faults
+}
+
+func TestWhateverPeersDoEachRequesterHearsItsOwnAnswerOnce(t *testing.T) {
+	h := newTheatre(t)
+	rapid.Check(t, func(r *rapid.T) {
+		n := 0
+		h.round++
+		name := func() string { n++; return fmt.Sprintf("v%dx%dx", h.round, n) }
+		var lines []*line
+		for i := rapid.IntRange(1, 6).Draw(r, "lines"); i > 0; i-- {
+			lines = append(lines, someLine(r, name))
+		}
+		if faults := h.perform(lines); len(faults) > 0 {
+			r.Fatalf("%s", strings.Join(faults, "\n"))
+		}
+	})
+	h.stages.Range(func(_, s any) bool {
+		require.Empty(t, h.judge(s.(*stage), false))
+		return true
+	})
+	h.tally.Range(func(k, v any) bool { t.Logf("%v: %d", k, v.(*atomic.Int64).Load()); return true })
+}
