Visits: a kept connection rests well inside the time its backend grants

Cause: connections rested 2 s whatever Keep-Alive said; where a backend grants as little, one was taken up just as the backend closed it, and a visit that may not be repeated then ends with 502, for a reset proves nothing. Now three quarters of the granted time at most.

Before: nothing read the header (the test could not be built). After: TestAKeptConnectionRestsWellInsideWhatItsBackendGrants; data's tests green.

--- a/data/node.go
+++ b/data/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,7 @@
 	life  string
 	watch chan error
 	since ident.Moment
+	rest  time.Duration
 }
 
 type answer struct {
@@ -231,7 +233,7 @@
 		c := list[len(list)-1]
 		n.idle[k] = list[:len(list)-1]
 		n.lock.Unlock()
-		if c.stop() && c.life == life && ident.Now().Sub(c.since) <= pass.IdleLife && c.quiet() {
+		if c.stop() && c.life == life && !c.tired(ident.Now()) && c.quiet() {
 			return c
 		}
 		c.Close()
@@ -246,6 +248,26 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// tired tells whether a connection rested too long to be taken up: three quarters of what its
+// backend grants, so that it isn't taken up as the backend closes it.
+func (c *conn) tired(now ident.Moment) bool {
+	most := pass.IdleLife
+	if c.rest > 0 {
+		most = min(most, c.rest*3/4)
+	}
+	return now.Sub(c.since) > most
+}
+
+func granted(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, n, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if s, err := strconv.ParseUint(n, 10, 31); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(s) * time.Second
+		}
+	}
+	return 0
+}
+
 func (c *conn) quiet() bool { return c.read.Buffered() == 0 && duty.Quiet(c.Conn) }
 
 func (n *Node) putIdle(c *conn) {
@@ -333,7 +355,7 @@
 		for k, list := range n.idle {
 			var keep []*conn
 			for _, c := range list {
-				if now.Sub(c.since) > pass.IdleLife {
+				if c.tired(now) {
 					old = append(old, c)
 				} else {
 					keep = append(keep, c)
@@ -477,7 +499,7 @@
 	}
 	status := 0
 	if resp != nil {
-		status = resp.StatusCode
+		status, c.rest = resp.StatusCode, granted(resp.Header)
 	}
 	n.finish(k, c, keep && (ending == forward.Whole || ending == forward.Turned), ending == forward.Broken, Ended{e.Visit, e.Shot, ending, status})
 }
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -286,3 +286,25 @@
 		}
 	}
 }
+
+func TestAKeptConnectionRestsWellInsideWhatItsBackendGrants(t *testing.T) {
+	g := newGateway(t, "s").up()
+	g.says("/a/kept", "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: wax\r\nKeep-Alive: max=9, timeout=1\r\nContent-Length: 2\r\n\r\nhi")
+	resp, _ := g.post("/a/kept")
+	require.Equal(t, 200, resp.StatusCode)
+	var c *conn
+	require.Eventually(t, func() bool {
+		g.Node.lock.Lock()
+		defer g.Node.lock.Unlock()
+		for _, list := range g.idle {
+			for _, c = range list {
+			}
+		}
+		return c != nil
+	}, time.Second, time.Millisecond)
+	require.False(t, c.tired(c.since.Add(700*time.Millisecond)))
+	require.True(t, c.tired(c.since.Add(800*time.Millisecond)))
+	c = &conn{}
+	require.False(t, c.tired(ident.Moment(pass.IdleLife)))
+	require.True(t, c.tired(ident.Moment(pass.IdleLife+1)))
+}
