Visits: an answer that came before the whole request was out is heard

Cause: a backend that turns a visit away at its head and resets left the writer with an error, and its word, which lay in the receive queue, was thrown away: 502 for what had provably not run. The queue is now read after a write that broke off (not after one that ran out of time); only a whole answer with the visit's name counts, anything else stays broken, and the connection is never kept.

Before: TestAnAnswerThatCameBeforeTheWholeRequestIsHeard red. After: five times green, data's tests green.

--- a/data/node.go
+++ b/data/node.go
@@ -486,11 +486,17 @@
 		n.Put(NotWritten{e.Visit, e.Shot, "connection broke before the first byte"})
 		return
 	}
-	if err != nil {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		n.finish(k, c, false, true, Ended{e.Visit, e.Shot, forward.Broken, 0})
 		return
 	}
 	resp, body, keep, ending := k.read(c, req)
+	if err != nil {
+		keep = false
+		if ending != forward.Whole && ending != forward.Turned && ending != forward.Moved {
+			ending = forward.Broken
+		}
+	}
 	if resp != nil && (ending == forward.Whole || ending == forward.Turned) {
 		if k.shots == nil {
 			k.shots = map[int]heard{}
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -308,3 +308,38 @@
 	require.False(t, c.tired(ident.Moment(pass.IdleLife)))
 	require.True(t, c.tired(ident.Moment(pass.IdleLife+1)))
 }
+
+func TestAnAnswerThatCameBeforeTheWholeRequestIsHeard(t *testing.T) {
+	g := newGateway(t, "s").up()
+	for name, say := range map[string]string{
+		"turned": "HTTP/1.1 503 Full\r\nVisit-Name: v\r\nTurned-Away: full\r\nContent-Length: 4\r\n\r\nfull",
+		"own":    "HTTP/1.1 500 Own\r\nVisit-Name: v\r\nContent-Length: 4\r\n\r\nfull",
+		"short":  "HTTP/1.1 503 Full\r\nVisit-Name: v\r\nTurned-Away: full\r\nContent-Length: 5\r\n\r\nfull",
+	} {
+		c, _ := raced(t, g, func(far net.Conn) {
+			go func() {
+				io.ReadFull(far, make([]byte, 100))
+				io.WriteString(far, say)
+				far.(*net.TCPConn).SetLinger(0)
+				far.Close()
+			}()
+		})
+		lane := g.view.Load().desired.Find("h.example", "/a/x").Pick(0)
+		r, _ := http.NewRequest("POST", "http://h.example/a/x", nil)
+		r.RequestURI = "/a/x"
+		r.Header.Set("Visit-Name", "v")
+		k := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/a/x", body: make([]byte, 32<<20), ans: make(chan answer, 2), conn: c, expiry: ident.Now().Add(time.Second)}
+		g.Node.lock.Lock()
+		g.calls["v"] = k
+		g.Node.lock.Unlock()
+		later := ident.Now().Add(2 * time.Second)
+		g.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, Until: later})
+		got := k.shots[1]
+		if name == "short" {
+			require.Nil(t, got.resp)
+			continue
+		}
+		require.NotNil(t, got.resp, name)
+		require.Equal(t, "full", string(got.body), name)
+	}
+}
