Visits: a test that no header is brought in by another

Green as written: bare CR, NUL, odd names, folded lines, odd request lines, the absolute form and a CR in a backend's header bring in no second name, target or seal.

--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -343,3 +343,38 @@
 		require.Equal(t, "full", string(got.body), name)
 	}
 }
+
+func TestNoHeaderIsBroughtInByAnother(t *testing.T) {
+	g := newGateway(t, "s").up()
+	for line, status := range map[string]int{
+		"X-A: a\rMeant-For: x": 400, "X-A: a\x00b": 400, "X A: b": 400, "X-A : b": 400, ": b": 400, "X-A\x01: b": 400, "Host: two": 400,
+		"X-A: a\r\n Visit-Name: x": 200, "X-A: a\nX-B: b": 200, "Transfer-Encoding: gzip": 501, "Content-Length: 1, 1": 400, "Visit-Name: x": 400,
+	} {
+		g.lock1(func() { g.seen = nil })
+		resp, _ := g.raw("GET /a/in HTTP/1.1\r\nHost: h.example\r\nVisit-Name: n\r\n" + line + "\r\n\r\n")
+		require.Equal(t, status, resp.StatusCode, "%q", line)
+		got := g.all("/a/in")
+		if status != 200 {
+			require.Empty(t, got, "%q", line)
+			continue
+		}
+		require.Len(t, got, 1)
+		require.Equal(t, []string{"n"}, got[0].head["Visit-Name"], "%q", line)
+		require.Equal(t, []string{"life-0"}, got[0].head["Meant-For"], "%q", line)
+	}
+	resp, _ := g.raw("GET http://h.example/a/whole?q HTTP/1.1\r\nHost: none.example\r\nVisit-Name: n\r\n\r\n")
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, "GET /a/whole?q HTTP/1.1", g.all("/a/whole")[0].line)
+	require.Equal(t, "h.example", g.all("/a/whole")[0].head.Get("Host"))
+	for _, line := range []string{"GET /a/x\rHTTP/1.1 HTTP/1.1", "GET /a/x y HTTP/1.1", "GET /a/\x7f HTTP/1.1", "G T /a/x HTTP/1.1", "CONNECT h.example:80 HTTP/1.1"} {
+		g.lock1(func() { g.seen = nil })
+		resp, _ := g.raw(line + "\r\nHost: h.example\r\n\r\n")
+		require.GreaterOrEqual(t, resp.StatusCode, 400, line)
+		require.Empty(t, g.all("/"), line)
+	}
+	g.says("/a/back", "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: wax\r\nX-A: a\rSealed: x\r\nContent-Length: 2\r\n\r\nhi")
+	resp, _ = g.post("/a/back")
+	if resp.StatusCode == 200 {
+		require.Equal(t, []string{"wax"}, resp.Header["Sealed"])
+	}
+}
