Visits: tests for a partly written request and for bytes behind an answer

With the guards taken out on a scratch copy, two changes went unseen by any test: a write that broke off midway called 'not written' (a visit that may not be repeated would run twice), and a connection kept with bytes behind a whole answer (the watcher and the look before the first byte still caught them). Both tests are red with the guard out and green with it.

--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"sloeturn/desired"
 	"sloeturn/duty"
 	"sloeturn/forward"
 	"sloeturn/ident"
@@ -378,3 +380,49 @@
 		require.Equal(t, []string{"wax"}, resp.Header["Sealed"])
 	}
 }
+
+func TestARequestThatWasPartlyWrittenIsNeverCalledNotWritten(t *testing.T) {
+	n := NewNode(Boot{Member: "n", Addr: "127.0.0.1:9", Cell: "a", Incarnation: 7}, log.NewNopLogger())
+	got := make(chan any, 16)
+	n.Step = func(_ ident.Moment, e any) {
+		if e != n.Beat {
+			got <- e
+		}
+	}
+	n.Loop.Open()
+	go n.Run()
+	defer n.Stop()
+	c, _ := raced(t, &gateway{Node: n}, func(far net.Conn) {
+		go func() {
+			io.ReadFull(far, make([]byte, 100))
+			far.(*net.TCPConn).SetLinger(0)
+			far.Close()
+		}()
+	})
+	r, _ := http.NewRequest("POST", "http://h.example/a/x", nil)
+	r.RequestURI = "/a/x"
+	lane := &desired.Lane{Name: "s", Service: "s", Answer: 4096}
+	n.calls["v"] = &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/a/x", body: make([]byte, 32<<20), ans: make(chan answer, 2), conn: c, expiry: ident.Now().Add(time.Second)}
+	later := ident.Now().Add(2 * time.Second)
+	n.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, Until: later})
+	require.Equal(t, Ended{"v", 1, forward.Broken, 0}, <-got)
+	require.Equal(t, Freed{c.key, false, true}, <-got)
+}
+
+func TestBytesBehindAWholeAnswerEndTheConnection(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nVisit-Name: v\r\nSealed: w\r\nContent-Length: 2\r\n\r\nhi"
+	for more, keep := range map[string]bool{"": true, "\r\n": false, "H": false, whole: false} {
+		near, far := net.Pipe()
+		go func() {
+			io.WriteString(far, whole+more)
+			far.Close()
+		}()
+		r, _ := http.NewRequest("GET", "http://h.example/a/x", nil)
+		r.Header.Set("Visit-Name", "v")
+		k := &call{Dialect: &tongue, lane: &desired.Lane{Answer: 4096}, req: r}
+		_, body, kept, ending := k.read(&conn{Conn: near, read: bufio.NewReaderSize(near, readerSize)}, r)
+		require.Equal(t, forward.Whole, ending)
+		require.Equal(t, "hi", string(body))
+		require.Equal(t, keep, kept, "%q", more)
+	}
+}
