--- a/data/visits_property_test.go
+++ b/data/visits_property_test.go
@@ -303,11 +303,12 @@
 
 type theatre struct {
 	*gateway
-	stages sync.Map
-	stray  sync.Map
-	front  string
-	round  int
-	tally  sync.Map
+	stages  sync.Map
+	stray   sync.Map
+	front   string
+	round   int
+	tally   sync.Map
+	pausing atomic.Int64
 }
 
 func (h *theatre) count(what string) {
@@ -344,6 +345,7 @@
 	t.Cleanup(func() { web.Close() })
 	h.front = ear.Addr().String()
 	g.up()
+	h.stalling()
 	return h
 }
 
@@ -530,7 +532,25 @@
 	return false
 }
 
-func (h *theatre) perform(lines []*line) []string {
+// stalling lets the loop stand still once a round, just before it hears that a connection is there:
+// handlers then refuse by themselves, and writers come late.
+func (h *theatre) stalling() {
+	h.query(func(*State, ident.Moment) any {
+		step := h.Step
+		h.Step = func(now ident.Moment, e any) {
+			if _, ok := e.(Linked); ok {
+				if d := time.Duration(h.pausing.Swap(0)); d > 0 {
+					h.count("stall")
+					<-time.After(d)
+				}
+			}
+			step(now, e)
+		}
+		return nil
+	})
+}
+
+func (h *theatre) perform(lines []*line, stall time.Duration) []string {
 	s := &stage{made: map[string]*made{}, ran: map[string]*ran{}, at: map[string]int{}, later: map[string][]func(){}, done: make(chan struct{})}
 	for _, l := range lines {
 		for _, m := range l.All {
@@ -540,6 +560,7 @@
 	}
 	h.lift()
 	h.query(func(st *State, now ident.Moment) any { st.Credit("s", 100); return nil })
+	h.pausing.Store(int64(stall))
 	var all sync.WaitGroup
 	for _, l := range lines {
 		all.Add(1)
@@ -599,10 +620,11 @@
 		h.round++
 		name := func() string { n++; return fmt.Sprintf("v%dx%dx", h.round, n) }
 		var lines []*line
+		stall := time.Duration(rapid.SampledFrom([]int{0, 0, 0, 90, 230}).Draw(r, "stall")) * time.Millisecond
 		for i := rapid.IntRange(1, 6).Draw(r, "lines"); i > 0; i-- {
 			lines = append(lines, someLine(r, name))
 		}
-		if faults := h.perform(lines); len(faults) > 0 {
+		if faults := h.perform(lines, stall); len(faults) > 0 {
 			r.Fatalf("%s", strings.Join(faults, "\n"))
 		}
 	})
