--- a/data/node.go
+++ b/data/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,7 @@
 	life  string
 	watch chan error
 	since ident.Moment
+	rest  time.Duration
 }
 
 type answer struct {
@@ -231,7 +233,7 @@
 		c := list[len(list)-1]
 		n.idle[k] = list[:len(list)-1]
 		n.lock.Unlock()
-		if c.stop() && c.life == life && ident.Now().Sub(c.since) <= pass.IdleLife && c.quiet() {
+		if c.stop() && c.life == life && !c.tired(ident.Now()) && c.quiet() {
 			return c
 		}
 		c.Close()
@@ -246,6 +248,26 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// tired tells whether a connection rested too long to be taken up: three quarters of what its
+// backend grants, so that it isn't taken up as the backend closes it.
+func (c *conn) tired(now ident.Moment) bool {
+	most := pass.IdleLife
+	if c.rest > 0 {
+		most = min(most, c.rest*3/4)
+	}
+	return now.Sub(c.since) > most
+}
+
+func granted(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, n, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if s, err := strconv.ParseUint(n, 10, 31); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(s) * time.Second
+		}
+	}
+	return 0
+}
+
 func (c *conn) quiet() bool { return c.read.Buffered() == 0 && duty.Quiet(c.Conn) }
 
 func (n *Node) putIdle(c *conn) {
@@ -333,7 +355,7 @@
 		for k, list := range n.idle {
 			var keep []*conn
 			for _, c := range list {
-				if now.Sub(c.since) > pass.IdleLife {
+				if c.tired(now) {
 					old = append(old, c)
 				} else {
 					keep = append(keep, c)
@@ -433,7 +455,7 @@
 func (n *Node) write(e forward.Write) {
 	k := n.find(e.Visit)
 	if k == nil || k.conn == nil {
-		n.Put(NotWritten{e.Visit, "no connection"})
+		n.Put(NotWritten{e.Visit, e.Shot, "no connection"})
 		return
 	}
 	c := k.conn
@@ -441,34 +463,40 @@
 	req := k.build(c.key.Addr)
 	words, err := k.words(req)
 	if err != nil {
-		n.finish(k, c, true, false, NotWritten{e.Visit, "visit could not be put in words"})
+		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, "visit could not be put in words"})
 		return
 	}
 	c.SetDeadline(time.Now().Add(e.Until.Sub(ident.Now())))
 	if !c.quiet() {
 		n.finish(k, c, false, true)
-		n.Put(NotWritten{e.Visit, "connection spoke or ended before the first byte"})
+		n.Put(NotWritten{e.Visit, e.Shot, "connection spoke or ended before the first byte"})
 		return
 	}
 	if ident.Now().After(e.NotAfter) {
-		n.finish(k, c, true, false, NotWritten{e.Visit, "tenure ran out before writing"})
+		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, "tenure ran out before writing"})
 		return
 	}
 	if !k.sending() {
-		n.finish(k, c, true, false, NotWritten{e.Visit, "given up before writing"})
+		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, "given up before writing"})
 		return
 	}
 	sent, err := c.Write(words)
 	if err != nil && sent == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
 		n.finish(k, c, false, true)
-		n.Put(NotWritten{e.Visit, "connection broke before the first byte"})
+		n.Put(NotWritten{e.Visit, e.Shot, "connection broke before the first byte"})
 		return
 	}
-	if err != nil {
-		n.finish(k, c, false, true, Ended{e.Visit, forward.Broken, 0})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n.finish(k, c, false, true, Ended{e.Visit, e.Shot, forward.Broken, 0})
 		return
 	}
 	resp, body, keep, ending := k.read(c, req)
+	if err != nil {
+		keep = false
+		if ending != forward.Whole && ending != forward.Turned && ending != forward.Moved {
+			ending = forward.Broken
+		}
+	}
 	if resp != nil && (ending == forward.Whole || ending == forward.Turned) {
 		if k.shots == nil {
 			k.shots = map[int]heard{}
@@ -477,9 +505,9 @@
 	}
 	status := 0
 	if resp != nil {
-		status = resp.StatusCode
+		status, c.rest = resp.StatusCode, granted(resp.Header)
 	}
-	n.finish(k, c, keep && (ending == forward.Whole || ending == forward.Turned), ending == forward.Broken, Ended{e.Visit, ending, status})
+	n.finish(k, c, keep && (ending == forward.Whole || ending == forward.Turned), ending == forward.Broken, Ended{e.Visit, e.Shot, ending, status})
 }
 
 // sending decides for the visit and its shot beside it: once true, neither is refused any more.
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"sloeturn/desired"
 	"sloeturn/duty"
 	"sloeturn/forward"
 	"sloeturn/ident"
@@ -286,3 +288,141 @@
 		}
 	}
 }
+
+func TestAKeptConnectionRestsWellInsideWhatItsBackendGrants(t *testing.T) {
+	g := newGateway(t, "s").up()
+	g.says("/a/kept", "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: wax\r\nKeep-Alive: max=9, timeout=1\r\nContent-Length: 2\r\n\r\nhi")
+	resp, _ := g.post("/a/kept")
+	require.Equal(t, 200, resp.StatusCode)
+	var c *conn
+	require.Eventually(t, func() bool {
+		g.Node.lock.Lock()
+		defer g.Node.lock.Unlock()
+		for _, list := range g.idle {
+			for _, c = range list {
+			}
+		}
+		return c != nil
+	}, time.Second, time.Millisecond)
+	require.False(t, c.tired(c.since.Add(700*time.Millisecond)))
+	require.True(t, c.tired(c.since.Add(800*time.Millisecond)))
+	c = &conn{}
+	require.False(t, c.tired(ident.Moment(pass.IdleLife)))
+	require.True(t, c.tired(ident.Moment(pass.IdleLife+1)))
+}
+
+func TestAnAnswerThatCameBeforeTheWholeRequestIsHeard(t *testing.T) {
+	g := newGateway(t, "s").up()
+	for name, say := range map[string]string{
+		"turned": "HTTP/1.1 503 Full\r\nVisit-Name: v\r\nTurned-Away: full\r\nContent-Length: 4\r\n\r\nfull",
+		"own":    "HTTP/1.1 500 Own\r\nVisit-Name: v\r\nContent-Length: 4\r\n\r\nfull",
+		"short":  "HTTP/1.1 503 Full\r\nVisit-Name: v\r\nTurned-Away: full\r\nContent-Length: 5\r\n\r\nfull",
+	} {
+		c, _ := raced(t, g, func(far net.Conn) {
+			go func() {
+				io.ReadFull(far, make([]byte, 100))
+				io.WriteString(far, say)
+				far.(*net.TCPConn).SetLinger(0)
+				far.Close()
+			}()
+		})
+		lane := g.view.Load().desired.Find("h.example", "/a/x").Pick(0)
+		r, _ := http.NewRequest("POST", "http://h.example/a/x", nil)
+		r.RequestURI = "/a/x"
+		r.Header.Set("Visit-Name", "v")
+		k := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/a/x", body: make([]byte, 32<<20), ans: make(chan answer, 2), conn: c, expiry: ident.Now().Add(time.Second)}
+		g.Node.lock.Lock()
+		g.calls["v"] = k
+		g.Node.lock.Unlock()
+		later := ident.Now().Add(2 * time.Second)
+		g.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, Until: later})
+		got := k.shots[1]
+		if name == "short" {
+			require.Nil(t, got.resp)
+			continue
+		}
+		require.NotNil(t, got.resp, name)
+		require.Equal(t, "full", string(got.body), name)
+	}
+}
+
+func TestNoHeaderIsBroughtInByAnother(t *testing.T) {
+	g := newGateway(t, "s").up()
+	for line, status := range map[string]int{
+		"X-A: a\rMeant-For: x": 400, "X-A: a\x00b": 400, "X A: b": 400, "X-A : b": 400, ": b": 400, "X-A\x01: b": 400, "Host: two": 400,
+		"X-A: a\r\n Visit-Name: x": 200, "X-A: a\nX-B: b": 200, "Transfer-Encoding: gzip": 501, "Content-Length: 1, 1": 400, "Visit-Name: x": 400,
+	} {
+		g.lock1(func() { g.seen = nil })
+		resp, _ := g.raw("GET /a/in HTTP/1.1\r\nHost: h.example\r\nVisit-Name: n\r\n" + line + "\r\n\r\n")
+		require.Equal(t, status, resp.StatusCode, "%q", line)
+		got := g.all("/a/in")
+		if status != 200 {
+			require.Empty(t, got, "%q", line)
+			continue
+		}
+		require.Len(t, got, 1)
+		require.Equal(t, []string{"n"}, got[0].head["Visit-Name"], "%q", line)
+		require.Equal(t, []string{"life-0"}, got[0].head["Meant-For"], "%q", line)
+	}
+	resp, _ := g.raw("GET http://h.example/a/whole?q HTTP/1.1\r\nHost: none.example\r\nVisit-Name: n\r\n\r\n")
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, "GET /a/whole?q HTTP/1.1", g.all("/a/whole")[0].line)
+	require.Equal(t, "h.example", g.all("/a/whole")[0].head.Get("Host"))
+	for _, line := range []string{"GET /a/x\rHTTP/1.1 HTTP/1.1", "GET /a/x y HTTP/1.1", "GET /a/\x7f HTTP/1.1", "G T /a/x HTTP/1.1", "CONNECT h.example:80 HTTP/1.1"} {
+		g.lock1(func() { g.seen = nil })
+		resp, _ := g.raw(line + "\r\nHost: h.example\r\n\r\n")
+		require.GreaterOrEqual(t, resp.StatusCode, 400, line)
+		require.Empty(t, g.all("/"), line)
+	}
+	g.says("/a/back", "HTTP/1.1 200 OK\r\nVisit-Name: {id}\r\nSealed: wax\r\nX-A: a\rSealed: x\r\nContent-Length: 2\r\n\r\nhi")
+	resp, _ = g.post("/a/back")
+	if resp.StatusCode == 200 {
+		require.Equal(t, []string{"wax"}, resp.Header["Sealed"])
+	}
+}
+
+func TestARequestThatWasPartlyWrittenIsNeverCalledNotWritten(t *testing.T) {
+	n := NewNode(Boot{Member: "n", Addr: "127.0.0.1:9", Cell: "a", Incarnation: 7}, log.NewNopLogger())
+	got := make(chan any, 16)
+	n.Step = func(_ ident.Moment, e any) {
+		if e != n.Beat {
+			got <- e
+		}
+	}
+	n.Loop.Open()
+	go n.Run()
+	defer n.Stop()
+	c, _ := raced(t, &gateway{Node: n}, func(far net.Conn) {
+		go func() {
+			io.ReadFull(far, make([]byte, 100))
+			far.(*net.TCPConn).SetLinger(0)
+			far.Close()
+		}()
+	})
+	r, _ := http.NewRequest("POST", "http://h.example/a/x", nil)
+	r.RequestURI = "/a/x"
+	lane := &desired.Lane{Name: "s", Service: "s", Answer: 4096}
+	n.calls["v"] = &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/a/x", body: make([]byte, 32<<20), ans: make(chan answer, 2), conn: c, expiry: ident.Now().Add(time.Second)}
+	later := ident.Now().Add(2 * time.Second)
+	n.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, Until: later})
+	require.Equal(t, Ended{"v", 1, forward.Broken, 0}, <-got)
+	require.Equal(t, Freed{c.key, false, true}, <-got)
+}
+
+func TestBytesBehindAWholeAnswerEndTheConnection(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nVisit-Name: v\r\nSealed: w\r\nContent-Length: 2\r\n\r\nhi"
+	for more, keep := range map[string]bool{"": true, "\r\n": false, "H": false, whole: false} {
+		near, far := net.Pipe()
+		go func() {
+			io.WriteString(far, whole+more)
+			far.Close()
+		}()
+		r, _ := http.NewRequest("GET", "http://h.example/a/x", nil)
+		r.Header.Set("Visit-Name", "v")
+		k := &call{Dialect: &tongue, lane: &desired.Lane{Answer: 4096}, req: r}
+		_, body, kept, ending := k.read(&conn{Conn: near, read: bufio.NewReaderSize(near, readerSize)}, r)
+		require.Equal(t, forward.Whole, ending)
+		require.Equal(t, "hi", string(body))
+		require.Equal(t, keep, kept, "%q", more)
+	}
+}
--- a/forward/state.go
+++ b/forward/state.go
@@ -33,7 +33,10 @@
 	RanUnknown Ran = "unknown"
 )
 
-const GiveUp = 180 * time.Millisecond
+const (
+	GiveUp     = 180 * time.Millisecond
+	besideName = "-beside"
+)
 
 type Arrival struct {
 	Visit   ident.Visit
@@ -449,9 +452,9 @@
 	s.emit(Write{v.Visit, v.Shot, min(at, v.Expiry), v.Reclaim})
 }
 
-func (s *State) NotWritten(id ident.Visit, why string, now ident.Moment) {
+func (s *State) NotWritten(id ident.Visit, shot int, why string, now ident.Moment) {
 	v := s.visits[id]
-	if v == nil || v.Phase != Sent {
+	if v == nil || v.Phase != Sent || v.Shot != shot {
 		return
 	}
 	s.move(v, Claimed, "not written")
@@ -503,7 +506,7 @@
 		return
 	}
 	t := &Visit{Arrival: v.Arrival, Shot: v.Rule.Shots - 1, Unsure: true, twin: true, mate: v.Visit, skip: map[ident.Addr]bool{v.Backend.Addr: true}}
-	t.Visit += "-beside"
+	t.Visit += besideName
 	for a := range v.skip {
 		t.skip[a] = true
 	}
@@ -546,9 +549,9 @@
 	s.end(v, Answer{Reason: "whole"})
 }
 
-func (s *State) Ended(id ident.Visit, e Ending, status int, now ident.Moment) {
+func (s *State) Ended(id ident.Visit, shot int, e Ending, status int, now ident.Moment) {
 	v := s.visits[id]
-	if v == nil || v.Phase != Sent {
+	if v == nil || v.Phase != Sent || v.Shot != shot {
 		return
 	}
 	s.Counts["ended "+e.String()]++
@@ -645,6 +648,9 @@
 
 func (s *State) Gone(id ident.Visit, now ident.Moment) {
 	v := s.visits[id]
+	if v == nil {
+		v = s.visits[id+besideName]
+	}
 	if v == nil {
 		return
 	}
