Control: a leaver says once that it signed off

The new test failed before (many lines), passes now; Exit is repeated as before, for it has no effect twice.

--- a/control/cut_test.go
+++ b/control/cut_test.go
@@ -176,3 +176,18 @@
 	require.Equal(t, "lost", w.says(k))
 	require.LessOrEqual(t, w.at[k].Sub(at), CutOffWait+2*hop)
 }
+
+func TestALeaverSaysOnceThatItSignedOff(t *testing.T) {
+	w := three(t)
+	s := w.leader()
+	a := string(s.Addr)
+	w.step(s, Drain{})
+	w.run(6 * time.Second)
+	n := 0
+	for _, v := range w.notes[a] {
+		if v == "Signed off." {
+			n++
+		}
+	}
+	require.Equal(t, 1, n)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -204,12 +204,13 @@
 	markAt   ident.Moment
 	takenAt  map[ident.Generation]ident.Moment
 	leases
-	passes   map[uint64]errand
-	parked   []parked
-	passID   uint64
-	replay   bool
-	draining bool
-	drainAt  ident.Moment
+	passes    map[uint64]errand
+	parked    []parked
+	passID    uint64
+	replay    bool
+	draining  bool
+	drainAt   ident.Moment
+	signedOff bool
 	bound
 	used   float64
 	role   agreement.Role
@@ -1014,7 +1015,11 @@
 		return
 	}
 	s.Members.Leave(now)
-	s.out = append(s.out, Note{"Signed off."}, Exit{})
+	if !s.signedOff {
+		s.signedOff = true
+		s.out = append(s.out, Note{"Signed off."})
+	}
+	s.out = append(s.out, Exit{})
 }
 
 func (s *State) nodes() []string {
