Simulate: disk holders replaced, wiped or leaving, the next loss at catchUp, on 3, 4 and 8

Scene replaced: seven times over one disk holder (of eight two at once) is replaced at another address, loses its disk, or leaves for good as planned beside a newcomer; an order follows at once, and the next loss comes 4 s after the last, with a replacement time of 1 s. No leader at that moment, or an order without an answer by then, breaks it.

The guard stands among those that must be seen.

--- /dev/null
+++ b/simulate/replaced.go
@@ -0,0 +1,81 @@
+package simulate
+
+import (
+	"fmt"
+	"time"
+
+	"sloeturn/ledger"
+)
+
+const catchUpTime = 4 * time.Second
+
+func init() { Scenes = append(Scenes, replaced) }
+
+var replaced = &Scene{Name: "replaced", Text: "disk holders are replaced, wiped or leave, the next loss coming catchUp later, again and again", config: func(c *Config) {
+	c.Controls = []int{3, 4, 8}[c.Seed%3]
+	c.Losses = 1 + c.Controls/8
+	c.Spares, c.Replace, c.Drain = 16, catchUpTime/4, 5700*ms
+	if c.Weak == "replace" {
+		c.Replace = 10 * time.Second
+	}
+}, play: func(w *World, r *Result, gen *uint64) {
+	w.Run(2 * time.Second)
+	for turn := 0; turn < 7; turn++ {
+		for i := 0; i < w.Losses; i++ {
+			w.lose(turn)
+		}
+		w.orderTaken(gen, fmt.Sprint("replaced-", turn))
+		w.Run(catchUpTime - 1500*ms)
+		if w.Leader() == nil {
+			w.Break("no leader catchUp after a loss", "turn %d", turn)
+		}
+	}
+}}
+
+// lose takes one disk holder away and sees to its successor: a machine at another address, or the same one without its disk.
+func (w *World) lose(turn int) {
+	var list []*Proc
+	for _, p := range w.Procs {
+		if p.disk != nil && p.up && !p.gone {
+			list = append(list, p)
+		}
+	}
+	p := list[w.Rand.Intn(len(list))]
+	if l := w.Leader(); l != nil && w.Rand.Intn(2) == 0 {
+		p = l
+	}
+	switch w.Rand.Intn(3) {
+	case 0:
+		w.Wipe(p)
+		w.Start(p)
+		return
+	case 1:
+		p.step(stopControl())
+	default:
+		w.Kill(p)
+	}
+	p.gone = true
+	for _, q := range w.Procs[len(w.Procs)-w.Spares:] {
+		if q.gone && !q.up && q.life == 0 {
+			q.gone = false
+			w.Start(q)
+			return
+		}
+	}
+}
+
+// orderTaken gives an order and runs 1.5 s; it must have an answer when the next loss may come.
+func (w *World) orderTaken(gen *uint64, id string) {
+	w.catchUp(gen)
+	taken := false
+	w.Set(*gen, w.Doc0(w.Nodes, 0, 2+len(id)%2, Cap), id, func(code ledger.Code, g uint64) {
+		taken = true
+		w.catchUp(gen)
+	})
+	w.Run(1500 * ms)
+	w.at(catchUpTime-1500*ms-ms, func() {
+		if !taken {
+			w.Break("an order without an answer beside one loss", "%s", id)
+		}
+	})
+}
--- a/simulate/seeds_test.go
+++ b/simulate/seeds_test.go
@@ -41,7 +41,8 @@
 		"peak law": "too many connections", "tries budget": "too many further tries", "waits patience": "refusal late", "routes again": "ran twice", "routes turned": "told not run, but it ran", "routes life": "ran on a service nobody allowed", "routes ack": "older routes after a yes", "route-tries budget": "too many further tries",
 		"route-drains vows": "sent to a leaving backend", "route-drains fresh": "sent to a leaving backend", "handover will": "a planned hand-over left a gap",
 		"orders basis": "orders are not linear", "orders ids": "orders are not linear", "orders reads": "orders are not linear", "orders contact": "orders are not linear", "orders sync": "orders are not linear",
-		"holiday still": "routing moved in a blackout period", "holiday clock": "routing moved in a blackout period", "flapping-seats heed": "older generation served", "silent-seats lapse": "older generation served", "cut-control read": "an old configuration was read",
+		"replaced replace": "no leader catchUp after a loss",
+		"holiday still":    "routing moved in a blackout period", "holiday clock": "routing moved in a blackout period", "flapping-seats heed": "older generation served", "silent-seats lapse": "older generation served", "cut-control read": "an old configuration was read",
 	} {
 		t.Run(weak, func(t *testing.T) {
 			t.Parallel()
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -86,6 +86,9 @@
 	scale    int64
 	Routed   bool
 	Stale    time.Duration
+	Losses   int
+	Replace  time.Duration
+	Drain    time.Duration
 	scene    *Scene
 }
 
@@ -260,7 +263,7 @@
 	w.lives[uint64(inc)] = len(w.lives)
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
-		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, HTTP: p.http(), Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
+		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, HTTP: p.http(), Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale, Losses: w.Losses, Replace: w.Replace, Drain: w.Drain}
 		if w.Weak == "lapse" {
 			b.Tenure = 300 * ms
 		}
