--- a/ringfile/disk_test.go
+++ b/ringfile/disk_test.go
@@ -55,6 +55,26 @@
 	require.NotEqual(t, d.ID, id, "cut off before the ring was made; a new id harms nobody")
 }
 
+func TestADiskThatGetsANewIdFoundsNothingAnyMore(t *testing.T) {
+	path := t.TempDir()
+	openDisk(t, path)
+	founders := func() []string {
+		d, err := OpenDir(path)
+		require.NoError(t, err)
+		defer d.Close()
+		list, err := d.Founders()
+		require.NoError(t, err)
+		return list
+	}
+	d, err := OpenDir(path)
+	require.NoError(t, err)
+	require.NoError(t, d.KeepFounders([]string{"a:1", "b:1"}))
+	d.Close()
+	require.Len(t, founders(), 2)
+	require.NoError(t, os.Remove(filepath.Join(path, "ring-00")))
+	require.Empty(t, founders(), "its old id may stand in a roster, so it isn't the one that starts for the first time")
+}
+
 func TestARingThatGrowsKeepsItsId(t *testing.T) {
 	path := t.TempDir()
 	id, _ := openDisk(t, path)
