Agreement: a batch lost over old entries is sent again

Cause: a follower that holds a lost leader's entries behind what it shares refuses the batch after the lost one with a hint at its commit, which is below what it acknowledged to this leader. The leader took that for a voter that lost its records, marked it ailing and sent nothing again: next stayed behind the gap for the whole term, and with two voters nothing was committed any more. Needs more than one batch, now 64 KiB, and one lost. Ruled out: a conflict inside the acknowledged part, which the first batch already cuts away. Conclusion: such a refusal still marks the voter ailing (a disk that lost its records must not count), and once a round the leader goes back behind what was acknowledged. Tests of agreement, control and ringfile pass after.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -1343,6 +1343,11 @@
 	}
 	if a.Hint < l.match {
 		l.ailing = true
+		if l.reset != s.roundNow {
+			l.reset, l.resetTo = s.roundNow, l.match
+			l.ground()
+			l.next = l.match + 1
+		}
 		return
 	}
 	if l.snap != nil {
