--- a/agreement/world_test.go
+++ b/agreement/world_test.go
@@ -482,6 +482,9 @@
 	for i := s.base() + 1; i <= s.commit; i++ {
 		e := s.entry(i)
 		if i > uint64(len(w.oracle)) {
+			if i == 2 && !w.founded && s.snapshot.LastIndex == 1 {
+				w.oracle[0].roster = s.snapshot.Roster
+			}
 			o := w.oracle[i-2]
 			f := fold{i - 1, o.sum}.add(e, w.sum(e))
 			r := o.roster
