--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -40,6 +40,7 @@
 	middle   = 2
 	finish   = 3
 
+	staleMost    = 1 << 24
 	foundersName = "founders"
 )
 
@@ -246,7 +247,7 @@
 
 func stale(b []byte, from int64, lsn uint64) bool {
 	for off := pad(from); off+recHead <= int64(len(b)); off += 8 {
-		if binary.LittleEndian.Uint64(b[off+8:]) < lsn {
+		if n := binary.LittleEndian.Uint64(b[off+8:]); n < lsn || n-lsn > staleMost {
 			continue
 		}
 		if _, _, _, ok := readAt(b, off, 0); ok {
