--- a/simulate/backend.go
+++ b/simulate/backend.go
@@ -192,6 +192,13 @@
 			status = w.status()
 		}
 		switch {
+		case b.mode == "late" && w.Rand.Intn(2) == 0:
+			w.at(time.Duration(1000+w.Rand.Intn(2000))*ms, func() { b.end(t, l, how, status) })
+			return
+		case b.mode == "reset" && w.Rand.Intn(2) == 0:
+			how = forward.Broken
+		case b.mode == "twice":
+			w.at(time.Duration(w.Rand.Intn(40))*ms, func() { b.end(t, l, how, status) })
 		case b.mode == "lose" && w.Rand.Intn(2) == 0:
 			how = forward.Broken
 		case b.mode == "garble" && w.Rand.Intn(2) == 0:
@@ -200,12 +207,16 @@
 				how = forward.Whole
 			}
 		}
-		w.at(time.Duration(100+w.Rand.Intn(1000))*time.Microsecond, func() {
-			if how == forward.Broken {
-				w.close(l)
-			}
-			l.from.ended(t, l, how, status, how == forward.Broken)
-		})
+		b.end(t, l, how, status)
+	})
+}
+
+func (b *Backend) end(t *trip, l *link, how forward.Ending, status int) {
+	b.w.at(time.Duration(100+b.w.Rand.Intn(1000))*time.Microsecond, func() {
+		if how == forward.Broken {
+			b.w.close(l)
+		}
+		l.from.ended(t, l, how, status, how == forward.Broken)
 	})
 }
 
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -193,6 +193,7 @@
 
 func (w *World) ReadBack() {
 	l := w.Leader()
+	w.audit(l)
 	if l == nil || w.acked == 0 {
 		return
 	}
@@ -214,12 +215,22 @@
 		w.seated[v.Addr] = v.Incarnation
 	}
 	for _, h := range l.control.Book.History {
-		if _, faults := desired.Read(h.Doc); len(faults) > 0 {
+		if !w.sound(h.Doc) {
 			w.Break("invalid desired state took effect", "generation %d", h.Generation)
 		}
 	}
 }
 
+func (w *World) sound(doc []byte) bool {
+	yes, ok := w.docs[string(doc)]
+	if !ok {
+		_, faults := desired.Read(doc)
+		yes = len(faults) == 0
+		w.docs[string(doc)] = yes
+	}
+	return yes
+}
+
 func (w *World) Watch() {
 	var look func()
 	look = func() {
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -36,6 +36,9 @@
 	w := New(c)
 	r := &Result{Seed: c.Seed, Broken: w.Broken, Count: w.Count, Faults: map[string]int{}}
 	w.Watch()
+	if c.scene != nil && c.scene.early != nil {
+		c.scene.early(w)
+	}
 	gen := uint64(0)
 	w.at(500*ms, func() {
 		w.Set(0, w.firstDoc(), "first", func(code ledger.Code, g uint64) {
@@ -72,6 +75,7 @@
 		w.Break("service not back within 15 s", "%d visits served, %d of %d nodes ready", len(w.Served)-n, w.Ready(), w.Nodes)
 	}
 	w.Run(2 * time.Second)
+	w.settleOrders()
 	w.lastLook()
 	w.landed(r)
 	for i := 1; i < len(w.Served); i++ {
--- a/simulate/scene.go
+++ b/simulate/scene.go
@@ -16,6 +16,7 @@
 	Name   string
 	Text   string
 	config func(c *Config)
+	early  func(w *World)
 	play   func(w *World, r *Result, gen *uint64)
 }
 
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -84,7 +84,14 @@
 	scale    int64
 	Routed   bool
 	Stale    time.Duration
-	scene    *Scene
+	Tenure   time.Duration
+	// CatchUp is how long a machine that returns or is new counts as lost; Replace is the product's time after which a silent voter is replaced.
+	CatchUp time.Duration
+	Replace time.Duration
+	Contact time.Duration
+	Ack     time.Duration
+	Losses  int
+	scene   *Scene
 }
 
 type disk struct {
@@ -97,6 +104,8 @@
 	queue   []agreement.Persist
 	busy    bool
 	shelf   []byte
+	rate    float64
+	squeeze bool
 }
 
 type Proc struct {
@@ -118,6 +127,9 @@
 	at       ident.Generation
 	leap     int64
 	watching int
+	joins    bool
+	taken    bool
+	resets   int
 }
 
 type World struct {
@@ -168,6 +180,10 @@
 	seated   map[string]uint64
 	season   *season
 	road     *road
+	band     float64
+	wires    map[[2]string]ident.Moment
+	ops      *operators
+	docs     map[string]bool
 }
 
 func (w *World) at(d time.Duration, do func()) {
@@ -191,7 +207,7 @@
 
 func New(c Config) *World {
 	w := &World{Config: c, Rand: rand.New(rand.NewSource(c.Seed)), Now: ident.Moment(1e15), byAddr: map[string]*Proc{}, byPlace: map[string]*Backend{}, cut: map[[2]string]bool{},
-		Broken: map[string]string{}, Count: map[string]int{}, keys: map[string][]string{}, ranBy: map[string]int{}, further: map[string][]ident.Moment{}, traffic: map[string][]ident.Moment{}, told: map[string]uint64{}, waits: map[uint64]waiter{}, lives: map[uint64]int{}, seated: map[string]uint64{}, seconds: map[string]map[int]*share{}}
+		Broken: map[string]string{}, Count: map[string]int{}, keys: map[string][]string{}, ranBy: map[string]int{}, further: map[string][]ident.Moment{}, traffic: map[string][]ident.Moment{}, told: map[string]uint64{}, docs: map[string]bool{}, waits: map[uint64]waiter{}, lives: map[uint64]int{}, seated: map[string]uint64{}, seconds: map[string]map[int]*share{}}
 	w.start, w.most = w.Now, Cap
 	for i := 0; i < c.Controls; i++ {
 		w.add(&Proc{Name: fmt.Sprintf("control-%d", i), Addr: fmt.Sprintf("10.0.1.%d:7000", i+1), Cell: w.cellName(i), disk: w.blank()})
@@ -258,7 +274,7 @@
 	w.lives[uint64(inc)] = len(w.lives)
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
-		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.founders(), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
+		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.foundersOf(p), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, Tenure: w.Tenure, Losses: w.Losses, Replace: w.replaceAfter(), Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale}
 		if w.Weak == "lapse" {
 			b.Tenure = 300 * ms
 		}
@@ -269,7 +285,7 @@
 		}
 		p.control = s
 	} else {
-		p.node = newNode(p, data.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Build: "sim", Stale: w.Stale})
+		p.node = newNode(p, data.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Build: "sim", Stale: w.Stale, Tenure: w.Tenure})
 	}
 	life := p.life
 	var tick func()
@@ -355,14 +371,15 @@
 	if to != p && w.Rand.Float64() < w.double {
 		times = 2
 	}
-	life := to.life
+	life, resets := to.life, p.resets+to.resets
+	carry := w.carry(p.Name, to.Name, f)
 	for i := 0; i < times; i++ {
-		late := time.Duration(200+w.Rand.Intn(1500)) * time.Microsecond
+		late := carry + time.Duration(200+w.Rand.Intn(1500))*time.Microsecond
 		if w.slow > 0 {
 			late += time.Duration(w.Rand.Int63n(int64(w.slow)))
 		}
 		w.at(late, func() {
-			if to.up && (to.life == life || w.Rand.Intn(2) == 0) {
+			if p.resets+to.resets == resets && to.up && (to.life == life || w.Rand.Intn(2) == 0) {
 				w.weakenArrival(f)
 				if to.control != nil {
 					to.step(control.Got{Frame: f})
@@ -435,10 +452,10 @@
 		d.pending = append([]*wire.Record(nil), d.pending[n:]...)
 		d.busy = false
 		d.trim()
-		p.step(control.Synced{Seq: list[len(list)-1].Seq})
+		p.step(control.Synced{Seq: list[len(list)-1].Seq, Used: d.used()})
 		p.writeDisk()
 	}
-	p.w.at(d.delay/2+time.Duration(p.w.Rand.Int63n(int64(d.delay))), done)
+	p.w.at(d.delay/2+time.Duration(p.w.Rand.Int63n(int64(d.delay)))+d.writing(d.pending), done)
 }
 
 func (p *Proc) shelve(d *disk, doc []byte) {
@@ -632,6 +649,7 @@
 }
 
 func (w *World) weakenFrame(p *Proc, f *wire.Frame) {
+	w.weakenCore(p, f)
 	switch w.Weak {
 	case "ack":
 		for _, c := range f.GetAsk().GetConfirms() {
