--- a/cmd/fleetrun/fleet.go
+++ b/cmd/fleetrun/fleet.go
@@ -104,11 +104,13 @@
 	clockFrom  int64
 	clockScale int64
 
+	catchUp    time.Duration
+	spares     int
 	newControl func(i int, seeds []string) *proc
 }
 
-func newFleet(p *plan, bin, dir string, skew float64, scale int64, led *ledger) *fleet {
-	f := &fleet{plan: p, led: led, dir: dir, bin: bin, clockScale: scale, clockFrom: time.Now().UnixMilli()}
+func newFleet(p *plan, bin, dir string, skew float64, scale int64, catchUp time.Duration, led *ledger) *fleet {
+	f := &fleet{catchUp: catchUp, plan: p, led: led, dir: dir, bin: bin, clockScale: scale, clockFrom: time.Now().UnixMilli()}
 	var clock []string
 	if scale > 0 {
 		clock = []string{"--clock-scale", fmt.Sprint(scale), "--clock-from-ms", fmt.Sprint(f.clockFrom)}
@@ -121,7 +123,7 @@
 	f.newControl = func(i int, seeds []string) *proc {
 		name := fmt.Sprintf("%s-control-%d", p.name, i)
 		return &proc{name: name, bin: filepath.Join(bin, "controlplane"), http: p.controlAddr(i, 8000), ops: p.controlAddr(i, 9000), logs: filepath.Join(dir, name+".log"), disk: filepath.Join(dir, name), address: p.controlAddr(i, 7000),
-			args: append([]string{"--name", name, "--cell", p.cell(i), "--address", p.controlAddr(i, 7000), "--http", p.controlAddr(i, 8000), "--operators", p.controlAddr(i, 9000), "--data", filepath.Join(dir, name), "--ring-file-mb", "2", "--seeds"}, append(append([]string{}, seeds...), append(append([]string{"--founders"}, founders...), clock...)...)...)}
+			args: append([]string{"--name", name, "--cell", p.cell(i), "--address", p.controlAddr(i, 7000), "--http", p.controlAddr(i, 8000), "--operators", p.controlAddr(i, 9000), "--data", filepath.Join(dir, name), "--ring-file-mb", "2", "--voter-replace-ms", fmt.Sprint((catchUp / 4).Milliseconds()), "--seeds"}, append(append([]string{}, seeds...), append(append([]string{"--founders"}, founders...), clock...)...)...)}
 	}
 	for i := 0; i < p.control; i++ {
 		f.control = append(f.control, f.newControl(i, seeds))
--- a/cmd/fleetrun/main.go
+++ b/cmd/fleetrun/main.go
@@ -25,6 +25,7 @@
 	Faults     string  `arg:"--faults" help:"faults to cause one after another, by comma; 'list' names them"`
 	Over       bool    `arg:"--over" help:"do not wait for one fault to end before the next begins"`
 	Clock      int64   `arg:"--clock-scale" help:"how many times faster the calendar's clock runs, for the fault holiday; 5760 is a day in 15 s"`
+	CatchUp    float64 `arg:"--catch-up" default:"4" help:"seconds after which the next control process may be lost; the processes run with a quarter of it as voterReplaceMs"`
 	Gap        int     `arg:"--gap" default:"10" help:"seconds between faults"`
 	Hollow     string  `arg:"--hollow" help:"instead: a hollow fleet in this process; base, grown, whole, parted, or the variables to vary one by one, by comma, or all"`
 	Size       string  `arg:"--size" help:"with --hollow: name=number, by comma, over the size it starts from"`
@@ -114,7 +115,7 @@
 
 func drive(p *plan, a args, dir string, faults []string) int {
 	led := &ledger{runs: map[string]int{}, visits: map[string]time.Time{}, broken: &broken{}}
-	f := newFleet(p, a.Bin, dir, a.Skew, a.Clock, led)
+	f := newFleet(p, a.Bin, dir, a.Skew, a.Clock, time.Duration(a.CatchUp*float64(time.Second)), led)
 	f.req.scale, f.next = a.Scale, a.Next
 	start := time.Now()
 	if err := f.start(); err != nil {
