--- a/cmd/fleetrun/worst.go
+++ b/cmd/fleetrun/worst.go
@@ -91,10 +91,10 @@
 }
 
 // order sends one change until it is acknowledged; it was taken only once, so no other answer but unclear ones may come.
-func (d *desk) order(done context.Context, n int) bool {
+func (d *desk) order(done context.Context) bool {
 	f, id, from := d.f, fmt.Sprint("order-", time.Now().UnixNano()), time.Now()
 	for i := rand.Intn(16); done.Err() == nil; i++ {
-		code, gen := d.ask(done, "PATCH", d.door(i), fmt.Sprintf(`{"fleet":{"retiring":%d}}`, 1+n%2), id, f.gen)
+		code, gen := d.ask(done, "PATCH", d.door(i), `{"fleet":{"retiring":1}}`, id, f.gen)
 		if code == 200 {
 			f.gen = gen
 			f.req.acked.Store(gen)
@@ -146,8 +146,8 @@
 	wait.Add(2)
 	go func() {
 		defer wait.Done()
-		for n := 0; on.Err() == nil; n++ {
-			d.order(done, n)
+		for on.Err() == nil {
+			d.order(done)
 			pause(on, least+time.Duration(rand.Int63n(int64(most-least))))
 		}
 	}()
