--- a/cmd/fleetrun/worst.go
+++ b/cmd/fleetrun/worst.go
@@ -21,8 +21,8 @@
 	askWait   = time.Second
 )
 
-// desk sends one order after another and reads all the while, at one control process after another, also those that are away.
-type desk struct {
+// counter sends one order after another and reads all the while, at one control process after another, also those that are away.
+type counter struct {
 	f      *fleet
 	lock   sync.Mutex
 	doors  []string
@@ -34,13 +34,13 @@
 	struck time.Time
 }
 
-func (f *fleet) openDesk() *desk {
-	d := &desk{f: f, floor: f.gen, struck: time.Now()}
+func (f *fleet) openCounter() *counter {
+	d := &counter{f: f, floor: f.gen, struck: time.Now()}
 	d.list()
 	return d
 }
 
-func (d *desk) list() {
+func (d *counter) list() {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.doors = nil
@@ -50,20 +50,20 @@
 }
 
 // strike notes that a control process went or came just now.
-func (d *desk) strike() {
+func (d *counter) strike() {
 	d.list()
 	d.lock.Lock()
 	d.struck = time.Now()
 	d.lock.Unlock()
 }
 
-func (d *desk) door(i int) string {
+func (d *counter) door(i int) string {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	return d.doors[i%len(d.doors)]
 }
 
-func (d *desk) ask(done context.Context, method, door, doc, id string, basis uint64) (code int, gen uint64) {
+func (d *counter) ask(done context.Context, method, door, doc, id string, basis uint64) (code int, gen uint64) {
 	wait, stop := context.WithTimeout(done, askWait)
 	defer stop()
 	req, _ := http.NewRequestWithContext(wait, method, "http://"+door+"/desired", strings.NewReader(doc))
@@ -84,14 +84,14 @@
 	return resp.StatusCode, out.Generation
 }
 
-func (d *desk) rise(g uint64) {
+func (d *counter) rise(g uint64) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.floor = max(d.floor, g)
 }
 
 // order sends one change until it is acknowledged; it was taken only once, so no other answer but unclear ones may come.
-func (d *desk) order(done context.Context) bool {
+func (d *counter) order(done context.Context) bool {
 	f, id, from := d.f, fmt.Sprint("order-", time.Now().UnixNano()), time.Now()
 	for i := rand.Intn(16); done.Err() == nil; i++ {
 		code, gen := d.ask(done, "PATCH", d.door(i), `{"fleet":{"retiring":1}}`, id, f.gen)
@@ -123,7 +123,7 @@
 	return false
 }
 
-func (d *desk) read(done context.Context, i int) {
+func (d *counter) read(done context.Context, i int) {
 	d.lock.Lock()
 	floor := d.floor
 	d.lock.Unlock()
@@ -139,7 +139,7 @@
 }
 
 // open lets orders and reads go on until stop, which tells what came of them.
-func (d *desk) open(done context.Context, least, most time.Duration) (stop func() string) {
+func (d *counter) open(done context.Context, least, most time.Duration) (stop func() string) {
 	d.f.lock.Lock()
 	on, end := context.WithCancel(done)
 	var wait sync.WaitGroup
@@ -202,7 +202,7 @@
 }
 
 // loseInTurn loses one control process after another; each is back, or an empty one in its place, for catchUp before the next goes.
-func (f *fleet) loseInTurn(done context.Context, d *desk, n int, how func(i int, p *proc) (string, error)) (string, error) {
+func (f *fleet) loseInTurn(done context.Context, d *counter, n int, how func(i int, p *proc) (string, error)) (string, error) {
 	var told []string
 	for i := 0; i < n && done.Err() == nil; i++ {
 		p := f.control[i%len(f.control)]
@@ -261,7 +261,7 @@
 
 func init() {
 	faults["second-loss"] = fault{true, func(done context.Context, f *fleet) (string, error) {
-		d := f.openDesk()
+		d := f.openCounter()
 		stop := d.open(done, 100*time.Millisecond, 600*time.Millisecond)
 		note, err := f.loseInTurn(done, d, 8, f.loss)
 		said := stop()
@@ -272,7 +272,7 @@
 		return f.back(done, note+"; "+said)
 	}}
 	faults["stop-leader"] = fault{true, func(done context.Context, f *fleet) (string, error) {
-		d := f.openDesk()
+		d := f.openCounter()
 		stop := d.open(done, 100*time.Millisecond, 600*time.Millisecond)
 		var told []string
 		for i := 0; i < 2 && done.Err() == nil; i++ {
@@ -297,7 +297,7 @@
 		node := f.data[len(f.data)-1]
 		f.plat.stood.Store(node.http, time.Now().Add(time.Hour))
 		node.signal(syscall.SIGSTOP)
-		d := f.openDesk()
+		d := f.openCounter()
 		stop := d.open(done, 10*time.Millisecond, 50*time.Millisecond)
 		from := time.Now()
 		note, err := f.loseInTurn(done, d, 6, f.loss)
@@ -315,7 +315,7 @@
 	}}
 }
 
-func (d *desk) count() int {
+func (d *counter) count() int {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	return d.acked
--- a/control/http.go
+++ b/control/http.go
@@ -240,15 +240,6 @@
 	return found{doc: []byte("{}"), ok: true}
 }
 
-// Newest is what read answers without its document; where another leads, lead is its address.
-func (s *State) Newest(asked, now ident.Moment) (g ident.Generation, wait bool, lead string, ok bool) {
-	f := s.read(0, false, asked, now)
-	if !f.ok && !f.wait && now.Sub(s.Relay.CoreAsOf) < CutOffFor {
-		lead = s.leaderAddr()
-	}
-	return ident.Generation(f.gen), f.wait, lead, f.ok
-}
-
 func (n *Node) find(want uint64, end bool) (found, error) {
 	asked := ident.Now()
 	read := func(s *State, now ident.Moment) any { return s.read(want, end, asked, now) }
--- a/simulate/hard.go
+++ b/simulate/hard.go
@@ -33,8 +33,8 @@
 	tried   []string
 }
 
-// operators send orders and reads to the control machines and judge the answers.
-type operators struct {
+// rivals send orders and reads to the control machines and judge the answers.
+type rivals struct {
 	orders  map[string]*submission
 	open    []*submission
 	taken   map[string]uint64
@@ -158,8 +158,8 @@
 	}
 }
 
-func (w *World) operate() {
-	w.ops = &operators{orders: map[string]*submission{}, taken: map[string]uint64{}, winner: map[uint64]string{}, number: map[uint64]string{}, cutAt: map[string]ident.Moment{}, calm: map[string]calm{}, stirred: w.Now, led: w.Now}
+func (w *World) openRivals() {
+	w.ops = &rivals{orders: map[string]*submission{}, taken: map[string]uint64{}, winner: map[uint64]string{}, number: map[uint64]string{}, cutAt: map[string]ident.Moment{}, calm: map[string]calm{}, stirred: w.Now, led: w.Now}
 	w.wires = map[[2]string]ident.Moment{}
 	var look func()
 	look = func() {
@@ -433,7 +433,8 @@
 		if w.Weak == "read" {
 			asked = 0
 		}
-		g, wait, lead, ok := q.control.Newest(asked, q.clock())
+		f := q.control.Read(0, false, asked, q.clock())
+		g, wait, lead, ok := f.Generation, f.Wait, f.Lead, f.OK
 		to := w.byAddr[lead]
 		switch {
 		case ok:
@@ -690,7 +691,7 @@
 var hardScenes = []*Scene{
 	{Name: "cut-leader", Text: "the leader, a holder or another is cut off for 20 s, one way, the other or both, healed, at once cut again; orders and reads at all machines", config: fromTwo, play: func(w *World, r *Result, gen *uint64) {
 		w.named()
-		w.operate()
+		w.openRivals()
 		stop := w.keepAsking(150*ms, 900*ms)
 		w.Run(2 * time.Second)
 		for i := 0; i < 3; i++ {
@@ -718,7 +719,7 @@
 	}},
 	{Name: "race-lost-acks", Text: "operators race on one basis under one number at different machines, acks are lost, orders are sent again, while leaders are killed, frozen or hand over", config: fromTwo, play: func(w *World, r *Result, gen *uint64) {
 		w.named()
-		w.operate()
+		w.openRivals()
 		w.ops.lose = 0.5
 		known := uint64(opening)
 		for i := 0; i < 8; i++ {
@@ -760,14 +761,14 @@
 	}},
 	{Name: "second-loss", Text: "control machines are killed, wiped, drained or replaced by empty ones, the next as soon as the settings allow, again and again", config: func(c *Config) { onSite(c); c.Spares = 16 }, play: func(w *World, r *Result, gen *uint64) {
 		w.named()
-		w.operate()
+		w.openRivals()
 		stop := w.keepAsking(300*ms, 1500*ms)
 		w.lossesInTurn(12)
 		stop()
 		w.Run(w.Contact)
 	}},
 	{Name: "founding", Text: "a founder is killed or loses its disk while the fleet is founded; losses follow as soon as the settings allow", early: func(w *World) {
-		w.operate()
+		w.openRivals()
 		w.ops.off = true
 		p := w.Control(w.Rand.Intn(min(3, w.Controls)))
 		wiped := w.Rand.Intn(2) == 0
@@ -795,7 +796,7 @@
 		c.Controls, c.Losses, c.Spares = 5+int(c.Seed%4), 2, 9
 	}, play: func(w *World, r *Result, gen *uint64) {
 		w.named()
-		w.operate()
+		w.openRivals()
 		stop := w.keepAsking(300*ms, 1500*ms)
 		w.Run(w.CatchUp)
 		away := w.Control(w.Rand.Intn(w.Controls))
@@ -817,7 +818,7 @@
 	}},
 	{Name: "hundreds", Text: "300 changes at 0.05 to 0.4 s, one seat silent, members away, restarted or wiped, compaction forced often, slow links and disks", config: func(c *Config) { onSite(c); c.Spares = 6 }, play: func(w *World, r *Result, gen *uint64) {
 		w.named()
-		w.operate()
+		w.openRivals()
 		w.band = 250e3 * float64(1+w.Rand.Intn(8))
 		for _, p := range w.Procs {
 			if p.disk != nil {
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -182,7 +182,7 @@
 	road     *road
 	band     float64
 	wires    map[[2]string]ident.Moment
-	ops      *operators
+	ops      *rivals
 	docs     map[string]bool
 }
 
