--- a/simulate/replaced.go
+++ b/simulate/replaced.go
@@ -22,7 +22,7 @@
 	w.Run(2 * time.Second)
 	for turn := 0; turn < 7; turn++ {
 		for i := 0; i < w.Losses; i++ {
-			w.lose(turn)
+			w.loseNext(turn)
 		}
 		w.orderTaken(gen, fmt.Sprint("replaced-", turn))
 		w.Run(catchUpTime - 1500*ms)
@@ -32,8 +32,8 @@
 	}
 }}
 
-// lose takes one disk holder away and sees to its successor: a machine at another address, or the same one without its disk.
-func (w *World) lose(turn int) {
+// loseNext takes one disk holder away and sees to its successor: a machine at another address, or the same one without its disk.
+func (w *World) loseNext(turn int) {
 	var list []*Proc
 	for _, p := range w.Procs {
 		if p.disk != nil && p.up && !p.gone {
