--- a/simulate/hard.go
+++ b/simulate/hard.go
@@ -827,7 +827,8 @@
 		}
 		w.Freeze(w.Node(w.Rand.Intn(w.Nodes)), time.Hour)
 		stop := w.keepAsking(50*ms, 400*ms)
-		for w.ops.count < 300 {
+		until := w.Now.Add(3 * time.Minute)
+		for w.ops.count < 300 && w.Now.Before(until) {
 			p := w.target()
 			back := time.Duration(2000+w.Rand.Intn(6000)) * ms
 			switch w.Rand.Intn(4) {
@@ -846,6 +847,9 @@
 			}
 			w.Run(back + w.CatchUp)
 		}
+		if w.ops.count < 300 {
+			w.Break("orders came to a stand", "%d of 300 sent in 3 min", w.ops.count)
+		}
 		stop()
 		w.Run(w.Contact + w.CatchUp)
 	}},
