Agreement: one that comes back asks all control processes to be let in

The new test fails without the list of control processes, passes with it. Ruled out: seeds of the settings, which may be gone too; membership knows who lives.

--- a/agreement/roster_test.go
+++ b/agreement/roster_test.go
@@ -349,3 +349,29 @@
 	c.until(10*time.Second, c.settled(3))
 	require.Len(t, c.voters(), 3)
 }
+
+func TestOneThatComesBackAfterAllItKnewWereReplacedLearnsAgain(t *testing.T) {
+	c := newCluster(t, 3, 1, 7)
+	c.settle(3)
+	away := c.notLeader()
+	c.kill(away)
+	next := 9
+	come := func() {
+		a := fmt.Sprint("a", next)
+		next++
+		c.newcomer(a)
+		c.until(5*time.Second, func() bool { return c.votes(a) })
+		require.True(t, c.votes(a), a)
+	}
+	come()
+	for _, a := range []string{"a0", "a1", "a2"} {
+		if a != away {
+			c.kill(a)
+			delete(c.all, a)
+			come()
+		}
+	}
+	c.start(away)
+	c.until(5*time.Second, func() bool { return c.all[away].state.commit >= c.leader().state.commit })
+	require.GreaterOrEqual(t, c.all[away].state.commit, c.leader().state.commit)
+}
--- a/agreement/state.go
+++ b/agreement/state.go
@@ -1002,7 +1002,8 @@
 	}
 }
 
-// askToLearn is for one whom the leader no longer feeds, or whose roster is without it.
+// askToLearn is for one whom the leader no longer feeds, or whose roster is without it. It asks all control processes too,
+// for those of its roster may all have been replaced meanwhile.
 func (s *State) askToLearn(now ident.Moment) {
 	r := s.Roster()
 	out := find(r, string(s.Self.Voter)) == nil
@@ -1019,7 +1020,7 @@
 	for _, v := range r.GetVoters() {
 		list = append(list, ident.Addr(v.Addr))
 	}
-	for _, a := range ident.Others(s.Self.Addr, list) {
+	for _, a := range ident.Others(s.Self.Addr, list, s.Doors()) {
 		s.send(string(a), &wire.Frame{Body: &wire.Frame_Founding{Founding: m}})
 	}
 }
