Leases: a member absent for two thirds of a tenure is revoked, not one that is back soon

Now a seat is revoked once it was absent for two thirds of a tenure, some 2 s after its watchers call it silent; fenced a tenure later, still before the calm stretch and ack are over after a freeze.

--- a/control/lease.go
+++ b/control/lease.go
@@ -34,10 +34,11 @@
 	revokedAt  map[uint64]ident.Moment
 	rests      map[string]rest
 	restores   map[ident.Seat]uint64
+	absentFrom map[ident.Seat]ident.Moment
 }
 
 func newLeases() leases {
-	return leases{revokedAt: map[uint64]ident.Moment{}, rests: map[string]rest{}, restores: map[ident.Seat]uint64{}}
+	return leases{revokedAt: map[uint64]ident.Moment{}, rests: map[string]rest{}, restores: map[ident.Seat]uint64{}, absentFrom: map[ident.Seat]ident.Moment{}}
 }
 
 // restore takes up what a revoked seat's node asks for; anything else in such an entry is the leader's own to say.
@@ -107,10 +108,17 @@
 		}
 		switch {
 		case s.absent(v, now):
-			away = append(away, v)
+			if s.absentFrom[k] == 0 {
+				s.absentFrom[k] = now
+			}
+			if now.Sub(s.absentFrom[k]) >= s.Relay.Tenure*2/3 {
+				away = append(away, v)
+			}
+			continue
 		case s.holdsUp(v, now):
 			slow = append(slow, v)
 		}
+		delete(s.absentFrom, k)
 	}
 	if len(slow) > max(1, len(s.Book.Seats)/8) {
 		slow = nil
