--- a/control/lease.go
+++ b/control/lease.go
@@ -34,11 +34,10 @@
 	revokedAt  map[uint64]ident.Moment
 	rests      map[string]rest
 	restores   map[ident.Seat]uint64
-	absentFrom map[ident.Seat]ident.Moment
 }
 
 func newLeases() leases {
-	return leases{revokedAt: map[uint64]ident.Moment{}, rests: map[string]rest{}, restores: map[ident.Seat]uint64{}, absentFrom: map[ident.Seat]ident.Moment{}}
+	return leases{revokedAt: map[uint64]ident.Moment{}, rests: map[string]rest{}, restores: map[ident.Seat]uint64{}}
 }
 
 // restore takes up what a revoked seat's node asks for; anything else in such an entry is the leader's own to say.
@@ -108,17 +107,10 @@
 		}
 		switch {
 		case s.absent(v, now):
-			if s.absentFrom[k] == 0 {
-				s.absentFrom[k] = now
-			}
-			if now.Sub(s.absentFrom[k]) >= s.Relay.Tenure*2/3 {
-				away = append(away, v)
-			}
-			continue
+			away = append(away, v)
 		case s.holdsUp(v, now):
 			slow = append(slow, v)
 		}
-		delete(s.absentFrom, k)
 	}
 	if len(slow) > max(1, len(s.Book.Seats)/8) {
 		slow = nil
