Relay: a core is told by what changed in it, and confirms are told once

Ruled out: the tenure (3 s and 2 s alike), documents (0.3 MB), heartbeats.

Now a seat that changed goes alone, floors only if they changed, the rest as before; a sum over the seats tells one that doesn't fit, which is no word and is followed by the whole. Only the confirms of members whose seats changed are told anew. An asker that doesn't say it can is given the whole.

--- a/relay/state.go
+++ b/relay/state.go
@@ -50,6 +50,8 @@
 	Unread    []desired.Fault
 	Cells     map[ident.Cell]*cell.Copy
 
+	diff     diff
+	whole    bool
 	confirms map[string]*wire.Confirm
 	changes  uint64
 	changed  map[string]uint64
@@ -242,8 +244,8 @@
 	}
 	confirms, all := s.list(t.upto)
 	s.asks[s.token] = ask{at: now, to: to, upto: s.changes, all: all}
-	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: confirms}
-	if s.CoreKnown {
+	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: confirms, Deltas: true}
+	if s.CoreKnown && !s.whole {
 		a.Core = s.Core.Version
 	}
 	a.Cells, a.Only = s.wanted(of, now)
@@ -279,8 +281,13 @@
 		s.rev++
 	}
 	if !s.CoreKnown || core.Version > s.Core.Version {
+		for _, m := range s.diff.note(s.Core, core) {
+			if s.confirms[m] != nil {
+				s.changes++
+				s.changed[m] = s.changes
+			}
+		}
 		s.Core = core
-		s.told = map[string]*told{}
 		s.rev++
 	} else if core.LeaderAddr != s.Core.LeaderAddr || core.Term > s.Core.Term {
 		s.Core = core
@@ -310,8 +317,8 @@
 	s.poor = true
 	if n.HasCore {
 		at := a.at.Add(-time.Duration(max(0, n.CoreAgeNs)))
-		core := n.Core
-		if core == nil && s.CoreKnown {
+		core := s.merge(n.Core)
+		if n.Core == nil && s.CoreKnown {
 			core = s.Core
 		}
 		s.TakeCore(core, n.Doc, ident.Generation(n.DocGeneration), at)
@@ -338,7 +345,7 @@
 		n.HasCore = true
 		n.CoreAgeNs = int64(now.Sub(s.CoreAsOf))
 		if a.Core != s.Core.Version || a.Core == 0 {
-			n.Core = s.Core
+			n.Core = s.coreFor(a)
 		}
 		if a.Have < uint64(s.DocGen) {
 			n.Doc, n.DocGeneration = s.Doc, uint64(s.DocGen)
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -682,7 +682,7 @@
 		if c := f.GetNews().GetCore(); c != nil && p.w.Leader() != nil {
 			book := p.w.Leader().control.Book
 			if d := book.State(book.Generation); d != nil {
-				c.Floors, c.SeatCount = nil, uint32(d.Seats())
+				c.Floors, c.FloorsSame, c.SeatCount = nil, false, uint32(d.Seats())
 				for k, n := range ledger.Slots(d) {
 					c.Floors = append(c.Floors, &wire.Floor{Lane: string(k.Lane), Service: string(k.Service), Slots: uint32(n)})
 				}
