Cells: drains are written to a majority of the voters, and read there by the next holder

A holder that was cut off together with its one witness answered the drain 0.9 s into the cut; the next holder, on the side with the majority, had never heard of it, and nodes sent there until the cut healed. Ruled out: the timing of revocations, which only moved the luck; the kept copies (neither side was killed).

Now the standard way: a quorum write, a quorum read, and a promise between them. A drain or sign-off is answered within the holder's tenure by a majority of the voters, counted by voter id; a voter that knows of a newer hold says so in its asks and counts no more; a holder speaks only once a majority has answered for that cell from a core that knows its hold (a named heir has the table itself). Asks and news bear the voter's id; those of older builds are known by address.

--- a/control/shelf.go
+++ b/control/shelf.go
@@ -3,8 +3,10 @@
 import (
 	"google.golang.org/protobuf/proto"
 
+	"sloeturn/agreement"
 	"sloeturn/cell"
 	"sloeturn/ident"
+	"sloeturn/relay"
 	"sloeturn/wire"
 )
 
@@ -130,19 +132,50 @@
 	return false
 }
 
-// A holder that follows itself on its own address need not wait out its old tenure: binding the
-// address proves that the old life speaks no more. A copy of a table of that chain proves that the
-// chain had begun, and with so many others heard one of them knows each drain that was acknowledged.
+// follows says that a holder follows itself on its own address and need not wait out its old tenure: binding the
+// address proves that the old life speaks no more, and a copy of a table of that chain that the chain had begun.
 func (s *State) follows(m *wire.Hold) bool {
 	k := s.Relay.Cells[ident.Cell(m.Cell)]
-	if k == nil || m.Since == 0 || m.Addr != string(s.Addr) || uint64(k.Epoch) < m.Since || uint64(k.Epoch) >= m.Epoch {
-		return false
+	return k != nil && m.Since != 0 && m.Addr == string(s.Addr) && uint64(k.Epoch) >= m.Since && uint64(k.Epoch) < m.Epoch
+}
+
+func (s *State) roster() *wire.Roster {
+	if s.Agree != nil && len(s.Agree.Roster().GetVoters()) > 0 {
+		return s.Agree.Roster()
+	}
+	return s.Relay.Core.GetRoster()
+}
+
+// voterAt is the id of the voter that says it is one; an older build doesn't say and is known by its address. Empty for none: a wiped disk at a voter's address isn't that voter.
+func (s *State) voterAt(id, addr string) string {
+	for _, v := range agreement.Voters(s.roster()) {
+		if v.Id == id || id == "" && v.Addr == addr {
+			return v.Id
+		}
 	}
-	all, n := s.others(), 0
-	for _, a := range all {
-		if s.told[a] {
+	return ""
+}
+
+// majority says that those named, with this process if it is one, are a majority of the voters.
+func (s *State) majority(has map[string]bool) bool {
+	n, all := 0, agreement.Voters(s.roster())
+	for _, v := range all {
+		if has[v.Id] || s.Voter != "" && v.Id == string(s.Voter) {
 			n++
 		}
 	}
-	return n+min(len(all), max(1, s.Losses)) > len(all) || len(all) == 0
+	return 2*n > len(all)
+}
+
+// readFrom counts a voter whose answer covers a cell that this process is about to hold, and which knew of that hold: it bears no witness for an earlier one any more.
+func (s *State) readFrom(voter, addr string, r *relay.Reading) {
+	id := s.voterAt(voter, addr)
+	if id == "" {
+		return
+	}
+	for c, h := range s.holds {
+		if !h.met && r.Core >= h.from && r.Covers(c) {
+			h.read[id] = true
+		}
+	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -135,6 +135,9 @@
 	copied int
 	vows   []*vow
 	kept   uint64
+	from   uint64
+	read   map[string]bool
+	met    bool
 }
 
 type seen struct {
@@ -215,17 +218,17 @@
 	used   float64
 	role   agreement.Role
 	born   ident.Moment
-	told   map[string]bool
 	shelf  shelf
 	quorum quorum
 	out    []any
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
+	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
+	s.Relay.Voter = b.Voter
 	s.Relay.Terms(b.Tenure, b.Stale)
 	s.Mail = relay.NewCourier(uint64(b.Incarnation))
 	s.unshelve()
@@ -352,8 +355,8 @@
 		s.witness(f.Addr, b.Ask, now)
 		s.send(f.Addr, &wire.Frame{Body: &wire.Frame_News{News: s.answer(f.Addr, b.Ask, now)}})
 	case *wire.Frame_News:
-		if s.Relay.News(b.News, f.Addr, now) {
-			s.told[f.Addr] = true
+		if r := s.Relay.News(b.News, f.Addr, now); r != nil {
+			s.readFrom(b.News.Voter, f.Addr, r)
 			s.shelve(now)
 		}
 	case *wire.Frame_Announce:
@@ -673,7 +676,7 @@
 
 func (s *State) active(c ident.Cell, now ident.Moment) *hold {
 	h := s.holds[c]
-	if h == nil || h.heir != nil || now.Before(h.start) || now.Sub(s.Relay.CoreAsOf) >= relay.CellTenure {
+	if h == nil || h.heir != nil || !h.met || now.Before(h.start) || now.Sub(s.Relay.CoreAsOf) >= relay.CellTenure {
 		return nil
 	}
 	return h
@@ -705,6 +708,7 @@
 		n.Cells = append(n.Cells, h.sound.News(have[c], now))
 	}
 	if s.head(from) {
+		n.Voter = string(s.Voter)
 		n.Cells = append(n.Cells, s.olds(have)...)
 	}
 	return n
@@ -743,7 +747,7 @@
 		}
 		s.moved(h)
 		s.copyCell(c, h, now)
-		if a.State == cell.Ready || s.witnesses() == 0 && !s.Shelves {
+		if a.State == cell.Ready || s.majority(nil) && !s.Shelves {
 			s.announced(p, 200, "")
 			return
 		}
@@ -819,28 +823,19 @@
 	}
 }
 
-func (s *State) witnesses() int {
-	n := 0
-	for _, c := range s.Members.Ring() {
-		if c.Role == member.Control && c.Id != string(s.Member) && !c.Leaving {
-			n++
-		}
-	}
-	return min(n, max(1, s.Losses))
-}
-
 func (s *State) witness(from string, a *wire.Ask, now ident.Moment) {
-	if !slices.Contains(s.heads(), from) {
+	id := s.voterAt(a.Voter, from)
+	if id == "" {
 		return
 	}
 	for _, c := range a.Cells {
 		h := s.holds[ident.Cell(c.Cell)]
-		if h == nil || uint64(h.epoch) != c.Epoch {
+		if h == nil || uint64(h.epoch) != c.Epoch || c.Promised > c.Epoch {
 			continue
 		}
 		for _, v := range h.vows {
 			if c.Upto >= v.upto {
-				v.has[from] = true
+				v.has[id] = true
 			}
 		}
 		s.keepVows(h, now)
@@ -848,11 +843,11 @@
 }
 
 func (s *State) keepVows(h *hold, now ident.Moment) {
-	need := s.witnesses()
+	stands := now.Sub(s.Relay.CoreAsOf) < relay.CellTenure
 	keep := h.vows[:0]
 	for _, v := range h.vows {
 		switch {
-		case len(v.has) >= need && (!s.Shelves || h.kept >= v.upto || now.Sub(v.at) > ShelveWait):
+		case stands && s.majority(v.has) && (!s.Shelves || h.kept >= v.upto || now.Sub(v.at) > ShelveWait):
 			s.announced(v.pending, 200, "")
 		case now.Sub(v.at) > HeldMost:
 			s.announced(v.pending, 503, "heard, but not yet by those that must not forget it; say it again")
@@ -1177,15 +1172,17 @@
 		m, h := mine[c], s.holds[c]
 		if h == nil {
 			h = &hold{rolls: 1, epoch: ident.Epoch(m.Epoch), start: now.Add(relay.CellTenure), sound: cell.New(c, ident.Epoch(m.Epoch))}
+			h.from, h.read = s.Relay.Core.Version, map[string]bool{}
 			if q := s.wills[c]; q != nil && q.Epoch == m.Before {
-				h.start, h.sound = now, cell.Inherit(q, h.epoch, now)
+				h.met, h.start, h.sound = true, now, cell.Inherit(q, h.epoch, now)
 			}
 			h.sound.Quiet = s.quiet
 			delete(s.wills, c)
 			s.holds[c] = h
 			s.out = append(s.out, Note{"Holds cell " + string(c) + " soon."})
 		}
-		if now.Before(h.start) && s.follows(m) {
+		h.met = h.met || s.majority(h.read)
+		if now.Before(h.start) && h.met && s.follows(m) {
 			h.start = now
 		}
 		s.cede(c, h, now)
--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -168,7 +168,7 @@
 	now := ident.Moment(1e9)
 	b.AskTo("a:1", "", now)
 	q := b.Flush()[0].Frame.GetAsk()
-	require.True(t, b.News(&wire.News{Token: q.Token, HasCore: true, Core: &wire.Core{Version: 4, Base: 3}}, "a:1", now))
+	require.NotNil(t, b.News(&wire.News{Token: q.Token, HasCore: true, Core: &wire.Core{Version: 4, Base: 3}}, "a:1", now))
 	require.False(t, b.CoreKnown)
 }
 
--- a/relay/state.go
+++ b/relay/state.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -35,6 +36,7 @@
 type State struct {
 	Self    ident.Member
 	Life    ident.Incarnation
+	Voter   ident.Voter
 	Control bool
 	Tenure  time.Duration
 	Stale   time.Duration
@@ -78,6 +80,20 @@
 	upto uint64
 	all  int
 	late bool
+	core uint64
+	only bool
+	have []*wire.CellHave
+}
+
+// Reading says what an answer to an ask of one's own covers: the newest core that the other knew, and whether only some cells were asked for.
+type Reading struct {
+	Core  uint64
+	Only  bool
+	Cells []*wire.CellHave
+}
+
+func (r *Reading) Covers(c ident.Cell) bool {
+	return !r.Only || slices.ContainsFunc(r.Cells, func(h *wire.CellHave) bool { return h.Cell == string(c) })
 }
 
 type told struct {
@@ -215,10 +231,10 @@
 }
 
 func (s *State) wanted(of ident.Member, now ident.Moment) (list []*wire.CellHave, only bool) {
-	holders := map[string]string{}
+	holders, epochs := map[string]string{}, map[string]uint64{}
 	only = s.Control && of != "" && s.CoreKnown && len(s.Core.Holds) > 0
 	for _, h := range s.Core.GetHolds() {
-		holders[h.Cell] = h.Holder
+		holders[h.Cell], epochs[h.Cell] = h.Holder, h.Epoch
 		k := s.Cells[ident.Cell(h.Cell)]
 		only = only && k != nil && k.Known
 	}
@@ -227,7 +243,11 @@
 		if holder := holders[string(c)]; only && holder != "" && holder != string(of) && now.Sub(k.AsOf) <= Overdue {
 			continue
 		}
-		list = append(list, k.Have())
+		have := k.Have()
+		if s.Control {
+			have.Promised = epochs[string(c)]
+		}
+		list = append(list, have)
 	}
 	return list, only
 }
@@ -243,12 +263,12 @@
 		t.upto = 0
 	}
 	confirms, all := s.list(t.upto)
-	s.asks[s.token] = ask{at: now, to: to, upto: s.changes, all: all}
-	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: confirms, Deltas: true}
+	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: confirms, Deltas: true, Voter: string(s.Voter)}
 	if s.CoreKnown && !s.whole {
 		a.Core = s.Core.Version
 	}
 	a.Cells, a.Only = s.wanted(of, now)
+	s.asks[s.token] = ask{at: now, to: to, upto: s.changes, all: all, core: a.Core, only: a.Only, have: a.Cells}
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: a}}})
 }
 
@@ -302,11 +322,13 @@
 	return true
 }
 
-func (s *State) News(n *wire.News, from string, now ident.Moment) bool {
+// News takes up the answer to an ask of one's own and says what it covers; nil for any other.
+func (s *State) News(n *wire.News, from string, now ident.Moment) *Reading {
 	a, ok := s.asks[n.Token]
 	if !ok || a.to != from {
-		return false
+		return nil
 	}
+	r := &Reading{Only: a.only, Cells: a.have}
 	delete(s.asks, n.Token)
 	s.took += (now.Sub(a.at) - s.took) / 4
 	if t := s.told[from]; t != nil {
@@ -317,6 +339,9 @@
 	s.poor = true
 	if n.HasCore {
 		at := a.at.Add(-time.Duration(max(0, n.CoreAgeNs)))
+		if r.Core = a.core; n.Core != nil {
+			r.Core = n.Core.Version
+		}
 		core := s.merge(n.Core)
 		if n.Core == nil && s.CoreKnown {
 			core = s.Core
@@ -336,7 +361,7 @@
 		}
 		k.Take(c, a.at.Add(-time.Duration(max(0, c.AgeNs))))
 	}
-	return true
+	return r
 }
 
 func (s *State) Answer(a *wire.Ask, now ident.Moment) *wire.News {
--- a/simulate/hard.go
+++ b/simulate/hard.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sloeturn/agreement"
 	"sloeturn/control"
 	"sloeturn/ident"
 	"sloeturn/ledger"
@@ -117,6 +118,12 @@
 			p.step(control.Got{Frame: &wire.Frame{From: w.memberOf(a.Target), Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: a.Term, Ok: true, Match: a.PrevIndex + uint64(len(a.Entries)), Round: a.Round, Voter: a.Target}}}})
 		})
 	}
+	if a := f.GetAsk(); a != nil && a.Voter != "" && w.Weak == "witness" {
+		if l := w.Leader(); l != nil {
+			list := agreement.Voters(l.control.Agree.Roster())
+			a.Voter = list[w.Rand.Intn(len(list))].Id
+		}
+	}
 	if s := f.GetSnapshot(); s != nil && w.Weak == "catch" {
 		s.Target = ""
 	}
--- a/simulate/routes.go
+++ b/simulate/routes.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
+	"sloeturn/agreement"
 	"sloeturn/cell"
 	"sloeturn/data"
 	"sloeturn/forward"
@@ -303,6 +305,14 @@
 			b.replace(500 * ms)
 		}
 	}},
+	{Name: "cut-drains", Text: "a cell's holder is cut off together with a control process that is no voter; backends drain there and say no more", config: func(c *Config) { c.Backends = 12 }, play: func(w *World, r *Result, gen *uint64) {
+		for i := 0; i < 6; i++ {
+			w.Run(3 * time.Second)
+			w.cutDrain()
+			w.Run(7 * time.Second)
+			w.Heal()
+		}
+	}},
 	{Name: "route-tries", Text: "most backends are full or lose answers while nodes restart: further arrivals over all nodes", config: func(c *Config) { onRoads(c); c.Rate = 200 }, play: func(w *World, r *Result, gen *uint64) {
 		w.named()
 		for i := 0; i < 12; i++ {
@@ -399,3 +409,50 @@
 }
 
 func init() { Scenes = append(Scenes, roadScenes...) }
+
+// cutDrain cuts a cell's holder off with as many others as leave a majority of the voters, and drains a backend of that cell at both.
+func (w *World) cutDrain() {
+	l := w.Leader()
+	b := w.Backends[w.Rand.Intn(len(w.Backends))]
+	if l == nil || !b.up || b.state != cell.Ready || l.control.Book.Holds[ident.Cell(b.cell)] == nil {
+		return
+	}
+	votes := map[string]bool{}
+	for _, v := range agreement.Voters(l.control.Agree.Roster()) {
+		votes[v.Member] = true
+	}
+	off := []*Proc{w.byName(l.control.Book.Holds[ident.Cell(b.cell)].Holder)}
+	for _, p := range w.Procs[:w.Controls] {
+		if p != off[0] && p.up && !votes[p.Name] {
+			off = append(off, p)
+			break
+		}
+	}
+	for _, p := range off {
+		w.Say("%s is cut off with the holder", p.Name)
+		for _, q := range w.Procs {
+			if !slices.Contains(off, q) {
+				w.Cut(p.Name, q.Name, true)
+			}
+		}
+	}
+	w.Run(time.Duration(w.Rand.Intn(1300)) * ms)
+	life, until := b.lives, w.Now.Add(2*time.Second)
+	b.state, b.mute = cell.Leaving, true
+	var try func()
+	try = func() {
+		if !b.up || b.lives != life || b.leftAt != 0 || w.Now.After(until) {
+			return
+		}
+		p := off[w.Rand.Intn(len(off))]
+		w.tell(p, &wire.Announce{Cell: b.cell, Addr: b.place, Service: b.service, Slots: uint32(b.slots), State: cell.Leaving, Notice: true}, ms, func() bool { return true }, func(ok bool) {
+			if ok && b.lives == life && b.leftAt == 0 {
+				b.leftAt = w.Now
+				w.Say("%s is known to leave", b.name)
+			}
+		})
+		w.at(100*ms, try)
+	}
+	try()
+	w.at(9*time.Second, func() { b.replace(500 * ms) })
+}
