Cells: a holder that follows itself starts on the answers of this life

One that follows itself on its own address needs no promise: binding the address proves that the old life answers nothing any more. So whatever a majority of the voters answered in this life will do, also before the hold. Named in a test of its own, which fails for a holder at another address.

--- a/control/shelf.go
+++ b/control/shelf.go
@@ -132,8 +132,9 @@
 	return false
 }
 
-// follows says that a holder follows itself on its own address and need not wait out its old tenure: binding the
-// address proves that the old life speaks no more, and a copy of a table of that chain that the chain had begun.
+// follows says that a holder follows itself on its own address: binding the address proves that the old life speaks no
+// more, and a copy of a table of that chain that the chain had begun. So it neither waits out the old tenure nor asks for
+// promises: whatever a majority of the voters answered this life knows what the old one was answered for.
 func (s *State) follows(m *wire.Hold) bool {
 	k := s.Relay.Cells[ident.Cell(m.Cell)]
 	return k != nil && m.Since != 0 && m.Addr == string(s.Addr) && uint64(k.Epoch) >= m.Since && uint64(k.Epoch) < m.Epoch
@@ -173,6 +174,9 @@
 	if id == "" {
 		return
 	}
+	if !r.Only {
+		s.told[id] = true
+	}
 	for c, h := range s.holds {
 		if !h.met && r.Core >= h.from && r.Covers(c) {
 			h.read[id] = true
--- a/control/state.go
+++ b/control/state.go
@@ -208,6 +208,7 @@
 	takenAt  map[ident.Generation]ident.Moment
 	leases
 	passes    map[uint64]errand
+	told      map[string]bool
 	parked    []parked
 	passID    uint64
 	replay    bool
@@ -224,7 +225,7 @@
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
+	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
@@ -1181,10 +1182,10 @@
 			s.holds[c] = h
 			s.out = append(s.out, Note{"Holds cell " + string(c) + " soon."})
 		}
-		h.met = h.met || s.majority(h.read)
-		if now.Before(h.start) && h.met && s.follows(m) {
-			h.start = now
+		if !h.met && s.follows(m) && s.majority(s.told) {
+			h.met, h.start = true, now
 		}
+		h.met = h.met || s.majority(h.read)
 		s.cede(c, h, now)
 		if s.active(c, now) == nil {
 			continue
--- a/control/witness_test.go
+++ b/control/witness_test.go
@@ -107,6 +107,23 @@
 	require.True(t, h.speaks())
 }
 
+func TestAHolderThatFollowsItselfSpeaksAtOnceOnTheAnswersOfThisLife(t *testing.T) {
+	for _, own := range []bool{true, false} {
+		h := newHall(t)
+		h.Relay.Cells["a"] = cell.Kept(&wire.CellKept{Cell: "a", Epoch: 8, Upto: 4})
+		if !own {
+			h.core.Holds[0].Addr = "127.0.0.1:9"
+		}
+		for i := 1; i <= 2; i++ {
+			h.says[door(i)] = func(*wire.Ask) *wire.News {
+				return &wire.News{HasCore: true, Core: &wire.Core{Version: 4}, Voter: fmt.Sprintf("v%d/disk", i)}
+			}
+		}
+		h.run(300 * time.Millisecond)
+		require.Equal(t, own, h.speaks())
+	}
+}
+
 func TestADrainIsAnsweredOnceAMajorityOfTheVotersHasIt(t *testing.T) {
 	h := newHall(t)
 	for i := 1; i <= 3; i++ {
