Relay: a node that starts sounds all control processes and asks one for all of it

Seen when the links' bytes were counted (trial): 2.8 MB of cells from one control process in the 2 s after a fifth of the nodes came back.

Now a sounding costs a few bytes and is answered with the newest core's version alone; the first that knows one is asked for all, the next 0.3 s later; while a cell isn't known its holder is asked, one whole answer at a time. An older build answers a sounding with its core and no cells. Soundings don't count in the time that answers take.

--- a/relay/state.go
+++ b/relay/state.go
@@ -27,6 +27,7 @@
 	CellFresh   = 1500 * time.Millisecond
 	EagerEvery  = 50 * time.Millisecond
 	EagerAsks   = 3
+	SourceWait  = 300 * time.Millisecond
 	WholeEvery  = 8
 	Overdue     = 3 * AskEvery
 	Asleep      = 400 * time.Millisecond
@@ -52,26 +53,28 @@
 	Unread    []desired.Fault
 	Cells     map[ident.Cell]*cell.Copy
 
-	diff     diff
-	whole    bool
-	confirms map[string]*wire.Confirm
-	changes  uint64
-	changed  map[string]uint64
-	told     map[string]*told
-	asks     map[uint64]ask
-	token    uint64
-	took     time.Duration
-	askAt    ident.Moment
-	turn     int
-	climb    int
-	climbAt  ident.Moment
-	ringRev  uint64
-	parent   string
-	poor     bool
-	lastAt   ident.Moment
-	wokeAt   ident.Moment
-	rev      uint64
-	out      []wire.Send
+	sources    []string
+	sourceTurn int
+	diff       diff
+	whole      bool
+	confirms   map[string]*wire.Confirm
+	changes    uint64
+	changed    map[string]uint64
+	told       map[string]*told
+	asks       map[uint64]ask
+	token      uint64
+	took       time.Duration
+	askAt      ident.Moment
+	turn       int
+	climb      int
+	climbAt    ident.Moment
+	ringRev    uint64
+	parent     string
+	poor       bool
+	lastAt     ident.Moment
+	wokeAt     ident.Moment
+	rev        uint64
+	out        []wire.Send
 }
 
 type ask struct {
@@ -83,6 +86,7 @@
 	core uint64
 	only bool
 	have []*wire.CellHave
+	bare bool
 }
 
 // Reading says what an answer to an ask of one's own covers: the newest core that the other knew, and whether only some cells were asked for.
@@ -328,8 +332,12 @@
 	if !ok || a.to != from {
 		return nil
 	}
-	r := &Reading{Only: a.only, Cells: a.have}
 	delete(s.asks, n.Token)
+	r := &Reading{Only: a.only, Cells: a.have}
+	if a.bare && !n.HasCore {
+		s.sounded(n, from)
+		return r
+	}
 	s.took += (now.Sub(a.at) - s.took) / 4
 	if t := s.told[from]; t != nil {
 		if t.upto = max(t.upto, a.upto); int(n.Heard) < a.all {
@@ -365,7 +373,10 @@
 }
 
 func (s *State) Answer(a *wire.Ask, now ident.Moment) *wire.News {
-	n := &wire.News{Token: a.Token, Heard: uint32(len(s.confirms))}
+	n := &wire.News{Token: a.Token, Heard: uint32(len(s.confirms)), Newest: s.Core.GetVersion()}
+	if a.Sounding {
+		return n
+	}
 	if s.CoreKnown {
 		n.HasCore = true
 		n.CoreAgeNs = int64(now.Sub(s.CoreAsOf))
@@ -454,18 +465,7 @@
 		return
 	}
 	if s.Eager && len(targets) > 0 {
-		if s.CoreKnown {
-			if s.turn++; s.turn%2 == 0 || s.Core.LeaderAddr == "" {
-				targets = targets[s.turn/2%len(targets):][:1]
-			} else {
-				targets = []string{s.Core.LeaderAddr}
-			}
-		}
-		for _, t := range targets {
-			if s.waits(t) < s.most() {
-				s.AskTo(t, "", now)
-			}
-		}
+		s.start(targets, now)
 		return
 	}
 	path := Path(ring, s.Self)
