Names: tenure is lease, a vow is hard state or an unanswered drain

Why: the users ask for the field's terms where the code is touched. What a node may serve on for so long, and what a cell's holder has, is a lease; the record that a voter keeps of its term and its vote is hard state; a drain that waits for its quorum is a pending drain. `leaseMs` and `--lease-ms` are the settings' names; `tenureMs` and `--tenure-ms` are read as their former names, and two that differ are a fault (a test of its own, every case).

Tests renamed with their subject, nothing in them changed: TestEachGenerationComesIntoForceATenureAfterItsOwnBeginWhileASeatIsSilent (ALeaseAfter), TestANodeWhoseLeaseIsRevokedAsksForItAndServesNoLongerThanItsTenure (ItsLease), TestAHolderWaitsOutTheOldTenureHoweverSoonAMajorityWasRead (TheOldLease).

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -27,6 +27,9 @@
 	memoryLeast   = 16
 	memoryMost    = 1 << 20
 
+	leaseUsual = 5000
+	unset      = -1
+
 	voterReplaceLeast = 500
 	voterReplaceMost  = 3600000
 )
@@ -43,11 +46,12 @@
 	Seeds     []string `arg:"--seeds" help:"addresses of other members"`
 	LogLevel  string   `arg:"--log-level" help:"debug, info, warn or error"`
 	DrainMs   int      `arg:"--drain-ms" help:"longest time a planned stop may take"`
-	TenureMs  int      `arg:"--tenure-ms" help:"longest time a node may take a new desired state's place for an old one; a change is acknowledged after it at the latest"`
+	LeaseMs   int      `arg:"--lease-ms" help:"longest time a node may take a new desired state's place for an old one; a change is acknowledged after it at the latest"`
+	TenureMs  int      `arg:"--tenure-ms" help:"the former name of --lease-ms"`
 	Decisions int      `arg:"--decisions" help:"newest decisions kept for operators to read"`
 	MemoryMB  int      `arg:"--memory-mb" help:"memory this process may use, kept to softly; 0: no bound"`
 	Growth    int      `arg:"--growth" help:"per cent the heap may grow over what lives before it is swept"`
-	StaleMs   int      `arg:"--stale-ms" help:"how long a node that is out of touch serves on the last news it has; 0: as long as the tenure"`
+	StaleMs   int      `arg:"--stale-ms" help:"how long a node that is out of touch serves on the last news it has; 0: as long as the lease"`
 }
 
 type DiskFlags struct {
@@ -75,7 +79,8 @@
 	Seeds     []string `json:"seeds"`
 	LogLevel  string   `json:"logLevel"`
 	DrainMs   int      `json:"drainMs"`
-	TenureMs  int      `json:"tenureMs"`
+	LeaseMs   int      `json:"leaseMs"`
+	TenureMs  int      `json:"tenureMs,omitempty"`
 	StaleMs   int      `json:"staleMs"`
 	Decisions int      `json:"decisions"`
 	MemoryMB  int      `json:"memoryMB,omitempty"`
@@ -106,9 +111,9 @@
 	return time.UnixMilli(s.ClockFromMs + s.ClockScale*(now.UnixMilli()-s.ClockFromMs))
 }
 
-func (s *Settings) Drain() time.Duration  { return time.Duration(s.DrainMs) * time.Millisecond }
-func (s *Settings) Tenure() time.Duration { return time.Duration(s.TenureMs) * time.Millisecond }
-func (s *Settings) Stale() time.Duration  { return time.Duration(s.StaleMs) * time.Millisecond }
+func (s *Settings) Drain() time.Duration    { return time.Duration(s.DrainMs) * time.Millisecond }
+func (s *Settings) LeaseFor() time.Duration { return time.Duration(s.LeaseMs) * time.Millisecond }
+func (s *Settings) Stale() time.Duration    { return time.Duration(s.StaleMs) * time.Millisecond }
 
 func (s *Settings) VoterReplace() time.Duration {
 	return time.Duration(s.VoterReplaceMs) * time.Millisecond
@@ -136,7 +141,7 @@
 }
 
 func Read(f Flags, d *DiskFlags) (*Settings, []desired.Fault) {
-	s := &Settings{LogLevel: "info", DrainMs: 30000, TenureMs: 5000, Decisions: 16384, Growth: 100}
+	s := &Settings{LogLevel: "info", DrainMs: 30000, LeaseMs: unset, TenureMs: unset, Decisions: 16384, Growth: 100}
 	var faults []desired.Fault
 	say := func(path, form string, args ...any) {
 		faults = append(faults, desired.Fault{Path: path, Text: fmt.Sprintf(form, args...)})
@@ -170,9 +175,13 @@
 	if f.DrainMs != 0 {
 		s.DrainMs = f.DrainMs
 	}
+	if f.LeaseMs != 0 {
+		s.LeaseMs = f.LeaseMs
+	}
 	if f.TenureMs != 0 {
 		s.TenureMs = f.TenureMs
 	}
+	faults = append(faults, s.formerNames()...)
 	if f.StaleMs != 0 {
 		s.StaleMs = f.StaleMs
 	}
@@ -214,6 +223,20 @@
 	return s, faults
 }
 
+// formerNames takes up settings under the names that earlier versions gave them.
+func (s *Settings) formerNames() (faults []desired.Fault) {
+	if s.TenureMs != unset && s.LeaseMs != unset && s.LeaseMs != s.TenureMs {
+		faults = append(faults, desired.Fault{Path: "tenureMs", Text: fmt.Sprintf("is the former name of leaseMs, which says %d; is %d", s.LeaseMs, s.TenureMs)})
+	}
+	if s.LeaseMs == unset {
+		s.LeaseMs = s.TenureMs
+	}
+	if s.TenureMs = 0; s.LeaseMs == unset {
+		s.LeaseMs = leaseUsual
+	}
+	return faults
+}
+
 func (s *Settings) check(d *DiskFlags) []desired.Fault {
 	var faults []desired.Fault
 	say := func(path, form string, args ...any) {
@@ -260,11 +283,11 @@
 	if s.DrainMs < 0 || s.DrainMs > 3600000 {
 		say("drainMs", "must be from 0 to 3600000; is %d", s.DrainMs)
 	}
-	if s.TenureMs < 500 || s.TenureMs > 60000 {
-		say("tenureMs", "must be from 500 to 60000; is %d", s.TenureMs)
+	if s.LeaseMs < 500 || s.LeaseMs > 60000 {
+		say("leaseMs", "must be from 500 to 60000; is %d", s.LeaseMs)
 	}
-	if s.StaleMs != 0 && (s.StaleMs < s.TenureMs || s.StaleMs > 3600000) {
-		say("staleMs", "must be 0, or from tenureMs, %d, to 3600000; is %d", s.TenureMs, s.StaleMs)
+	if s.StaleMs != 0 && (s.StaleMs < s.LeaseMs || s.StaleMs > 3600000) {
+		say("staleMs", "must be 0, or from leaseMs, %d, to 3600000; is %d", s.LeaseMs, s.StaleMs)
 	}
 	if s.Decisions < 1 || s.Decisions > DecisionsMost {
 		say("decisions", "must be from 1 to %d; is %d", DecisionsMost, s.Decisions)
@@ -329,7 +352,7 @@
 		{"name", s.Name, n.Name}, {"cell", s.Cell, n.Cell}, {"address", s.Address, n.Address}, {"http", s.HTTP, n.HTTP},
 		{"operators", s.Operators, n.Operators}, {"data", s.Data, n.Data}, {"seeds", strings.Join(s.Seeds, ","), strings.Join(n.Seeds, ",")},
 		{"founders", strings.Join(s.Founders, ","), strings.Join(n.Founders, ",")},
-		{"tenureMs", fmt.Sprint(s.TenureMs), fmt.Sprint(n.TenureMs)}, {"staleMs", fmt.Sprint(s.StaleMs), fmt.Sprint(n.StaleMs)},
+		{"leaseMs", fmt.Sprint(s.LeaseMs), fmt.Sprint(n.LeaseMs)}, {"staleMs", fmt.Sprint(s.StaleMs), fmt.Sprint(n.StaleMs)},
 		{"decisions", fmt.Sprint(s.Decisions), fmt.Sprint(n.Decisions)},
 		{"memoryMB", fmt.Sprint(s.MemoryMB), fmt.Sprint(n.MemoryMB)}, {"growth", fmt.Sprint(s.Growth), fmt.Sprint(n.Growth)},
 		{"losses", fmt.Sprint(s.Losses), fmt.Sprint(n.Losses)}, {"voterReplaceMs", fmt.Sprint(s.VoterReplaceMs), fmt.Sprint(n.VoterReplaceMs)}, {"joins", fmt.Sprint(s.Joins), fmt.Sprint(n.Joins)},
--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"sloeturn/desired"
 )
 
 func TestFlagsGoOverTheFileAndEveryFaultIsNamed(t *testing.T) {
@@ -78,3 +80,26 @@
 	s.ClockScale = 0
 	require.InDelta(t, 0, time.Since(s.Wall()).Seconds(), 1)
 }
+
+func TestTheLeaseIsReadUnderItsFormerNameToo(t *testing.T) {
+	read := func(doc string, f Flags) (*Settings, []desired.Fault) {
+		f.Boot = filepath.Join(t.TempDir(), "boot.json")
+		require.NoError(t, os.WriteFile(f.Boot, []byte(doc), 0o600))
+		f.Name, f.Cell, f.Address, f.HTTP, f.Operators, f.Seeds = "n", "a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", []string{"127.0.0.1:1"}
+		return Read(f, nil)
+	}
+	for doc, want := range map[string]int{`{}`: 5000, `{"leaseMs":3000}`: 3000, `{"tenureMs":3000}`: 3000, `{"tenureMs":3000,"leaseMs":3000}`: 3000} {
+		s, faults := read(doc, Flags{})
+		require.Empty(t, faults, doc)
+		require.Equal(t, want, s.LeaseMs, doc)
+		require.Zero(t, s.TenureMs)
+	}
+	s, faults := read(`{}`, Flags{TenureMs: 2000})
+	require.Empty(t, faults)
+	require.Equal(t, 2000, s.LeaseMs)
+	for doc, path := range map[string]string{`{"tenureMs":3000,"leaseMs":4000}`: "tenureMs", `{"leaseMs":0}`: "leaseMs", `{"tenureMs":0}`: "leaseMs", `{"tenureMs":70000}`: "leaseMs"} {
+		_, faults := read(doc, Flags{})
+		require.Len(t, faults, 1, doc)
+		require.Equal(t, path, faults[0].Path, doc)
+	}
+}
--- a/cmd/fleetrun/holiday.go
+++ b/cmd/fleetrun/holiday.go
@@ -82,7 +82,7 @@
 	return 0, nil
 }
 
-// watchHoliday holds each node's generation against the leader's; a node may lag a landing by the tenure, and never serves another within a period.
+// watchHoliday holds each node's generation against the leader's; a node may lag a landing by the lease, and never serves another within a period.
 func (f *fleet) watchHoliday(done context.Context, seen func(q *queue)) (looks int) {
 	c := http.Client{Timeout: time.Second}
 	steady, since := uint64(0), time.Now()
--- a/control/drain_test.go
+++ b/control/drain_test.go
@@ -11,7 +11,7 @@
 
 func TestALeaverSignsOffOnceHoweverLongItsEndTakes(t *testing.T) {
 	now := ident.Moment(1e12)
-	s, err := New(Boot{Member: "one", Addr: "a:1", Cell: "a", Incarnation: 1, Seeds: []ident.Addr{"a:1"}, Tenure: 3 * time.Second}, nil, now)
+	s, err := New(Boot{Member: "one", Addr: "a:1", Cell: "a", Incarnation: 1, Seeds: []ident.Addr{"a:1"}, LeaseFor: 3 * time.Second}, nil, now)
 	require.NoError(t, err)
 	s.Step(now, Drain{})
 	said := 0
--- a/control/force_test.go
+++ b/control/force_test.go
@@ -86,18 +86,18 @@
 	f := seated(t, "a", "b")
 	f.run(time.Second, "a", "b")
 	first := f.order(2)
-	f.run(f.Relay.Tenure/2+300*time.Millisecond, "a")
+	f.run(f.Relay.LeaseFor/2+300*time.Millisecond, "a")
 	require.NotNil(t, f.Book.Revoked[1])
 	require.False(t, f.Book.Revoked[1].Fenced)
 	require.Equal(t, f.Book.Revoked[1], f.Relay.Core.Revoked[0], "what is published names it")
 	require.Equal(t, []string{"held", "revoked"}, f.leases())
 	from := f.now
-	f.run(f.Relay.Tenure-100*time.Millisecond, "a")
+	f.run(f.Relay.LeaseFor-100*time.Millisecond, "a")
 	require.False(t, f.Book.Revoked[1].Fenced)
 	f.run(600*time.Millisecond, "a")
 	require.True(t, f.Book.Revoked[1].Fenced)
-	require.Greater(t, f.now.Sub(from), f.Relay.Tenure)
-	require.Less(t, f.took(first), f.Relay.Tenure+200*time.Millisecond)
+	require.Greater(t, f.now.Sub(from), f.Relay.LeaseFor)
+	require.Less(t, f.took(first), f.Relay.LeaseFor+200*time.Millisecond)
 	for i := range 12 {
 		k := f.order(3 + i)
 		f.run(400*time.Millisecond, "a")
@@ -129,7 +129,7 @@
 	f := seated(t, "a", "b")
 	f.run(time.Second, "a", "b")
 	f.order(2)
-	f.run(2*f.Relay.Tenure, "a")
+	f.run(2*f.Relay.LeaseFor, "a")
 	r := f.Book.Revoked[1]
 	require.True(t, r.GetFenced())
 	mark := func(kind uint32, version uint64) *wire.SeatMark {
@@ -149,7 +149,7 @@
 	require.Empty(t, f.Book.Revoked)
 	require.Empty(t, f.Relay.Core.Revoked)
 	k := f.order(3)
-	f.run(f.Relay.Tenure/2+time.Second, "a")
+	f.run(f.Relay.LeaseFor/2+time.Second, "a")
 	require.Zero(t, f.acked[k], "a restored seat counts as any other")
 	require.Empty(t, f.Book.Revoked, "and isn't revoked again at once")
 	f.run(time.Second, "a", "b")
@@ -160,12 +160,12 @@
 	f := seated(t, "a", "b", "c")
 	f.run(time.Second, "a", "b", "c")
 	f.order(2)
-	f.run(f.Relay.Tenure/2+500*time.Millisecond, "a")
+	f.run(f.Relay.LeaseFor/2+500*time.Millisecond, "a")
 	require.Empty(t, f.Book.Revoked, "two of three are slow")
-	f.run(f.Relay.Tenure, "a", "b", "c")
+	f.run(f.Relay.LeaseFor, "a", "b", "c")
 	f.Book.Seats[2].Heeds = false
 	f.order(3)
-	f.run(f.Relay.Tenure/2+500*time.Millisecond, "a", "b")
+	f.run(f.Relay.LeaseFor/2+500*time.Millisecond, "a", "b")
 	require.Empty(t, f.Book.Revoked, "an older node doesn't heed it")
 }
 
@@ -178,7 +178,7 @@
 	f.run(300*time.Millisecond, "a", "b")
 	require.Equal(t, "b", f.Book.Revoked[1].GetMember())
 	at := f.Book.Version
-	f.run(f.Relay.Tenure+time.Second, "a", "b")
+	f.run(f.Relay.LeaseFor+time.Second, "a", "b")
 	require.True(t, f.Book.Revoked[1].Fenced)
 	require.LessOrEqual(t, f.Book.Version, at+1, "one entry for the fence, no more")
 }
@@ -204,7 +204,7 @@
 	}
 }
 
-func TestEachGenerationComesIntoForceATenureAfterItsOwnBeginWhileASeatIsSilent(t *testing.T) {
+func TestEachGenerationComesIntoForceALeaseAfterItsOwnBeginWhileASeatIsSilent(t *testing.T) {
 	f := seated(t, "a", "b")
 	f.Book.Seats[1].Heeds = false
 	f.run(time.Second, "a", "b")
@@ -215,8 +215,8 @@
 	}
 	f.run(6*time.Second, "a")
 	for _, k := range keys {
-		require.Less(t, f.took(k), f.Relay.Tenure+200*time.Millisecond)
-		require.Greater(t, f.took(k), f.Relay.Tenure)
+		require.Less(t, f.took(k), f.Relay.LeaseFor+200*time.Millisecond)
+		require.Greater(t, f.took(k), f.Relay.LeaseFor)
 	}
 }
 
--- a/control/held.go
+++ b/control/held.go
@@ -56,7 +56,7 @@
 
 // lead is how long before its first moment a period opens, so that no change made before it is still on its way when it begins.
 func (s *State) lead() int64 {
-	return max(LeadLeast, 2*s.Relay.Tenure, s.Relay.Stale+s.Relay.Tenure).Milliseconds() * s.scale()
+	return max(LeadLeast, 2*s.Relay.LeaseFor, s.Relay.Stale+s.Relay.LeaseFor).Milliseconds() * s.scale()
 }
 
 // hush says that a period is about to begin while a change made before it is not yet agreed; no fresh word goes out then, lest nodes enter the period on the old routes and get the new ones in it.
--- a/control/lease.go
+++ b/control/lease.go
@@ -78,23 +78,23 @@
 	return v.Heeds || c != nil && c.Incarnation == v.Incarnation && c.Heeds
 }
 
-// absent says that a seat's member isn't live by its watchers, or wasn't seen for a tenure since this leader began.
+// absent says that a seat's member isn't live by its watchers, or wasn't seen for a lease since this leader began.
 func (s *State) absent(v *wire.Seat, now ident.Moment) bool {
 	led := now.Sub(max(s.Agree.LedSince(), s.born))
 	c := s.Members.Card(ident.Member(v.Member))
 	if c == nil || c.Incarnation != v.Incarnation {
-		return led > s.Relay.Tenure
+		return led > s.Relay.LeaseFor
 	}
 	return c.State != member.Live && led > UnseenWait
 }
 
-// holdsUp says that a seat has kept a generation waiting for half a tenure.
+// holdsUp says that a seat has kept a generation waiting for half a lease.
 func (s *State) holdsUp(v *wire.Seat, now ident.Moment) bool {
 	g := s.Book.InForce
 	if c := s.Relay.ConfirmOf(v.Member); c != nil && c.Incarnation == v.Incarnation {
 		g = max(g, ident.Generation(c.Staged))
 	}
-	return g < s.Book.Generation && now.Sub(max(s.takenAt[g+1], s.Agree.LedSince())) > s.Relay.Tenure/2
+	return g < s.Book.Generation && now.Sub(max(s.takenAt[g+1], s.Agree.LedSince())) > s.Relay.LeaseFor/2
 }
 
 // silent lists the seats whose leases are to be revoked: a wrong guess costs the node nothing, for it asks for its lease again long before it ends.
--- a/control/serve.go
+++ b/control/serve.go
@@ -22,7 +22,7 @@
 	n, err := NewNode(Boot{
 		Member: ident.Member(set.Name), Addr: ident.Addr(set.Address), HTTP: set.HTTP + "," + set.Operators, Cell: ident.Cell(set.Cell),
 		Incarnation: ident.NewIncarnation(), Seeds: boot.Addrs(set.Seeds), Founders: boot.Addrs(set.Founders), FreshFleet: set.FreshFleet, Build: boot.Build, Seed: int64(ident.NewIncarnation()),
-		Decisions: set.Decisions, Tenure: set.Tenure(), Stale: set.Stale(), Drain: set.Drain(), Losses: set.Losses, Replace: set.VoterReplace(), ClockScale: set.ClockScale,
+		Decisions: set.Decisions, LeaseFor: set.LeaseFor(), Stale: set.Stale(), Drain: set.Drain(), Losses: set.Losses, Replace: set.VoterReplace(), ClockScale: set.ClockScale,
 	}, Disks{Path: set.Data, Files: set.Files, Size: int64(set.FileMB) << 20}, log)
 	if err != nil {
 		return err
--- a/control/shelf.go
+++ b/control/shelf.go
@@ -87,7 +87,7 @@
 	for _, c := range ident.Keys(s.shelf.upto) {
 		if h := s.holds[c]; h != nil {
 			h.kept = max(h.kept, min(s.shelf.upto[c], h.sound.Upto()))
-			s.keepVows(h, now)
+			s.answerDrains(h, now)
 		}
 	}
 }
@@ -133,7 +133,7 @@
 }
 
 // follows says that a holder follows itself on its own address: binding the address proves that the old life speaks no
-// more, and a copy of a table of that chain that the chain had begun. So it neither waits out the old tenure nor asks for
+// more, and a copy of a table of that chain that the chain had begun. So it neither waits out the old lease nor asks for
 // promises: whatever a majority of the voters answered this life knows what the old one was answered for.
 func (s *State) follows(m *wire.Hold) bool {
 	k := s.Relay.Cells[ident.Cell(m.Cell)]
--- a/control/state.go
+++ b/control/state.go
@@ -101,7 +101,7 @@
 	Build       string
 	Seed        int64
 	Decisions   int
-	Tenure      time.Duration
+	LeaseFor    time.Duration
 	Stale       time.Duration
 	Drain       time.Duration
 	Losses      int
@@ -133,7 +133,7 @@
 	dealt  ident.Moment
 	rolls  int
 	copied int
-	vows   []*vow
+	drains []*pendingDrain
 	kept   uint64
 	from   uint64
 	read   map[string]bool
@@ -177,7 +177,7 @@
 	sent ident.Moment
 }
 
-type vow struct {
+type pendingDrain struct {
 	pending
 	upto uint64
 	has  map[string]bool
@@ -230,7 +230,7 @@
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
 	s.Relay.Voter = b.Voter
-	s.Relay.Terms(b.Tenure, b.Stale)
+	s.Relay.Terms(b.LeaseFor, b.Stale)
 	s.Mail = relay.NewCourier(uint64(b.Incarnation))
 	s.unshelve()
 	if b.Voter != "" {
@@ -677,7 +677,7 @@
 
 func (s *State) active(c ident.Cell, now ident.Moment) *hold {
 	h := s.holds[c]
-	if h == nil || h.heir != nil || !h.met || now.Before(h.start) || now.Sub(s.Relay.CoreAsOf) >= relay.CellTenure {
+	if h == nil || h.heir != nil || !h.met || now.Before(h.start) || now.Sub(s.Relay.CoreAsOf) >= relay.CellLease {
 		return nil
 	}
 	return h
@@ -752,7 +752,7 @@
 			s.announced(p, 200, "")
 			return
 		}
-		h.vows = append(h.vows, &vow{p, h.sound.Upto(), map[string]bool{}})
+		h.drains = append(h.drains, &pendingDrain{p, h.sound.Upto(), map[string]bool{}})
 		s.shelve(now)
 		return
 	}
@@ -760,7 +760,7 @@
 		s.onward(p, a, h.heir.Addr, now)
 		return
 	}
-	if h := s.holds[c]; h != nil && now.Sub(s.Relay.CoreAsOf) < relay.CellTenure {
+	if h := s.holds[c]; h != nil && now.Sub(s.Relay.CoreAsOf) < relay.CellLease {
 		if h.sound.Hear(a, now) && a.State == cell.Ready {
 			s.announced(p, 200, "")
 		} else {
@@ -834,19 +834,19 @@
 		if h == nil || uint64(h.epoch) != c.Epoch || c.Promised > c.Epoch {
 			continue
 		}
-		for _, v := range h.vows {
+		for _, v := range h.drains {
 			if c.Upto >= v.upto {
 				v.has[id] = true
 			}
 		}
-		s.keepVows(h, now)
+		s.answerDrains(h, now)
 	}
 }
 
-func (s *State) keepVows(h *hold, now ident.Moment) {
-	stands := now.Sub(s.Relay.CoreAsOf) < relay.CellTenure
-	keep := h.vows[:0]
-	for _, v := range h.vows {
+func (s *State) answerDrains(h *hold, now ident.Moment) {
+	stands := now.Sub(s.Relay.CoreAsOf) < relay.CellLease
+	keep := h.drains[:0]
+	for _, v := range h.drains {
 		switch {
 		case stands && s.majority(v.has) && (!s.Shelves || h.kept >= v.upto || now.Sub(v.at) > ShelveWait):
 			s.announced(v.pending, 200, "")
@@ -856,7 +856,7 @@
 			keep = append(keep, v)
 		}
 	}
-	h.vows = keep
+	h.drains = keep
 }
 
 func (s *State) onward(p pending, a *wire.Announce, to string, now ident.Moment) {
@@ -1172,7 +1172,7 @@
 	for _, c := range ident.Keys(mine) {
 		m, h := mine[c], s.holds[c]
 		if h == nil {
-			h = &hold{rolls: 1, epoch: ident.Epoch(m.Epoch), start: now.Add(relay.CellTenure), sound: cell.New(c, ident.Epoch(m.Epoch))}
+			h = &hold{rolls: 1, epoch: ident.Epoch(m.Epoch), start: now.Add(relay.CellLease), sound: cell.New(c, ident.Epoch(m.Epoch))}
 			h.from, h.read = s.Relay.Core.Version, map[string]bool{}
 			if q := s.wills[c]; q != nil && q.Epoch == m.Before {
 				h.met, h.start, h.sound = true, now, cell.Inherit(q, h.epoch, now)
@@ -1195,7 +1195,7 @@
 		}
 		h.begun = true
 		h.sound.Tick(now)
-		s.keepVows(h, now)
+		s.answerDrains(h, now)
 		s.moved(h)
 		s.enroll(h, now)
 		s.copyCell(c, h, now)
@@ -1290,7 +1290,7 @@
 
 // lapsed says that no seat can still serve on a word that lacks what could be published from the moment on.
 func (s *State) lapsed(from, now ident.Moment) bool {
-	return now.Sub(max(from, s.Agree.LedSince())) > s.Relay.Tenure+ForceSlack
+	return now.Sub(max(from, s.Agree.LedSince())) > s.Relay.LeaseFor+ForceSlack
 }
 
 // outlived is the newest generation that no seat can still serve an older one than, whatever it has said.
--- a/control/witness_test.go
+++ b/control/witness_test.go
@@ -96,7 +96,7 @@
 	require.True(t, h.speaks())
 }
 
-func TestAHolderWaitsOutTheOldTenureHoweverSoonAMajorityWasRead(t *testing.T) {
+func TestAHolderWaitsOutTheOldLeaseHoweverSoonAMajorityWasRead(t *testing.T) {
 	h := newHall(t)
 	for i := 1; i <= 3; i++ {
 		h.says[door(i)] = knows(fmt.Sprintf("v%d/disk", i))
@@ -159,5 +159,5 @@
 	h.now = h.now.Add(200 * time.Millisecond)
 	asks(1, "v1/disk", 9)
 	asks(2, "v2/disk", 9)
-	require.Zero(t, h.said[n], "the holder's own tenure is over")
+	require.Zero(t, h.said[n], "the holder's own lease is over")
 }
--- a/data/lease_test.go
+++ b/data/lease_test.go
@@ -11,9 +11,9 @@
 	"sloeturn/wire"
 )
 
-func TestANodeWhoseLeaseIsRevokedAsksForItAndServesNoLongerThanItsTenure(t *testing.T) {
+func TestANodeWhoseLeaseIsRevokedAsksForItAndServesNoLongerThanItsLease(t *testing.T) {
 	now := ident.Moment(1e12)
-	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"10.0.0.2:1"}, Tenure: 3 * time.Second}, now)
+	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"10.0.0.2:1"}, LeaseFor: 3 * time.Second}, now)
 	doc := []byte(`{"fleet":{"nodes":1},"services":{},"tenants":{},"lanes":{}}`)
 	core := &wire.Core{Version: 1, Generation: 1, SeatCount: 1, LeaderAddr: "10.0.0.2:1", Seats: []*wire.Seat{{Member: "n", Addr: "10.0.0.1:1", Incarnation: 7}}}
 	s.Relay.TakeCore(core, doc, 1, now)
@@ -60,7 +60,7 @@
 
 func TestANodeThatNoLongerHearsDoesNotAskForItsLease(t *testing.T) {
 	now := ident.Moment(1e12)
-	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"10.0.0.2:1"}, Tenure: 3 * time.Second}, now)
+	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"10.0.0.2:1"}, LeaseFor: 3 * time.Second}, now)
 	s.Relay.TakeCore(&wire.Core{Version: 2, SeatCount: 1, LeaderAddr: "10.0.0.2:1", Seats: []*wire.Seat{{Member: "n", Addr: "10.0.0.1:1", Incarnation: 7}}, Revoked: []*wire.Revoked{{Member: "n", Incarnation: 7, Version: 2}}}, nil, 0, now)
 	now = now.Add(1100 * time.Millisecond)
 	s.Step(now, Tick{})
--- a/data/node.go
+++ b/data/node.go
@@ -473,7 +473,7 @@
 		return
 	}
 	if ident.Now().After(e.NotAfter) {
-		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, "tenure ran out before writing"})
+		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, "lease ran out before writing"})
 		return
 	}
 	if !k.sending() {
--- a/data/serve.go
+++ b/data/serve.go
@@ -22,7 +22,7 @@
 	set.Bound()
 	n := NewNode(Boot{
 		Member: ident.Member(set.Name), Addr: ident.Addr(set.Address), HTTP: set.HTTP + "," + set.Operators, Cell: ident.Cell(set.Cell),
-		Incarnation: ident.NewIncarnation(), Seeds: boot.Addrs(set.Seeds), Build: boot.Build, Decisions: set.Decisions, Tenure: set.Tenure(), Stale: set.Stale(),
+		Incarnation: ident.NewIncarnation(), Seeds: boot.Addrs(set.Seeds), Build: boot.Build, Decisions: set.Decisions, LeaseFor: set.LeaseFor(), Stale: set.Stale(),
 	}, log)
 	if err := n.Open(); err != nil {
 		return err
--- a/data/state.go
+++ b/data/state.go
@@ -136,7 +136,7 @@
 	Seeds       []ident.Addr
 	Build       string
 	Decisions   int
-	Tenure      time.Duration
+	LeaseFor    time.Duration
 	Stale       time.Duration
 }
 
@@ -222,7 +222,7 @@
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Data, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build, Heeds: true}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, false)
 	s.Relay.Life = b.Incarnation
-	s.Relay.Terms(b.Tenure, b.Stale)
+	s.Relay.Terms(b.LeaseFor, b.Stale)
 	s.Mail = relay.NewCourier(uint64(b.Incarnation))
 	return s
 }
@@ -344,7 +344,7 @@
 		return 0, why
 	}
 	if !s.Relay.CoreFresh(now) || s.seat == nil {
-		return 0, "no tenure"
+		return 0, "no lease"
 	}
 	l := s.Desired().Lanes[v.Lane]
 	if l == nil || l.Service != v.Rule.Service || l.Tenant != v.Rule.Tenant {
--- a/data/state_test.go
+++ b/data/state_test.go
@@ -52,7 +52,7 @@
 
 func TestANodeOutOfTouchServesOnAndSaysItIsNotReady(t *testing.T) {
 	now := ident.Moment(1e9)
-	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, Tenure: 3 * time.Second, Stale: 20 * time.Second}, now)
+	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, LeaseFor: 3 * time.Second, Stale: 20 * time.Second}, now)
 	doc := []byte(`{"fleet":{"nodes":1},"services":{},"tenants":{},"lanes":{}}`)
 	s.Relay.TakeCore(&wire.Core{Version: 1, Generation: 1, SeatCount: 1, Seats: []*wire.Seat{{Member: "n", Addr: "10.0.0.1:1", Incarnation: 7}}}, doc, 1, now)
 	s.Step(now, Tick{})
--- a/relay/state.go
+++ b/relay/state.go
@@ -22,8 +22,8 @@
 	Fan         = 4
 	ClimbFor    = 5 * time.Second
 	PoorAge     = time.Second
-	CoreTenure  = 5 * time.Second
-	CellTenure  = 1200 * time.Millisecond
+	CoreLease   = 5 * time.Second
+	CellLease   = 1200 * time.Millisecond
 	CellFresh   = 1500 * time.Millisecond
 	EagerEvery  = 50 * time.Millisecond
 	EagerAsks   = 3
@@ -35,13 +35,13 @@
 )
 
 type State struct {
-	Self    ident.Member
-	Life    ident.Incarnation
-	Voter   ident.Voter
-	Control bool
-	Tenure  time.Duration
-	Stale   time.Duration
-	Eager   bool
+	Self     ident.Member
+	Life     ident.Incarnation
+	Voter    ident.Voter
+	Control  bool
+	LeaseFor time.Duration
+	Stale    time.Duration
+	Eager    bool
 
 	Core      *wire.Core
 	CoreAsOf  ident.Moment
@@ -106,7 +106,7 @@
 }
 
 func New(self ident.Member, control bool) *State {
-	return &State{Self: self, Control: control, Tenure: CoreTenure, Stale: CoreTenure, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, took: FirstTook}
+	return &State{Self: self, Control: control, LeaseFor: CoreLease, Stale: CoreLease, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, took: FirstTook}
 }
 
 func (s *State) Revision() uint64 {
@@ -123,9 +123,9 @@
 	return s.CoreKnown && now.Sub(s.Leased) < s.Stale
 }
 
-// InTouch says that this process's own lease is within its tenure.
+// InTouch says that this process's own lease is within its lease.
 func (s *State) InTouch(now ident.Moment) bool {
-	return s.CoreKnown && now.Sub(s.Leased) < s.Tenure
+	return s.CoreKnown && now.Sub(s.Leased) < s.LeaseFor
 }
 
 // Revoked is the revocation of this process's own seat in the newest core it knows, or nil.
@@ -138,15 +138,15 @@
 	return nil
 }
 
-func (s *State) Terms(tenure, stale time.Duration) {
-	if tenure > 0 {
-		s.Tenure = tenure
+func (s *State) Terms(lease, stale time.Duration) {
+	if lease > 0 {
+		s.LeaseFor = lease
 	}
-	s.Stale = max(stale, s.Tenure)
+	s.Stale = max(stale, s.LeaseFor)
 }
 
 func (s *State) CellStale() time.Duration {
-	if s.Stale > s.Tenure {
+	if s.Stale > s.LeaseFor {
 		return s.Stale
 	}
 	return CellFresh
--- a/ringfile/catchup_test.go
+++ b/ringfile/catchup_test.go
@@ -91,7 +91,7 @@
 		r, _, err := Open(d, files, 16384)
 		require.NoError(t, err)
 		require.GreaterOrEqual(t, r.Room(), Capacity(files, 16384))
-		require.NoError(t, r.Write([]*wire.Record{snap(1, rnd.Intn(9000)), vow(1)}))
+		require.NoError(t, r.Write([]*wire.Record{snap(1, rnd.Intn(9000)), hardState(1)}))
 		last := uint64(1)
 		for step := 0; step < 60; step++ {
 			if rnd.Intn(6) == 0 {
@@ -279,7 +279,7 @@
 		left := 1 << 40
 		r, _, err := Open(moody{d, &left}, 3, 4096)
 		require.NoError(t, err)
-		log := []*wire.Record{snap(1, 10), vow(1)}
+		log := []*wire.Record{snap(1, 10), hardState(1)}
 		require.NoError(t, r.Write(log))
 		last, term := uint64(1), uint64(1)
 		for step := 0; step < 25; step++ {
@@ -291,7 +291,7 @@
 					recs = append(recs, p)
 				case k == 1:
 					term++
-					recs = append(recs, vow(term))
+					recs = append(recs, hardState(term))
 				default:
 					last++
 					recs = append(recs, entry(last, rnd.Intn(200)))
--- a/ringfile/fleet_test.go
+++ b/ringfile/fleet_test.go
@@ -91,7 +91,7 @@
 		copy(v.doc, w.all["a"].doc)
 		ring, _, err := Open(moody{v.dir, &v.left}, files, size)
 		require.NoError(t, err)
-		require.NoError(t, ring.Write([]*wire.Record{{Body: &wire.Record_Snapshot{Snapshot: &wire.Snapshot{LastIndex: 1, LastTerm: 1, Roster: r, Image: v.image()}}}, vow(1)}))
+		require.NoError(t, ring.Write([]*wire.Record{{Body: &wire.Record_Snapshot{Snapshot: &wire.Snapshot{LastIndex: 1, LastTerm: 1, Roster: r, Image: v.image()}}}, hardState(1)}))
 		ring.Close()
 		v.down = true
 	}
--- a/ringfile/fuzz_test.go
+++ b/ringfile/fuzz_test.go
@@ -19,7 +19,7 @@
 		dir := memDir{}
 		r, _, err := Open(dir, 3, 8192)
 		require.NoError(t, err)
-		require.NoError(t, r.Write([]*wire.Record{vow(1)}))
+		require.NoError(t, r.Write([]*wire.Record{hardState(1)}))
 		for i := uint64(1); i <= 20; i++ {
 			require.NoError(t, r.Write([]*wire.Record{entry(i, 100)}))
 		}
@@ -38,6 +38,6 @@
 				require.Equal(t, got.Entries[0].Index+uint64(i), e.Index)
 			}
 		}
-		require.NoError(t, again.Write([]*wire.Record{vow(9)}))
+		require.NoError(t, again.Write([]*wire.Record{hardState(9)}))
 	})
 }
--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -72,7 +72,7 @@
 	lsn    uint64
 	live   uint64
 	synced uint64
-	vow    *wire.HardState
+	hard   *wire.HardState
 	owed   []*wire.Record
 	cut    bool
 	Torn   bool
@@ -313,7 +313,7 @@
 func (r *Ring) replay(got *agreement.Recovered, rec *wire.Record, lsn uint64, started *bool) error {
 	*started = true
 	if v := rec.GetHardState(); v != nil {
-		r.vow = v
+		r.hard = v
 	}
 	if rec.GetSnapshot() != nil {
 		r.live = lsn
@@ -368,15 +368,15 @@
 func (r *Ring) write(recs []*wire.Record, m *mark) (kept int, err error) {
 	for i, rec := range recs {
 		if v := rec.GetHardState(); v != nil {
-			r.vow = v
+			r.hard = v
 		}
 		from := r.lsn
 		if err := r.put(rec); err != nil {
 			return kept, err
 		}
 		if rec.GetSnapshot() != nil {
-			if r.vow != nil {
-				if err := r.put(&wire.Record{Body: &wire.Record_HardState{HardState: r.vow}}); err != nil {
+			if r.hard != nil {
+				if err := r.put(&wire.Record{Body: &wire.Record_HardState{HardState: r.hard}}); err != nil {
 					return kept, err
 				}
 			}
--- a/ringfile/ring_test.go
+++ b/ringfile/ring_test.go
@@ -56,7 +56,7 @@
 	return &wire.Record{Body: &wire.Record_Snapshot{Snapshot: &wire.Snapshot{LastIndex: i, LastTerm: 1, Image: make([]byte, size)}}}
 }
 
-func vow(term uint64) *wire.Record {
+func hardState(term uint64) *wire.Record {
 	return &wire.Record{Body: &wire.Record_HardState{HardState: &wire.HardState{Term: term, Voted: "a"}}}
 }
 
@@ -72,7 +72,7 @@
 		d := memDir{}
 		r, got := reopen(t, d)
 		require.Nil(t, got)
-		require.NoError(t, r.Write([]*wire.Record{snap(1, 10), vow(1)}))
+		require.NoError(t, r.Write([]*wire.Record{snap(1, 10), hardState(1)}))
 		base, last, term := uint64(1), uint64(1), uint64(1)
 		for n := 0; n < 120; n++ {
 			var recs []*wire.Record
@@ -86,7 +86,7 @@
 			}
 			if rnd.Intn(5) == 0 {
 				term++
-				recs = append(recs, vow(term))
+				recs = append(recs, hardState(term))
 			}
 			require.NoError(t, r.Write(recs))
 			if rnd.Intn(8) == 0 {
@@ -110,7 +110,7 @@
 func TestCorruptKeptRecordIsToldFromATornOne(t *testing.T) {
 	d := memDir{}
 	r, _ := reopen(t, d)
-	require.NoError(t, r.Write([]*wire.Record{snap(1, 10), vow(1)}))
+	require.NoError(t, r.Write([]*wire.Record{snap(1, 10), hardState(1)}))
 	for i := uint64(2); i < 6; i++ {
 		require.NoError(t, r.Write([]*wire.Record{entry(i, 100)}))
 	}
@@ -128,7 +128,7 @@
 func TestFullDiskAndFullRingAreReported(t *testing.T) {
 	d := memDir{}
 	r, _ := reopen(t, d)
-	require.NoError(t, r.Write([]*wire.Record{snap(1, 10), vow(1)}))
+	require.NoError(t, r.Write([]*wire.Record{snap(1, 10), hardState(1)}))
 	var err error
 	last := uint64(1)
 	for err == nil {
@@ -142,7 +142,7 @@
 	r, _ = reopen(t, d)
 	require.NoError(t, r.Write([]*wire.Record{snap(1, 10)}))
 	d["ring-00"].full = true
-	require.ErrorIs(t, r.Write([]*wire.Record{vow(2)}), ErrWrite)
+	require.ErrorIs(t, r.Write([]*wire.Record{hardState(2)}), ErrWrite)
 }
 
 type moody struct {
@@ -188,7 +188,7 @@
 		left := 1 << 30
 		ring, _, err := Open(moody{d, &left}, 4, 4096)
 		require.NoError(t, err)
-		require.NoError(t, ring.Write([]*wire.Record{snap(1, 10), vow(1)}))
+		require.NoError(t, ring.Write([]*wire.Record{snap(1, 10), hardState(1)}))
 		last, base := uint64(1), uint64(1)
 		for step := 0; step < 40; step++ {
 			var recs []*wire.Record
@@ -226,7 +226,7 @@
 func TestAMissingEntryIsToldNotPassedOver(t *testing.T) {
 	d := memDir{}
 	r, _ := reopen(t, d)
-	require.NoError(t, r.Write([]*wire.Record{snap(1, 10), vow(1), entry(2, 10), entry(4, 10)}))
+	require.NoError(t, r.Write([]*wire.Record{snap(1, 10), hardState(1), entry(2, 10), entry(4, 10)}))
 	_, _, err := Open(d, 4, 16384)
 	require.ErrorIs(t, err, ErrCorrupt)
 	require.ErrorContains(t, merry.Cause(err), "entry 4 stands after 2")
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -72,7 +72,7 @@
 			p.step(data.Announce{Token: t, Announce: a})
 		}
 	}
-	if w.Weak == "vows" && a.State == cell.Leaving {
+	if w.Weak == "write" && a.State == cell.Leaving {
 		w.at(late+10*ms, func() { w.announced(t, 200) })
 	}
 	w.at(late, hear)
--- a/simulate/hard.go
+++ b/simulate/hard.go
@@ -150,7 +150,7 @@
 func onSite(c *Config) {
 	onRoads(c)
 	c.Controls, c.Nodes, c.Backends, c.Rate = 3+int(c.Seed%6), 5, 6, 30
-	c.Tenure, c.CatchUp, c.Contact, c.Ack, c.Losses = 3*time.Second, 4*time.Second, 3*time.Second, 4*time.Second, 1
+	c.LeaseFor, c.CatchUp, c.Contact, c.Ack, c.Losses = 3*time.Second, 4*time.Second, 3*time.Second, 4*time.Second, 1
 	if c.Controls >= 5 && c.Seed%2 == 0 {
 		c.Losses = 2
 	}
--- a/simulate/lease.go
+++ b/simulate/lease.go
@@ -82,11 +82,11 @@
 	return true
 }
 
-// inRow gives twelve orders while the victims are silent; each is due a second after its asking once all of them are fenced, a tenure and half a second before.
-func (w *World) inRow(r *Result, n *int, victims []*Proc, tenure time.Duration) {
+// inRow gives twelve orders while the victims are silent; each is due a second after its asking once all of them are fenced, a lease and half a second before.
+func (w *World) inRow(r *Result, n *int, victims []*Proc, lease time.Duration) {
 	for range orders {
 		*n++
-		bound := tenure + unfencedAck
+		bound := lease + unfencedAck
 		if w.fenced(victims) {
 			bound = fencedAck
 			w.Count["orders beside a fence"]++
@@ -249,10 +249,10 @@
 					}
 				}
 			}
-			w.inRow(r, &n, list, relay.CoreTenure)
-			w.Run(relay.CoreTenure)
+			w.inRow(r, &n, list, relay.CoreLease)
+			w.Run(relay.CoreLease)
 			if w.Rand.Intn(2) == 0 {
-				w.inRow(r, &n, list, relay.CoreTenure)
+				w.inRow(r, &n, list, relay.CoreLease)
 			}
 			w.Run(4 * time.Second)
 			w.calmer(list)
@@ -265,11 +265,11 @@
 			w.Isolate(p)
 			w.Run(time.Duration(1300+w.Rand.Intn(1500)) * ms)
 			w.Heal()
-			w.Run(relay.CoreTenure + time.Duration(300+w.Rand.Intn(1500))*ms)
+			w.Run(relay.CoreLease + time.Duration(300+w.Rand.Intn(1500))*ms)
 			w.Isolate(p)
 			for range 4 {
 				n++
-				w.order(n, relay.CoreTenure+unfencedAck, []*Proc{p}, func(took time.Duration) { r.Ack = max(r.Ack, took) })
+				w.order(n, relay.CoreLease+unfencedAck, []*Proc{p}, func(took time.Duration) { r.Ack = max(r.Ack, took) })
 				w.Run(orderEvery)
 			}
 			w.Run(time.Duration(w.Rand.Intn(3000)) * ms)
@@ -282,7 +282,7 @@
 	leaseScenes = append(leaseScenes, &Scene{Name: "cut-control", Text: "a control process, often the leader, is cut off for 20 s in six ways while an operator orders and others read at it and elsewhere", config: func(c *Config) { c.Rate = 15 }, play: func(w *World, r *Result, gen *uint64) {
 		w.catchUp(gen)
 		w.acked = max(w.acked, *gen)
-		stop := w.operate(r, relay.CoreTenure+5*time.Second)
+		stop := w.operate(r, relay.CoreLease+5*time.Second)
 		for range 3 {
 			w.Run(time.Duration(2000+w.Rand.Intn(1500)) * ms)
 			p := w.Control(w.Rand.Intn(w.Controls))
@@ -302,7 +302,7 @@
 		}
 		w.Run(3 * time.Second)
 		stop()
-		w.Run(relay.CoreTenure + 5*time.Second)
+		w.Run(relay.CoreLease + 5*time.Second)
 	}})
 }
 
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -379,7 +379,7 @@
 	}
 	w := n.p.w
 	if n.p.clock().After(e.NotAfter) && w.Weak != "gate" {
-		n.p.step(data.NotWritten{Visit: e.Visit, Shot: e.Shot, Why: "tenure ran out"})
+		n.p.step(data.NotWritten{Visit: e.Visit, Shot: e.Shot, Why: "lease ran out"})
 		n.keep(e.Visit)
 		return
 	}
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -86,7 +86,7 @@
 	scale    int64
 	Routed   bool
 	Stale    time.Duration
-	Tenure   time.Duration
+	LeaseFor time.Duration
 	// CatchUp is how long a machine that returns or is new counts as lost; Replace is the product's time after which a silent voter is replaced.
 	CatchUp time.Duration
 	Replace time.Duration
@@ -277,9 +277,9 @@
 	w.lives[uint64(inc)] = len(w.lives)
 	w.Say("%s starts", p.Name)
 	if p.disk != nil {
-		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.foundersOf(p), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, HTTP: p.http(), Tenure: w.Tenure, Losses: w.Losses, Replace: w.replaceAfter(), Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale, Drain: w.Drain}
+		b := control.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Founders: w.foundersOf(p), Voter: ident.Voter(p.Name + "/" + p.disk.id), Build: "sim", Seed: w.Rand.Int63(), Stale: w.Stale, HTTP: p.http(), LeaseFor: w.LeaseFor, Losses: w.Losses, Replace: w.replaceAfter(), Shelf: p.disk.shelf, Shelves: true, ClockScale: w.scale, Drain: w.Drain}
 		if w.Weak == "lapse" {
-			b.Tenure = 300 * ms
+			b.LeaseFor = 300 * ms
 		}
 		s, err := control.New(b, p.disk.recover(w), p.clock())
 		if err != nil {
@@ -288,7 +288,7 @@
 		}
 		p.control = s
 	} else {
-		p.node = newNode(p, data.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Build: "sim", Stale: w.Stale, Tenure: w.Tenure})
+		p.node = newNode(p, data.Boot{Member: ident.Member(p.Name), Addr: ident.Addr(p.Addr), Cell: ident.Cell(p.Cell), Incarnation: inc, Seeds: p.seeds, Build: "sim", Stale: w.Stale, LeaseFor: w.LeaseFor})
 	}
 	life := p.life
 	var tick func()
@@ -504,15 +504,15 @@
 func (d *disk) trim() {
 	for i := len(d.kept) - 1; i > 0; i-- {
 		if d.kept[i].GetSnapshot() != nil {
-			var vow *wire.Record
+			var hard *wire.Record
 			for _, r := range d.kept[:i] {
 				if r.GetHardState() != nil {
-					vow = r
+					hard = r
 				}
 			}
 			rest := append([]*wire.Record{}, d.kept[i:]...)
-			if vow != nil {
-				rest = append([]*wire.Record{rest[0], vow}, rest[1:]...)
+			if hard != nil {
+				rest = append([]*wire.Record{rest[0], hard}, rest[1:]...)
 			}
 			d.kept = rest
 			return
