Relay: a new life is told all confirms again; cells say what their holder waits for

Cause, from reading: since confirms are told once, a control process that is back under its old address, with many confirms from others, looked as if it had heard those of its children; they told it again only with the eighth ask, 1.2 s later. Before, each change of the core made everybody tell all again, which hid it. Test first, red: a new life that has 60 confirms from others wasn't told. Now the life that speaks at an address is kept beside what it was told; an ask that was on its way to an earlier life tells nothing. In the simulator frames bear their life as on the wire.

Operators: a holder that doesn't speak yet says what it waits for, in /fleet, in fleetshell cells (asked at the holder) and once in its log after 1.2 s; tests in control/witness_test.go.

--- a/cmd/fleetshell/shell.go
+++ b/cmd/fleetshell/shell.go
@@ -443,9 +443,25 @@
 	if err != nil {
 		return failed, err
 	}
-	s.table(list(v["cells"]), "cell", "holder", "epoch", "ageMs")
+	rows, mute, err := s.each("control", "/fleet")
+	if err != nil {
+		return failed, err
+	}
+	waits := map[string]any{}
+	for _, r := range rows {
+		for _, c := range list(r["cells"]) {
+			if c["holder"] == r["member"] {
+				waits[str(c["cell"])] = c["waitsFor"]
+			}
+		}
+	}
+	out := list(v["cells"])
+	for _, c := range out {
+		c["waitsFor"] = waits[str(c["cell"])]
+	}
+	s.table(out, "cell", "holder", "epoch", "ageMs", "waitsFor")
 	s.note("told by %s", from)
-	return good, nil
+	return s.ended(mute)
 }
 
 func backends(s *shell, w []string) (int, error) {
--- a/control/http.go
+++ b/control/http.go
@@ -417,6 +417,7 @@
 		Epoch  uint64 `json:"epoch"`
 		Active bool   `json:"activeHere"`
 		AgeMs  int64  `json:"ageMs"`
+		Waits  string `json:"waitsFor,omitempty"`
 	}
 	holds := []held{}
 	for _, h := range s.Relay.Core.GetHolds() {
@@ -424,7 +425,11 @@
 		if k := s.Relay.Cells[ident.Cell(h.Cell)]; k != nil {
 			age = now.Sub(k.AsOf).Milliseconds()
 		}
-		holds = append(holds, held{h.Cell, h.Holder, h.Epoch, s.active(ident.Cell(h.Cell), now) != nil, age})
+		waits := ""
+		if k := s.holds[ident.Cell(h.Cell)]; k != nil {
+			waits = s.holderWaits(k, now)
+		}
+		holds = append(holds, held{h.Cell, h.Holder, h.Epoch, s.active(ident.Cell(h.Cell), now) != nil, age, waits})
 	}
 	out := map[string]any{
 		"member": s.Member, "cell": s.Cell, "cards": cards, "seats": seats, "seatCount": s.Relay.Core.GetSeatCount(), "cells": holds,
--- a/control/shelf.go
+++ b/control/shelf.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+
 	"google.golang.org/protobuf/proto"
 
 	"sloeturn/agreement"
@@ -168,6 +170,28 @@
 	return 2*n > len(all)
 }
 
+// holderWaits says what a holder that doesn't speak yet waits for; empty for one that does.
+func (s *State) holderWaits(h *hold, now ident.Moment) string {
+	switch {
+	case h.heir != nil:
+		return "its heir " + h.heir.Id
+	case !h.met:
+		all := agreement.Voters(s.roster())
+		n := 0
+		for _, v := range all {
+			if h.read[v.Id] || s.Voter != "" && v.Id == string(s.Voter) {
+				n++
+			}
+		}
+		return fmt.Sprintf("a majority of the voters; %d of %d are read", n, len(all))
+	case now.Before(h.start):
+		return "the end of the old lease"
+	case now.Sub(s.Relay.CoreAsOf) >= relay.CellLease:
+		return "the leader's word"
+	}
+	return ""
+}
+
 // readFrom counts a voter whose answer covers a cell that this process is about to hold, and which knew of that hold: it bears no witness for an earlier one any more.
 func (s *State) readFrom(voter, addr string, r *relay.Reading) {
 	id := s.voterAt(voter, addr)
--- a/control/state.go
+++ b/control/state.go
@@ -138,6 +138,7 @@
 	from   uint64
 	read   map[string]bool
 	met    bool
+	waited bool
 }
 
 type seen struct {
@@ -346,6 +347,7 @@
 
 func (s *State) got(f *wire.Frame, now ident.Moment) {
 	s.quorum.hear(f.Addr, now)
+	s.Relay.Met(f.Addr, f.Incarnation)
 	switch b := f.Body.(type) {
 	case *wire.Frame_Heartbeat:
 		s.Members.Heartbeat(b.Heartbeat, f.From, f.Addr, now)
@@ -1186,6 +1188,10 @@
 			h.met, h.start = true, now
 		}
 		h.met = h.met || s.majority(h.read)
+		if !h.met && !h.waited && now.Sub(h.start) > relay.CellLease {
+			h.waited = true
+			s.out = append(s.out, Note{"Cell " + string(c) + " waits for " + s.holderWaits(h, now) + "."})
+		}
 		s.cede(c, h, now)
 		if s.active(c, now) == nil {
 			continue
--- a/control/witness_test.go
+++ b/control/witness_test.go
@@ -20,6 +20,8 @@
 	core *wire.Core
 	says map[string]func(a *wire.Ask) *wire.News
 	said map[uint64]uint32
+
+	notes []string
 }
 
 func door(i int) string { return fmt.Sprint("127.0.0.1:1", i) }
@@ -40,6 +42,8 @@
 func (h *hall) take(list []any) {
 	for _, e := range list {
 		switch e := e.(type) {
+		case Note:
+			h.notes = append(h.notes, e.Text)
 		case Announced:
 			h.said[e.Token] = e.Code
 		case wire.Send:
@@ -81,6 +85,8 @@
 	h := newHall(t)
 	h.run(3 * time.Second)
 	require.False(t, h.speaks(), "nobody was read")
+	require.Equal(t, "a majority of the voters; 0 of 3 are read", h.holderWaits(h.holds["a"], h.now))
+	require.Equal(t, []string{"Holds cell a soon.", "Cell a waits for a majority of the voters; 0 of 3 are read."}, h.notes)
 	h.says[door(1)] = knows("v1/disk")
 	h.says[door(2)] = knows("v2/a wiped disk")
 	h.says[door(4)] = knows("v4/disk")
@@ -94,6 +100,7 @@
 	h.says[door(3)] = knows("v3/disk")
 	h.run(time.Second)
 	require.True(t, h.speaks())
+	require.Empty(t, h.holderWaits(h.holds["a"], h.now))
 }
 
 func TestAHolderWaitsOutTheOldLeaseHoweverSoonAMajorityWasRead(t *testing.T) {
@@ -103,6 +110,7 @@
 	}
 	h.run(800 * time.Millisecond)
 	require.False(t, h.speaks())
+	require.Equal(t, "the end of the old lease", h.holderWaits(h.holds["a"], h.now))
 	h.run(time.Second)
 	require.True(t, h.speaks())
 }
--- a/data/state.go
+++ b/data/state.go
@@ -439,6 +439,7 @@
 }
 
 func (s *State) got(f *wire.Frame, now ident.Moment) {
+	s.Relay.Met(f.Addr, f.Incarnation)
 	switch b := f.Body.(type) {
 	case *wire.Frame_Heartbeat:
 		s.Members.Heartbeat(b.Heartbeat, f.From, f.Addr, now)
--- a/relay/state.go
+++ b/relay/state.go
@@ -80,6 +80,7 @@
 type ask struct {
 	at   ident.Moment
 	to   string
+	from uint64
 	upto uint64
 	all  int
 	late bool
@@ -103,6 +104,17 @@
 type told struct {
 	upto uint64
 	asks int
+	life uint64
+}
+
+// Met says which life speaks at an address; another than before has been told nothing yet, however many confirms it has from others.
+func (s *State) Met(addr string, life uint64) {
+	if t := s.told[addr]; t != nil && t.life != life {
+		if t.life != 0 {
+			t.upto = 0
+		}
+		t.life = life
+	}
 }
 
 func New(self ident.Member, control bool) *State {
@@ -272,7 +284,7 @@
 		a.Core = s.Core.Version
 	}
 	a.Cells, a.Only = s.wanted(of, now)
-	s.asks[s.token] = ask{at: now, to: to, upto: s.changes, all: all, core: a.Core, only: a.Only, have: a.Cells}
+	s.asks[s.token] = ask{at: now, to: to, from: t.upto, upto: s.changes, all: all, core: a.Core, only: a.Only, have: a.Cells}
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: a}}})
 }
 
@@ -340,7 +352,10 @@
 	}
 	s.took += (now.Sub(a.at) - s.took) / 4
 	if t := s.told[from]; t != nil {
-		if t.upto = max(t.upto, a.upto); int(n.Heard) < a.all {
+		if t.upto >= a.from {
+			t.upto = max(t.upto, a.upto)
+		}
+		if int(n.Heard) < a.all {
 			t.upto = 0
 		}
 	}
--- a/relay/state_test.go
+++ b/relay/state_test.go
@@ -96,6 +96,24 @@
 	require.Equal(t, []string{"a", "c"}, round(false), "seats changed hands")
 }
 
+func TestANewLifeAtAnAddressIsToldAllAgainHoweverMuchItHasFromOthers(t *testing.T) {
+	a, now := New("a", false), ident.Moment(1e9)
+	a.Confirm(&wire.Confirm{Member: "a", Incarnation: 1, Staged: 4})
+	round := func(life uint64) int {
+		now = now.Add(AskEvery)
+		a.AskTo("b:1", "", now)
+		q := a.Flush()[0].Frame.GetAsk()
+		a.Met("b:1", life)
+		a.News(&wire.News{Token: q.Token, Heard: 60}, "b:1", now)
+		return len(q.Confirms)
+	}
+	require.Equal(t, 1, round(7))
+	require.Zero(t, round(7))
+	require.Zero(t, round(8), "not heard of yet")
+	require.Equal(t, 1, round(8))
+	require.Zero(t, round(8))
+}
+
 func TestAControlProcessAsksEachForWhatItHolds(t *testing.T) {
 	now := ident.Moment(1e9)
 	s, other := New("h0", true), New("h1", true)
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -349,7 +349,7 @@
 func (p *Proc) send(m wire.Send) {
 	w := p.w
 	f := proto.Clone(m.Frame).(*wire.Frame)
-	f.From, f.Addr = p.Name, p.Addr
+	f.From, f.Addr, f.Incarnation = p.Name, p.Addr, uint64(p.life)
 	if w.Weak == "will" && f.GetBequest() != nil {
 		return
 	}
