Forward: what was sent is canceled when nobody waits for its answer

Cause: a client that closed its connection was noted, but its request, once sent, was only marked; the backend worked on to its own end and the slot stayed held, up to twice the route's time. The same held for the slower of two parallel attempts, and for a request that the node itself had answered 504 at its route's time, because backends were handed the client's whole time.

Now the reducer asks for a cancellation of each sent attempt that nobody waits for, where lane or route is repeatable; work that must not be repeated runs on. The executor closes its half of the connection, reads on, and frees the slot when the backend ends its half, so the peak stands on what the backend does, not on what was asked of it. A canceled attempt is no failure of its backend; one that was already slower than usual counts as at least that slow, else hedging would hide slow backends. What isn't written yet isn't written: the client's connection is looked at before the first byte. Backends hear the route's time where it ends first.

--- /dev/null
+++ b/data/cancel.go
@@ -0,0 +1,64 @@
+package data
+
+import (
+	"time"
+
+	"sloeturn/duty"
+	"sloeturn/ident"
+)
+
+// halfCloser is a connection whose sending half can be closed by itself.
+type halfCloser interface{ CloseWrite() error }
+
+// cancel withdraws an attempt nobody waits for. If its request was written, the sending half of the
+// connection is closed: a backend sees that its caller has left and stops, and the end of the other
+// half, or its answer, proves that it has. Until then the slot is held.
+func (n *Node) cancel(v ident.Visit) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	k := n.calls[v]
+	if k == nil {
+		return
+	}
+	k.canceled = true
+	if k.conn == nil || !k.started {
+		return
+	}
+	if c, ok := k.conn.Conn.(halfCloser); ok {
+		c.CloseWrite()
+	}
+}
+
+// seekLeft looks for clients that left where net/http doesn't see it: once it has read a byte of a
+// next request it stops reading until the present one is answered.
+func (n *Node) seekLeft() {
+	n.lock.Lock()
+	var waiting []*call
+	for _, k := range n.calls {
+		if k.of == nil && k.end == 0 {
+			waiting = append(waiting, k)
+		}
+	}
+	n.lock.Unlock()
+	for _, k := range waiting {
+		if duty.Left(k.req) {
+			k.leave()
+		}
+	}
+}
+
+// leave wakes the goroutine of a client that has left.
+func (k *call) leave() {
+	select {
+	case k.left <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) cut(v ident.Visit) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if k := n.calls[v]; k != nil && k.conn != nil {
+		k.conn.SetDeadline(time.Unix(1, 0))
+	}
+}
--- /dev/null
+++ b/data/cancel_test.go
@@ -0,0 +1,332 @@
+package data
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/duty"
+	"sloeturn/forward"
+	"sloeturn/ident"
+	"sloeturn/pass"
+)
+
+// letGoWithin is how soon a backend must be let go once its client has left, on loopback.
+const letGoWithin = 300 * time.Millisecond
+
+// watcher is a backend that works on each request until its caller closes the connection, and closes
+// its own half when it is told to. A request to a path that ends in "!" is answered at once.
+type watcher struct {
+	ear     net.Listener
+	started chan string        // path of each request it began to work on
+	left    chan string        // path of each request whose caller closed the connection
+	release chan struct{}      // closed: it lets go of connections as soon as their callers did
+	headers chan *http.Request // each request's head
+	once    sync.Once
+	// arrivals, if set, counts the requests to /r/second over several watchers; all but the first of
+	// them are answered at once.
+	arrivals *atomic.Int32
+}
+
+func newWatcher(t *testing.T) *watcher {
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	w := &watcher{ear: ear, started: make(chan string, 64), left: make(chan string, 64), release: make(chan struct{}), headers: make(chan *http.Request, 64)}
+	t.Cleanup(func() { ear.Close(); w.letGo() })
+	go func() {
+		for {
+			c, err := ear.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(c)
+		}
+	}()
+	return w
+}
+
+func (w *watcher) letGo() { w.once.Do(func() { close(w.release) }) }
+
+func (w *watcher) serve(c net.Conn) {
+	defer c.Close()
+	b := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		if strings.HasSuffix(r.URL.Path, "!") || r.URL.Path == "/r/second" && w.arrivals.Add(1) > 1 {
+			say := (&crowd{}).sound("200 OK", "whole")
+			io.WriteString(c, strings.ReplaceAll(say, "{id}", r.Header.Get("Visit-Name")))
+			continue
+		}
+		w.headers <- r
+		w.started <- r.URL.Path
+		if _, err := b.ReadByte(); err == nil {
+			return
+		}
+		w.left <- r.URL.Path
+		<-w.release
+		return
+	}
+}
+
+// watched is a gateway in front of watchers, served as the daemon serves it.
+func watched(t *testing.T, backends ...*watcher) *gateway {
+	names := make([]string, len(backends))
+	for i := range names {
+		names[i] = "s"
+	}
+	g := newGateway(t, names...)
+	for i, w := range backends {
+		g.ears[i].Close()
+		g.ears[i] = w.ear
+	}
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	web := &http.Server{Handler: g.Front(tongue), ConnContext: duty.WithConn}
+	go web.Serve(duty.Patient(ear, g.waits))
+	t.Cleanup(func() { web.Close() })
+	g.at = ear.Addr().String()
+	return g.up()
+}
+
+// held tells how many connections to backends the node holds.
+func (g *gateway) held() int {
+	return g.query(func(s *State, now ident.Moment) any { return s.Pass.Held() }).(int)
+}
+
+func (g *gateway) openRequests() int {
+	return g.query(func(s *State, now ident.Moment) any { return s.Open() }).(int)
+}
+
+func receive[T any](t *testing.T, from chan T, within time.Duration, why string) (got T) {
+	select {
+	case got = <-from:
+	case <-time.After(within):
+		require.Fail(t, "nothing came in "+within.String(), why)
+	}
+	return got
+}
+
+// request writes a request of the given kind for a path that lasts four seconds at most.
+func request(kind, path string) string {
+	head := path + " HTTP/1.1\r\nHost: h.example\r\nVisit-Name: n\r\nLeft-Ms: 4000\r\n"
+	switch kind {
+	case "length":
+		return "POST " + head + "Content-Length: 2\r\n\r\nhi"
+	case "chunks":
+		return "POST " + head + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+	}
+	return "GET " + head + "\r\n"
+}
+
+var leavings = map[string]func(c net.Conn){
+	"close": func(c net.Conn) { c.Close() },
+	"half":  func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+	"reset": func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+}
+
+func TestABackendIsLetGoWhenItsClientLeaves(t *testing.T) {
+	w := newWatcher(t)
+	w.letGo()
+	g := watched(t, w)
+	for _, kind := range []string{"no body", "length", "chunks"} {
+		for how, leave := range leavings {
+			g.beat()
+			c := g.open()
+			io.WriteString(c, request(kind, "/r/x"))
+			receive(t, w.started, time.Second, kind)
+			leave(c)
+			receive(t, w.left, letGoWithin, kind+", "+how)
+			require.Eventually(t, func() bool { return g.openRequests() == 0 && g.held() == 0 }, time.Second, time.Millisecond, kind+", "+how)
+		}
+	}
+	g.beat()
+	resp, _ := g.raw(request("length", "/r/!"))
+	require.Equal(t, 200, resp.StatusCode, "the backend is not barred")
+}
+
+func TestABackendIsLetGoWhenItsClientLeavesBehindANextRequest(t *testing.T) {
+	w := newWatcher(t)
+	w.letGo()
+	g := watched(t, w)
+	for how, leave := range leavings {
+		g.beat()
+		c := g.open()
+		io.WriteString(c, request("", "/r/x"))
+		receive(t, w.started, time.Second, how)
+		io.WriteString(c, request("", "/r/next"))
+		require.Eventually(t, func() bool { return g.openRequests() == 1 }, time.Second, time.Millisecond)
+		leave(c)
+		require.Equal(t, "/r/x", receive(t, w.left, 500*time.Millisecond, how))
+		require.Eventually(t, func() bool { return g.openRequests() == 0 && g.held() == 0 }, time.Second, time.Millisecond, how)
+		require.Empty(t, w.started, "the next request is not sent")
+	}
+}
+
+func TestACanceledAttemptHoldsItsSlotUntilTheBackendLetsGo(t *testing.T) {
+	w := newWatcher(t)
+	g := watched(t, w)
+	c := g.open()
+	io.WriteString(c, request("", "/r/x"))
+	receive(t, w.started, time.Second, "")
+	c.Close()
+	receive(t, w.left, letGoWithin, "")
+	for range 20 {
+		g.beat()
+		require.Equal(t, 1, g.held(), "the backend still holds the connection")
+	}
+	w.letGo()
+	require.Eventually(t, func() bool { return g.held() == 0 && g.openRequests() == 0 }, time.Second, time.Millisecond)
+}
+
+func TestWorkThatMustNotBeRepeatedIsNotBrokenOffByItsClient(t *testing.T) {
+	w := newWatcher(t)
+	w.letGo()
+	g := watched(t, w)
+	c := g.open()
+	io.WriteString(c, request("length", "/a/x"))
+	receive(t, w.started, time.Second, "")
+	c.Close()
+	select {
+	case <-w.left:
+		require.Fail(t, "a request that must not be repeated was broken off")
+	case <-time.After(2 * letGoWithin):
+	}
+}
+
+// known has the node learn how long requests of the repeatable route take.
+func (g *gateway) known() *gateway {
+	for range 40 {
+		resp, _ := g.post("/r/!")
+		require.Equal(g.t, 200, resp.StatusCode)
+	}
+	g.query(func(s *State, now ident.Moment) any { s.Credit("s", 10); return nil })
+	g.beat()
+	return g
+}
+
+func TestBothAttemptsAreLetGoWhenTheirClientLeaves(t *testing.T) {
+	one, two := newWatcher(t), newWatcher(t)
+	one.letGo()
+	two.letGo()
+	g := watched(t, one, two).known()
+	c := g.open()
+	io.WriteString(c, request("", "/r/x"))
+	receive(t, one.started, time.Second, "an overdue request has a second attempt")
+	receive(t, two.started, time.Second, "an overdue request has a second attempt")
+	c.Close()
+	receive(t, one.left, letGoWithin, "")
+	receive(t, two.left, letGoWithin, "")
+}
+
+func TestTheSlowerOfTwoAttemptsIsLetGoOnceTheOtherIsAnswered(t *testing.T) {
+	one, two := newWatcher(t), newWatcher(t)
+	one.letGo()
+	two.letGo()
+	var arrivals atomic.Int32
+	one.arrivals, two.arrivals = &arrivals, &arrivals
+	g := watched(t, one, two).known()
+	c := g.open()
+	io.WriteString(c, request("", "/r/second"))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.EqualValues(t, 2, arrivals.Load())
+	receive(t, either(one.left, two.left), letGoWithin, "")
+	require.Eventually(t, func() bool { return g.openRequests() == 0 }, time.Second, time.Millisecond)
+}
+
+func either(a, b chan string) chan string {
+	out := make(chan string, 1)
+	go func() {
+		select {
+		case s := <-a:
+			out <- s
+		case s := <-b:
+			out <- s
+		}
+	}()
+	return out
+}
+
+func TestABackendHearsNoMoreTimeThanItsRouteAllows(t *testing.T) {
+	w := newWatcher(t)
+	w.letGo()
+	g := watched(t, w)
+	at := time.Now()
+	resp, _ := g.raw(request("", "/r/x"))
+	require.Equal(t, 504, resp.StatusCode)
+	require.Less(t, time.Since(at), 1300*time.Millisecond)
+	r := receive(t, w.headers, time.Second, "")
+	require.Regexp(t, `^([1-8]\d\d|900)$`, r.Header.Get("Left-Ms"))
+	receive(t, w.left, letGoWithin, "a request that was given up is let go")
+}
+
+func TestNothingIsWrittenForAClientThatHasLeft(t *testing.T) {
+	g := newGateway(t, "s").up()
+	for how, leave := range leavings {
+		ear, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		client, err := net.Dial("tcp", ear.Addr().String())
+		require.NoError(t, err)
+		accepted, err := ear.Accept()
+		require.NoError(t, err)
+		ear.Close()
+		leave(client)
+		accepted.SetReadDeadline(time.Now().Add(time.Second))
+		io.Copy(io.Discard, accepted)
+		var far net.Conn
+		c, key := raced(t, g, func(c net.Conn) { far = c })
+		g.takeIdle(key, "x")
+		r, _ := http.NewRequest("GET", "http://h.example/r/x", nil)
+		r = r.WithContext(duty.WithConn(r.Context(), accepted))
+		lane := g.view.Load().desired.Find("h.example", "/r/x").Pick(0)
+		k := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), conn: c}
+		g.Node.lock.Lock()
+		g.calls["v"] = k
+		g.Node.lock.Unlock()
+		later := ident.Now().Add(time.Second)
+		g.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, AnswerBy: later, Until: later})
+		g.closeIdle(c.key, 1)
+		got, _ := io.ReadAll(far)
+		require.Empty(t, string(got), how)
+		accepted.Close()
+	}
+}
+
+func TestACanceledAttemptIsNotWrittenLater(t *testing.T) {
+	g := newGateway(t, "s").up()
+	var far net.Conn
+	c, key := raced(t, g, func(c net.Conn) { far = c })
+	require.Same(t, c, g.takeIdle(key, "x"))
+	r, _ := http.NewRequest("GET", "http://h.example/r/x", nil)
+	lane := g.view.Load().desired.Find("h.example", "/r/x").Pick(0)
+	k := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), conn: c}
+	g.Node.lock.Lock()
+	g.calls["v"] = k
+	g.Node.lock.Unlock()
+	g.cancel("v")
+	later := ident.Now().Add(time.Second)
+	g.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, AnswerBy: later, Until: later})
+	require.Equal(t, []*conn{c}, g.idleOf(key), "its connection is kept for others")
+	g.closeIdle(key, 1)
+	got, _ := io.ReadAll(far)
+	require.Empty(t, string(got))
+}
+
+func (g *gateway) idleOf(k pass.Key) []*conn {
+	g.Node.lock.Lock()
+	defer g.Node.lock.Unlock()
+	return g.idle[k]
+}
--- /dev/null
+++ b/data/exchange.go
@@ -0,0 +1,210 @@
+package data
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"sloeturn/duty"
+	"sloeturn/forward"
+	"sloeturn/ident"
+)
+
+// clientLeft is why a request is not written whose client has left.
+const clientLeft = "client left"
+
+// write sends a request and reads its answer. It ends the slot's use whatever happens.
+func (n *Node) write(e forward.Write) {
+	k := n.find(e.Visit)
+	if k == nil || k.conn == nil {
+		n.Put(NotWritten{e.Visit, e.Shot, "no connection"})
+		return
+	}
+	c := k.conn
+	k.life = c.life
+	req := k.build(c.key.Addr, e.AnswerBy)
+	words, err := k.words(req)
+	if err != nil {
+		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, "visit could not be put in words"})
+		return
+	}
+	c.SetDeadline(time.Now().Add(e.Until.Sub(ident.Now())))
+	if !c.quiet() {
+		n.finish(k, c, false, true, nil)
+		n.Put(NotWritten{e.Visit, e.Shot, "connection spoke or ended before the first byte"})
+		return
+	}
+	if why := n.unfit(k, e); why != "" {
+		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, why})
+		return
+	}
+	sent, err := c.Write(words)
+	if err != nil && sent == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
+		n.finish(k, c, false, true, nil)
+		n.Put(NotWritten{e.Visit, e.Shot, "connection broke before the first byte"})
+		return
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n.finish(k, c, false, true, Ended{e.Visit, e.Shot, forward.Broken, 0})
+		return
+	}
+	resp, body, keep, ending := k.read(c, req)
+	if err != nil {
+		keep = false
+		if ending != forward.Whole && ending != forward.Turned && ending != forward.Moved {
+			ending = forward.Broken
+		}
+	}
+	if resp != nil && (ending == forward.Whole || ending == forward.Turned) {
+		if k.shots == nil {
+			k.shots = map[int]heard{}
+		}
+		k.shots[e.Shot] = heard{resp, body}
+	}
+	status := 0
+	if resp != nil {
+		status, c.rest = resp.StatusCode, granted(resp.Header)
+	}
+	n.finish(k, c, keep && (ending == forward.Whole || ending == forward.Turned), ending == forward.Broken, Ended{e.Visit, e.Shot, ending, status})
+}
+
+// unfit tells why a request must not be written now, though its connection is good; "" if it may be.
+func (n *Node) unfit(k *call, e forward.Write) (why string) {
+	switch {
+	case ident.Now().After(e.NotAfter):
+		return "lease ran out before writing"
+	case duty.Left(k.req):
+		n.Put(Gone{k.first().visit})
+		return clientLeft
+	case !n.start(k):
+		return "given up before writing"
+	}
+	return ""
+}
+
+// first returns the attempt that the client's own goroutine waits for.
+func (k *call) first() *call {
+	if k.of != nil {
+		return k.of
+	}
+	return k
+}
+
+// start decides between writing and giving up, for the request and its attempt beside it: once it
+// was true for one of them, neither is refused any more. It is false for what was canceled.
+func (n *Node) start(k *call) bool {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if k.canceled {
+		return false
+	}
+	fate := &k.first().fate
+	k.started = fate.CompareAndSwap(open, written) || fate.Load() == written
+	return k.started
+}
+
+// finish ends an attempt's use of a connection, which is kept for another if it can be. The event
+// that tells the attempt's end, if there is one, is heard before the slot is free.
+func (n *Node) finish(k *call, c *conn, keep, bar bool, end any) {
+	n.lock.Lock()
+	k.conn = nil
+	canceled := k.canceled && k.started
+	k.started = false
+	n.lock.Unlock()
+	if canceled {
+		keep, bar, end = false, false, canceledEnd(end)
+	}
+	if end != nil {
+		n.Put(end)
+	}
+	if keep {
+		n.putIdle(c)
+	} else {
+		c.Close()
+	}
+	n.Put(Freed{c.key, keep, bar})
+	n.forget(k.visit)
+}
+
+// canceledEnd tells what a cancellation makes of an attempt's end: a connection that then breaks off
+// says nothing against its backend.
+func canceledEnd(end any) any {
+	if e, ok := end.(Ended); ok && (e.Ending == forward.Broken || e.Ending == forward.Garbled) {
+		e.Ending = forward.Canceled
+		return e
+	}
+	return end
+}
+
+func (k *call) read(c *conn, req *http.Request) (*http.Response, []byte, bool, forward.Ending) {
+	most := k.lane.Answer
+	for surplus := 0; ; {
+		resp, err := http.ReadResponse(c.read, req)
+		if err != nil {
+			return nil, nil, false, endingOf(err)
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != 101 {
+			continue
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+		if err != nil {
+			return resp, nil, false, endingOf(err)
+		}
+		end := resp.Body.Close()
+		if k.Dialect != nil && k.another(resp) && surplus < surplusMost {
+			if end != nil || resp.Close || req.Method == "HEAD" && resp.ContentLength != 0 {
+				return resp, nil, false, forward.Garbled
+			}
+			surplus++
+			continue
+		}
+		bare := req.Method == "HEAD" || resp.StatusCode == 204 || resp.StatusCode == 304
+		open := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bare
+		if resp.StatusCode < 200 || int64(len(body)) > most || open || resp.ProtoMajor != 1 || !k.sound(resp, body) {
+			return resp, nil, false, forward.Garbled
+		}
+		if c.read.Buffered() > 0 {
+			if k.Dialect == nil {
+				return resp, nil, false, forward.Garbled
+			}
+			resp.Close = true
+		}
+		if e := k.turned(resp); e != forward.Whole {
+			return resp, body, !resp.Close && resp.ProtoMinor == 1, e
+		}
+		return resp, body, !resp.Close && resp.ProtoMinor == 1, forward.Whole
+	}
+}
+
+func (k *call) sound(resp *http.Response, body []byte) bool {
+	if k.Dialect != nil {
+		return k.proven(resp)
+	}
+	if len(body) == 0 {
+		return true
+	}
+	kind := resp.Header.Get("Content-Type")
+	if resp.Header.Get("Content-Encoding") != "" {
+		return false
+	}
+	if kind == "" || strings.Contains(kind, "json") {
+		return json.Valid(body)
+	}
+	return true
+}
+
+func endingOf(err error) forward.Ending {
+	var op *net.OpError
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return forward.Late
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &op):
+		return forward.Broken
+	}
+	return forward.Garbled
+}
--- a/data/front.go
+++ b/data/front.go
@@ -147,12 +147,12 @@
 	return ident.Hash(string(n.State.Member), strconv.FormatUint(n.count.Add(1), 10))
 }
 
-func (k *call) route(addr ident.Addr) *http.Request {
+func (k *call) route(addr ident.Addr, answerBy ident.Moment) *http.Request {
 	u := &url.URL{Scheme: "http", Host: string(addr), RawQuery: k.req.URL.RawQuery, ForceQuery: k.req.URL.ForceQuery, Path: k.req.URL.Path, RawPath: k.req.URL.RawPath}
 	req := &http.Request{Method: k.req.Method, URL: u, Host: k.req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}
 	duty.CopyHead(req.Header, k.req.Header)
 	bind(req.Header, k.req.Header, k.Visit)
-	req.Header.Set(k.Left, strconv.FormatInt(max(1, k.expiry.Sub(ident.Now()).Milliseconds()), 10))
+	req.Header.Set(k.Left, millisecondsTo(answerBy))
 	if k.life != "" {
 		req.Header.Set(k.Life, k.life)
 	}
--- a/data/http.go
+++ b/data/http.go
@@ -245,7 +245,7 @@
 	no := func(why string, back time.Duration) {
 		n.deny(w, k, gen, forward.Answer{Status: 503, Ran: forward.RanNo, Reason: why, RetryAfter: back})
 	}
-	k.expiry = a.Expiry
+	k.left = make(chan struct{}, 1)
 	n.lock.Lock()
 	n.calls[id] = k
 	n.lock.Unlock()
@@ -268,8 +268,9 @@
 			n.reply(w, gen, k, got)
 			return
 		case <-k.req.Context().Done():
-			n.Put(Gone{id})
-			panic(http.ErrAbortHandler)
+			n.abandon(k)
+		case <-k.left:
+			n.abandon(k)
 		case <-late.C:
 			if k.fate.CompareAndSwap(open, refused) {
 				no("node too slow", 2*time.Second)
@@ -280,6 +281,12 @@
 	}
 }
 
+// abandon ends the wait of a client that has left, and its connection.
+func (n *Node) abandon(k *call) {
+	n.Put(Gone{k.visit})
+	panic(http.ErrAbortHandler)
+}
+
 func (n *Node) deny(w http.ResponseWriter, k *call, gen ident.Generation, a forward.Answer) {
 	if k.Dialect != nil {
 		n.decline(w, a)
@@ -316,9 +323,10 @@
 	w.Write(a.body)
 }
 
-func (k *call) build(addr ident.Addr) *http.Request {
+// build makes the request for a backend, which is told how long it has until answerBy.
+func (k *call) build(addr ident.Addr, answerBy ident.Moment) *http.Request {
 	if k.Dialect != nil {
-		return k.route(addr)
+		return k.route(addr, answerBy)
 	}
 	u := &url.URL{Scheme: "http", Host: string(addr), Opaque: "", RawQuery: k.req.URL.RawQuery}
 	u.Path, _ = url.PathUnescape(k.path)
@@ -328,11 +336,16 @@
 	req.Header.Set("Sloeturn-Visit", string(k.visit))
 	req.Header.Set("Sloeturn-Service", string(k.lane.Service))
 	req.Header.Set("Sloeturn-Lane", string(k.lane.Name))
-	req.Header.Set("Sloeturn-Expiry-Ms", strconv.FormatInt(max(1, k.expiry.Sub(ident.Now()).Milliseconds()), 10))
+	req.Header.Set("Sloeturn-Expiry-Ms", millisecondsTo(answerBy))
 	k.fill(req)
 	return req
 }
 
+// millisecondsTo writes the time until a deadline for a header; at least 1, for 0 may mean none.
+func millisecondsTo(deadline ident.Moment) string {
+	return strconv.FormatInt(max(1, deadline.Sub(ident.Now()).Milliseconds()), 10)
+}
+
 func (k *call) fill(req *http.Request) {
 	req.Header.Del("Accept-Encoding")
 	if req.Header.Get("User-Agent") == "" {
--- a/duty/beat.go
+++ b/duty/beat.go
@@ -42,6 +42,38 @@
 	return n > 0 || err == unix.EAGAIN
 }
 
+// Left tells whether a request's client has closed or reset its connection, though bytes of a next
+// request may lie unread before the end. Where the connection isn't known only the request's
+// context speaks.
+func Left(r *http.Request) bool {
+	if r.Context().Err() != nil {
+		return true
+	}
+	c, ok := r.Context().Value(connKey{}).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	n, err := peek(c)
+	if n > 0 {
+		return hungUp(c)
+	}
+	return err != unix.EAGAIN && err != unix.EINTR
+}
+
+// hungUp tells whether a peer has closed its half of a connection, behind whatever is still unread.
+func hungUp(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	watch := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	fail := raw.Control(func(fd uintptr) {
+		watch[0].Fd = int32(fd)
+		_, err = unix.Poll(watch, 0)
+	})
+	return fail != nil || err == nil && watch[0].Revents&(unix.POLLRDHUP|unix.POLLERR) != 0
+}
+
 // Quiet tells whether a connection stands and holds no byte that is not yet read.
 func Quiet(c net.Conn) bool {
 	s, ok := c.(syscall.Conn)
--- a/duty/beat_test.go
+++ b/duty/beat_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -34,3 +35,37 @@
 		c.Close()
 	}
 }
+
+func TestAClientThatClosedOrResetItsConnectionHasLeft(t *testing.T) {
+	leave := map[string]func(c *net.TCPConn){
+		"stays": func(c *net.TCPConn) {},
+		"close": func(c *net.TCPConn) { c.Close() },
+		"half":  func(c *net.TCPConn) { c.CloseWrite() },
+		"reset": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	}
+	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ear.Close()
+	for how, do := range leave {
+		for _, ahead := range []string{"", "GET /next HTTP/1.1\r\n"} {
+			client, err := net.Dial("tcp", ear.Addr().String())
+			require.NoError(t, err)
+			c, err := ear.Accept()
+			require.NoError(t, err)
+			r := httptest.NewRequest("GET", "/", nil)
+			require.False(t, Left(r), "a connection that isn't known")
+			r = r.WithContext(WithConn(r.Context(), &waiting{Conn: c}))
+			require.False(t, Left(r), how)
+			io.WriteString(client, ahead)
+			do(client.(*net.TCPConn))
+			if how == "stays" {
+				require.False(t, Left(r), "%s, ahead: %q", how, ahead)
+			} else {
+				require.Eventually(t, func() bool { return Left(r) }, time.Second, time.Millisecond, "%s, ahead: %q", how, ahead)
+			}
+			client.Close()
+			c.Close()
+			require.True(t, Left(r), "closed here")
+		}
+	}
+}
--- a/forward/state.go
+++ b/forward/state.go
@@ -57,10 +57,11 @@
 	Late
 	Turned
 	Moved
+	Canceled
 )
 
 func (e Ending) String() string {
-	return [...]string{"whole", "garbled", "broken", "late", "turned away", "moved"}[e]
+	return [...]string{"whole", "garbled", "broken", "late", "turned away", "moved", "canceled"}[e]
 }
 
 type Visit struct {
@@ -74,13 +75,13 @@
 	Reclaim  ident.Moment
 	Post     uint64
 	Told     bool
-	Left     bool
 	Unsure   bool
 	Kept     int
 	Holds    bool
 	asked    ident.Moment
 	sent     ident.Moment
 	late     bool
+	canceled bool
 	twin     bool
 	mate     ident.Visit
 	skip     map[ident.Addr]bool
@@ -101,10 +102,14 @@
 		Visit    ident.Visit
 		Shot     int
 		NotAfter ident.Moment
+		AnswerBy ident.Moment
 		Until    ident.Moment
 	}
-	Drop    struct{ Visit ident.Visit }
-	Cut     struct{ Visit ident.Visit }
+	Drop struct{ Visit ident.Visit }
+	Cut  struct{ Visit ident.Visit }
+	// Cancel withdraws a request that was sent and whose answer nobody waits for. The executor
+	// closes its half of the connection; the slot is held until the backend ends the other half.
+	Cancel  struct{ Visit ident.Visit }
 	Deliver struct {
 		Visit ident.Visit
 		Shot  int
@@ -343,9 +348,7 @@
 		return
 	}
 	a.Visit = v.Visit
-	if !v.Left {
-		s.emit(a)
-	}
+	s.emit(a)
 }
 
 func (s *State) end(v *Visit, a Answer) {
@@ -449,7 +452,7 @@
 	v.Reclaim = now.Add(2 * v.Rule.Whole)
 	v.sent, v.late = now, false
 	s.move(v, Sent, "")
-	s.emit(Write{v.Visit, v.Shot, min(at, v.Expiry), v.Reclaim})
+	s.emit(Write{v.Visit, v.Shot, min(at, v.Expiry), v.AnswerBy, v.Reclaim})
 }
 
 func (s *State) NotWritten(id ident.Visit, shot int, why string, now ident.Moment) {
@@ -482,7 +485,7 @@
 func (s *State) timed(v *Visit, e Ending, status int, now ident.Moment) {
 	b := v.Backend
 	switch {
-	case v.late:
+	case v.late, v.canceled:
 	case e == Whole && status < 500:
 		s.State.Timed(b.Addr, b.Life, v.kind(), now.Sub(v.sent), now)
 	case e != Moved:
@@ -490,47 +493,13 @@
 	}
 }
 
-func (s *State) other(v *Visit) *Visit {
-	if m := s.visits[v.mate]; v.mate != "" && m != nil && !m.Told {
-		return m
-	}
-	return nil
-}
-
-func (s *State) beside(v *Visit, now ident.Moment) {
-	if v.mate != "" || v.Told || v.Left || !v.Rule.Again || v.Shot >= v.Rule.Shots {
-		return
-	}
-	late, usual, ok := s.State.Overdue(v.kind())
-	if !ok || now.Sub(v.sent) < late || v.AnswerBy.Sub(now) < usual || !s.further(v.Rule.Service) {
-		return
-	}
-	t := &Visit{Arrival: v.Arrival, Shot: v.Rule.Shots - 1, Unsure: true, twin: true, mate: v.Visit, skip: map[ident.Addr]bool{v.Backend.Addr: true}}
-	t.Visit += besideName
-	for a := range v.skip {
-		t.skip[a] = true
-	}
-	v.mate = t.Visit
-	t.asked, t.GiveUpAt = now, now.Add(Patience(v.Rule))
-	s.visits[t.Visit] = t
-	s.emit(Beside{v.Visit, t.Visit})
-	s.ask(t, now)
-}
-
-func (s *State) leave(v *Visit, why string, now ident.Moment) {
-	v.Told = true
-	if v.Phase < Sent {
-		s.unsent(v, why, v.Phase >= Connected, now)
-	}
-}
-
 // again gives a visit that a backend answered or lost a new time to wait.
 func (s *State) again(v *Visit, now ident.Moment) bool {
 	return s.shoot(v, now, now.Add(Patience(v.Rule)))
 }
 
 func (s *State) shoot(v *Visit, now, until ident.Moment) bool {
-	if v.Told || v.Left || v.mate != "" || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || v.Rule.Route != "" && !v.Arrived.Add(v.Rule.Work).After(now) || !s.further(v.Rule.Service) {
+	if v.Told || v.mate != "" || v.Shot >= v.Rule.Shots || !v.Expiry.After(now) || v.Rule.Route != "" && !v.Arrived.Add(v.Rule.Work).After(now) || !s.further(v.Rule.Service) {
 		return false
 	}
 	v.skip[v.Backend.Addr] = true
@@ -542,7 +511,7 @@
 }
 
 func (s *State) deliver(v *Visit, shot int) {
-	if !v.Told && !v.Left {
+	if !v.Told {
 		v.Told = true
 		s.emit(Deliver{v.Visit, shot})
 	}
@@ -598,6 +567,8 @@
 			return
 		}
 		s.giveUp(v, "turned away by the backend")
+	case Canceled:
+		s.end(v, Answer{Reason: "canceled"})
 	case Late:
 		s.end(v, Answer{Status: 504, Ran: RanUnknown, Reason: "no answer in time"})
 	case Garbled:
@@ -646,25 +617,6 @@
 	s.passed(now)
 }
 
-func (s *State) Gone(id ident.Visit, now ident.Moment) {
-	v := s.visits[id]
-	if v == nil {
-		v = s.visits[id+besideName]
-	}
-	if v == nil {
-		return
-	}
-	v.Left = true
-	if m := s.visits[v.mate]; v.mate != "" && m != nil {
-		m.Left = true
-		s.leave(m, "requester left", now)
-	}
-	if v.Phase < Sent {
-		s.unsent(v, "requester left", v.Phase >= Connected, now)
-		s.passed(now)
-	}
-}
-
 func (s *State) Tick(now ident.Moment) {
 	s.State.Tick(now)
 	s.passed(now)
@@ -690,6 +642,7 @@
 					v.late = true
 				}
 				s.tell(v, Answer{Status: 504, Ran: RanUnknown, Reason: "no answer in time"})
+				s.cancel(v, now)
 			}
 			s.beside(v, now)
 			if !v.Reclaim.After(now) {
--- a/pass/pace.go
+++ b/pass/pace.go
@@ -47,7 +47,8 @@
 	at   ident.Moment
 }
 
-func (s *State) pace(a ident.Addr) float64 {
+// Pace tells how long a backend takes for a request, as a multiple of the usual time; 1 if unknown.
+func (s *State) Pace(a ident.Addr) float64 {
 	p := s.paces[a]
 	if p == nil {
 		return 1
@@ -85,6 +86,14 @@
 	s.paced(a, life, log-u.value(0), now)
 }
 
+// Unanswered hears that a request was canceled after a backend had taken that long over it. Its time
+// would have been longer, so it counts only where it is already above the usual one of its kind.
+func (s *State) Unanswered(a ident.Addr, life, kind string, took time.Duration, now ident.Moment) {
+	if _, usual, ok := s.Overdue(kind); ok && took > usual {
+		s.Timed(a, life, kind, took, now)
+	}
+}
+
 // Overdue tells the time that few visits of a kind take, and the usual one; false until enough were seen.
 func (s *State) Overdue(kind string) (late, usual time.Duration, ok bool) {
 	u := s.usual[kind]
@@ -102,7 +111,7 @@
 }
 
 func (s *State) cost(b *Backend, room int, idle bool) float64 {
-	n := s.pace(b.Addr) * (1 + fullCost*float64(s.load[b.Addr])/float64(room))
+	n := s.Pace(b.Addr) * (1 + fullCost*float64(s.load[b.Addr])/float64(room))
 	if over := s.load[b.Addr] + 1 - b.Share; over > 0 {
 		n *= 1 + lineCost + float64(over)/float64(max(1, b.Slots))
 	}
