Simulate: clients that leave; work and arrivals half a second after are a broken promise

Judged for machines in touch, half a second after a client left or was answered: a repeatable request still at work at a backend that drops what its caller leaves, or reaching one. Also judged, at any time: a cancellation of work that must not be repeated. Every fifth backend ignores a closed half and answers to the end.

In its first form it asked that no client wait when an attempt is canceled, and failed: one of two parallel attempts may pass its own time while the client waits for the other. It now asks that the client waits for another attempt, or not at all.

--- a/cmd/seeds/main.go
+++ b/cmd/seeds/main.go
@@ -18,7 +18,7 @@
 	From    int64  `arg:"--from" default:"1" help:"first seed"`
 	Count   int    `arg:"--count" default:"100" help:"how many seeds"`
 	Seconds int    `arg:"--seconds" default:"30" help:"simulated seconds of faults for each seed"`
-	Weak    string `arg:"--weak" help:"take one guard out: claims, gate, fence, ack, sync, told, identity, fresh, answers, drain, check, basis, seat, stands, law, budget, patience, will, again, turned, life, write, still, clock, heed, lapse, read, ids, reads, contact, quorum, resent, replace, vote, catch, witness"`
+	Weak    string `arg:"--weak" help:"take one guard out: claims, gate, fence, ack, sync, told, identity, fresh, answers, drain, check, basis, seat, stands, law, budget, patience, will, again, turned, life, write, still, clock, heed, lapse, read, ids, reads, contact, quorum, resent, replace, vote, catch, witness, cancel, unseen, hasty"`
 	Scene   string `arg:"--scene" help:"instead of mixed faults: one scene, or 'list'"`
 	Scale   []int  `arg:"--scale" help:"instead: traffic and times at these multiples of today's machines"`
 	Trace   bool   `arg:"--trace" help:"print the whole trace of the first seed"`
--- a/data/cancel_test.go
+++ b/data/cancel_test.go
@@ -34,6 +34,8 @@
 	// arrivals, if set, counts the requests to /r/second over several watchers; all but the first of
 	// them are answered at once.
 	arrivals *atomic.Int32
+	// call, if set, makes a call of this backend's own for each request; it is closed with the request.
+	call func() net.Conn
 }
 
 func newWatcher(t *testing.T) *watcher {
@@ -71,6 +73,9 @@
 		}
 		w.headers <- r
 		w.started <- r.URL.Path
+		if w.call != nil {
+			defer w.call().Close()
+		}
 		if _, err := b.ReadByte(); err == nil {
 			return
 		}
@@ -174,6 +179,25 @@
 	}
 }
 
+func TestTheCallsOfABackendAreLetGoWithTheRequestThatMadeThem(t *testing.T) {
+	inner, outer := newWatcher(t), newWatcher(t)
+	inner.letGo()
+	outer.letGo()
+	innerGateway, outerGateway := watched(t, inner), watched(t, outer)
+	outer.call = func() net.Conn {
+		c := innerGateway.open()
+		io.WriteString(c, request("", "/r/inner"))
+		return c
+	}
+	c := outerGateway.open()
+	io.WriteString(c, request("", "/r/outer"))
+	receive(t, outer.started, time.Second, "")
+	receive(t, inner.started, time.Second, "")
+	c.Close()
+	receive(t, outer.left, letGoWithin, "")
+	receive(t, inner.left, letGoWithin, "a backend that stops closes its own calls")
+}
+
 func TestACanceledAttemptHoldsItsSlotUntilTheBackendLetsGo(t *testing.T) {
 	w := newWatcher(t)
 	g := watched(t, w)
--- a/forward/property_test.go
+++ b/forward/property_test.go
@@ -36,6 +36,8 @@
 	past   []Dial
 	claims []ident.Visit
 	told   map[string]int
+	// canceled holds the attempts whose cancellation was asked for.
+	canceled map[ident.Visit]bool
 }
 
 func (p *troupe) of(v ident.Visit) *tale {
@@ -50,6 +52,7 @@
 
 func (p *troupe) obey() {
 	for list := p.Flush(); len(list) > 0; list = p.Flush() {
+		defer p.waitsFor(pick[Cancel](list))
 		for _, e := range list {
 			switch e := e.(type) {
 			case Dial:
@@ -60,6 +63,7 @@
 				t, d := p.of(e.Visit), p.held[e.Visit]
 				p.ok(d.Shot == e.Shot, "%s: shot %d is written on the connection of shot %d", e.Visit, e.Shot, d.Shot)
 				p.ok(t.told == 0, "%s is written after its answer", e.Visit)
+				p.ok(!t.left, "%s is written after its client left", e.Visit)
 				p.ok(t.again || t.may == 0, "%s is written again though it may have run", e.Visit)
 				t.writes++
 				t.may++
@@ -70,6 +74,12 @@
 				p.ok(t.writes <= most, "%s is written %d times", e.Visit, t.writes)
 				delete(p.held, e.Visit)
 				p.writes = append(p.writes, d)
+			case Cancel:
+				t := p.of(e.Visit)
+				p.ok(t.again, "%s is canceled, which must not be repeated", e.Visit)
+				p.ok(!p.canceled[e.Visit], "%s is canceled twice", e.Visit)
+				p.canceled[e.Visit] = true
+				p.told["canceled"]++
 			case Drop:
 				if d, ok := p.held[e.Visit]; ok {
 					delete(p.held, e.Visit)
@@ -100,6 +110,20 @@
 	}
 }
 
+// waitsFor has a client that is neither answered nor gone wait for another attempt than those that
+// are canceled.
+func (p *troupe) waitsFor(canceled []Cancel) {
+	for _, e := range canceled {
+		t := p.of(e.Visit)
+		waits := false
+		first := ident.Visit(strings.TrimSuffix(string(e.Visit), besideName))
+		for _, v := range []ident.Visit{first, first + besideName} {
+			waits = waits || !p.canceled[v] && p.Find(v) != nil
+		}
+		p.ok(t.told > 0 || t.left || waits, "%s is canceled while its client waits for it", e.Visit)
+	}
+}
+
 func (p *troupe) end(d Dial, e Ending, status int) {
 	t := p.of(d.Visit)
 	put := func() {
@@ -167,6 +191,9 @@
 			p.past = append(p.past, d)
 			e := rapid.SampledFrom([]Ending{-1, Whole, Whole, Whole, Garbled, Broken, Late, Turned, Turned, Moved}).Draw(p.rt, "ending")
 			status := rapid.SampledFrom([]int{200, 200, 200, 404, 408, 421, 429, 500, 502, 503, 504}).Draw(p.rt, "status")
+			if p.canceled[d.Visit] && rapid.Bool().Draw(p.rt, "lets go") {
+				e = Canceled
+			}
 			switch e {
 			case -1:
 				p.of(d.Visit).may--
@@ -237,7 +264,7 @@
 			r.n = 0
 		}
 		r.Flush()
-		p := &troupe{road: r, rt: rt, tales: map[ident.Visit]*tale{}, held: map[ident.Visit]Dial{}, told: told}
+		p := &troupe{road: r, rt: rt, tales: map[ident.Visit]*tale{}, held: map[ident.Visit]Dial{}, told: told, canceled: map[ident.Visit]bool{}}
 		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
 			p.step()
 			p.obey()
--- a/simulate/backend.go
+++ b/simulate/backend.go
@@ -23,13 +23,13 @@
 	slots   int
 	links   map[uint64]*link
 	leftAt  ident.Moment
-	stuck   bool
 	mode    string
 	names   bool
 	closes  bool
 	cold    time.Duration
 	coldTo  ident.Moment
 	tires   bool
+	hangsUp bool
 	Most    int
 	working int
 	mute    bool
@@ -38,7 +38,7 @@
 const Cap = 60
 
 func (w *World) addBackend(i int) {
-	b := &Backend{w: w, name: fmt.Sprintf("backend-%d", i), place: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200+1), service: serviceName(i % w.Services), cell: w.cellName(i), slots: w.Slots, links: map[uint64]*link{}, names: i%4 == 3, tires: i%4 == 1, closes: i%8 == 6, cold: time.Duration(i%3) * 3 * time.Second}
+	b := &Backend{w: w, name: fmt.Sprintf("backend-%d", i), place: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200+1), service: serviceName(i % w.Services), cell: w.cellName(i), slots: w.Slots, links: map[uint64]*link{}, names: i%4 == 3, tires: i%4 == 1, hangsUp: i%hangUpEvery != 2, closes: i%8 == 6, cold: time.Duration(i%3) * 3 * time.Second}
 	w.Backends = append(w.Backends, b)
 	w.byPlace[b.place] = b
 	w.at(time.Duration(w.Rand.Intn(1000))*ms, b.start)
@@ -163,6 +163,7 @@
 	if b.leftAt != 0 && w.Now.Sub(b.leftAt) > 2*time.Second && (!w.Routed || w.touch(l.from.p)) {
 		w.Break("sent to a leaving backend", "%s ran at %s %v after its drain was heard", t.visit, b.name, w.Now.Sub(b.leftAt))
 	}
+	t.late(w, l.from.p)
 	w.ranBy[string(t.visit)]++
 	if t.key != "" {
 		w.keys[t.key] = append(w.keys[t.key], string(t.visit))
@@ -178,9 +179,18 @@
 	if b.mode == "hang" || w.hang != "" && string(t.lane) == w.hang {
 		work += 30 * time.Second
 	}
+	if b.mode == "slow" {
+		work += time.Duration(300+w.Rand.Intn(2500)) * ms
+	}
 	life := b.lives
 	b.working++
+	doing := &job{by: b, life: life}
+	t.job = doing
 	w.at(work, func() {
+		if doing.over {
+			return
+		}
+		doing.over = true
 		if b.lives == life {
 			b.working--
 		}
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -314,7 +314,7 @@
 		return
 	}
 	p := list[int(float64(len(list))*math.Pow(w.Rand.Float64(), max(1, w.Skew)))]
-	tally, leaves := &share{why: map[string]int{}}, w.Rand.Intn(25) == 0
+	tally, leaves := &share{why: map[string]int{}}, w.leaves()
 	if n == 0 && !leaves {
 		tally = w.tally(lane)
 	}
@@ -362,7 +362,7 @@
 				}
 			})
 			if n := p.node; id != "" && leaves {
-				n.later(time.Duration(w.Rand.Intn(60))*ms, func() { p.step(data.Gone{Visit: id}) })
+				n.clientLeaves(id, w.patience())
 			}
 		}
 		if p.frozen {
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -33,6 +33,11 @@
 	link    *link
 	frozen  bool
 	bad     bool
+	// client is shared by the attempts of a request, the rest is one attempt's own.
+	client   *client
+	job      *job
+	written  bool
+	canceled bool
 	routed
 	done func(a forward.Answer, served bool)
 }
@@ -174,13 +179,16 @@
 		case forward.Beside:
 			if t := n.trips[e.Visit]; t != nil {
 				c := *t
-				c.visit, c.link = e.Twin, nil
+				c.visit, c.link, c.job = e.Twin, nil, nil
+				c.written, c.canceled = false, false
 				n.trips[e.Twin] = &c
 			}
 		case forward.Write:
 			n.later(n.wait()/4, func() { n.write(e) })
 		case forward.Drop:
 			n.later(0, func() { n.keep(e.Visit) })
+		case forward.Cancel:
+			n.cancel(e)
 		case forward.Cut:
 			if t := n.trips[e.Visit]; t != nil && t.link != nil {
 				l := t.link
@@ -193,6 +201,7 @@
 			if t := n.trips[e.Visit]; t != nil && t.done != nil {
 				d := t.done
 				t.done = nil
+				t.client.over(w.Now)
 				n.passedOn(t, e.Shot)
 				if t.bad && !w.Routed {
 					w.Break("garbled answer passed on", "%s", t.visit)
@@ -228,7 +237,7 @@
 				if b := w.byPlace[string(e.Addr)]; l != nil && l.open && l.life == e.Life && !b.closes {
 					n.later(n.wait(), func() {
 						if l.open {
-							p.step(data.GuardSound{Addr: e.Addr, Life: e.Life})
+							p.step(data.GuardSound(e))
 						}
 					})
 				}
@@ -383,7 +392,12 @@
 		n.keep(e.Visit)
 		return
 	}
-	t.shot = e.Shot
+	if t.canceled {
+		n.p.step(data.NotWritten{Visit: e.Visit, Shot: e.Shot, Why: "canceled"})
+		n.keep(e.Visit)
+		return
+	}
+	t.shot, t.written = e.Shot, true
 	if g := uint64(n.state.Relay.DocGen); g < w.acked && w.Stale == 0 {
 		w.Break("older generation served", "%s sends under %d after %d was acknowledged", n.p.Name, g, w.acked)
 	}
@@ -399,6 +413,10 @@
 		}
 		t.link = nil
 		l.busy = ""
+		t.written = false
+		if t.canceled && how == forward.Broken {
+			how, bar = forward.Canceled, false
+		}
 		how = t.heard(n.p.w, how, status)
 		if how == forward.Broken && n.p.w.Weak == "told" {
 			n.p.step(data.NotWritten{Visit: t.visit, Shot: t.shot, Why: "a lie"})
@@ -406,7 +424,7 @@
 			n.p.step(data.Ended{Visit: t.visit, Shot: t.shot, Ending: how, Status: status})
 		}
 		b := n.p.w.byPlace[l.place]
-		keep := (how == forward.Whole || how == forward.Turned) && l.open && !b.closes
+		keep := (how == forward.Whole || how == forward.Turned) && l.open && !b.closes && !t.canceled
 		if keep {
 			l.idle = true
 			b.tire(l)
@@ -452,7 +470,7 @@
 			if t.reached > 0 {
 				took = 0
 			}
-			w.refuseMs = max(w.refuseMs, took)
+			w.slowestRefusal = max(w.slowestRefusal, took)
 			if took > 210*ms || t.aim > 0 && took > t.aim/4+15*ms {
 				w.Break("refusal late", "%s after %v: %s", a.Visit, took, a.Reason)
 			}
@@ -466,6 +484,7 @@
 	}
 	d := t.done
 	t.done = nil
+	t.client.over(w.Now)
 	d(a, false)
 	n.later(0, func() { n.forget(t) })
 }
@@ -484,6 +503,7 @@
 	id := ident.Visit(fmt.Sprintf("%s-%d-%d", n.p.Name, n.life, n.visits))
 	t := &trip{visit: id, lane: rule.Name, service: string(rule.Service), key: key, arrived: n.p.w.Now, done: done}
 	n.trips[id] = t
+	n.watch(t)
 	at := n.p.clock()
 	if n.p.w.Weak == "patience" {
 		at = at.Add(2 * time.Second)
--- a/simulate/routes.go
+++ b/simulate/routes.go
@@ -156,6 +156,7 @@
 	id := ident.Visit(fmt.Sprintf("%s-%d-%d", n.p.Name, n.life, n.visits))
 	t := &trip{visit: id, lane: rule.Name, service: string(rule.Service), arrived: w.Now, done: done, routed: routed{again: rule.Again, aim: rule.Aim, ends: map[int]end{}}}
 	n.trips[id] = t
+	n.watch(t)
 	w.traffic[t.service] = append(w.traffic[t.service], w.Now)
 	if w.Weak == "again" {
 		rule.Again = true
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -84,7 +84,7 @@
 	for _, b := range w.Backends {
 		r.Most = max(r.Most, b.Most)
 	}
-	r.Refusal, r.Log = w.refuseMs, w.Log
+	r.Refusal, r.Log = w.slowestRefusal, w.Log
 	return r
 }
 
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -93,6 +93,8 @@
 	Contact time.Duration
 	Ack     time.Duration
 	Losses  int
+	// Leaving is the share of clients that leave before they are answered; 0: a few, as on any day.
+	Leaving float64
 	Drain   time.Duration
 	scene   *Scene
 }
@@ -137,56 +139,56 @@
 
 type World struct {
 	Config
-	Rand     *rand.Rand
-	Now      ident.Moment
-	queue    heap
-	seq      uint64
-	Procs    []*Proc
-	byAddr   map[string]*Proc
-	Backends []*Backend
-	byPlace  map[string]*Backend
-	cut      map[[2]string]bool
-	slow     time.Duration
-	loss     float64
-	double   float64
-	Broken   map[string]string
-	Count    map[string]int
-	Log      []string
-	keys     map[string][]string
-	ranBy    map[string]int
-	acked    uint64
-	ackedDoc string
-	ackAt    ident.Moment
-	visits   int
-	Served   []ident.Moment
-	refuseMs time.Duration
-	Bytes    uint64
-	Frames   uint64
-	further  map[string][]ident.Moment
-	traffic  map[string][]ident.Moment
-	sizeOf   bool
-	told     map[string]uint64
-	start    ident.Moment
-	mended   bool
-	most     int
-	sentBy   map[string]uint64
-	recent   []attempt
-	ready    func() []*Proc
-	waits    map[uint64]waiter
-	lives    map[uint64]int
-	unsynced bool
-	hang     string
-	fence    int
-	seconds  map[string]map[int]*share
-	pounce   forward.Phase
-	pounces  int
-	seated   map[string]uint64
-	season   *season
-	road     *road
-	band     float64
-	wires    map[[2]string]ident.Moment
-	ops      *rivals
-	docs     map[string]bool
+	Rand           *rand.Rand
+	Now            ident.Moment
+	queue          heap
+	seq            uint64
+	Procs          []*Proc
+	byAddr         map[string]*Proc
+	Backends       []*Backend
+	byPlace        map[string]*Backend
+	cut            map[[2]string]bool
+	slow           time.Duration
+	loss           float64
+	double         float64
+	Broken         map[string]string
+	Count          map[string]int
+	Log            []string
+	keys           map[string][]string
+	ranBy          map[string]int
+	acked          uint64
+	ackedDoc       string
+	ackAt          ident.Moment
+	visits         int
+	Served         []ident.Moment
+	slowestRefusal time.Duration
+	Bytes          uint64
+	Frames         uint64
+	further        map[string][]ident.Moment
+	traffic        map[string][]ident.Moment
+	sizeOf         bool
+	told           map[string]uint64
+	start          ident.Moment
+	mended         bool
+	most           int
+	sentBy         map[string]uint64
+	recent         []attempt
+	ready          func() []*Proc
+	waits          map[uint64]waiter
+	lives          map[uint64]int
+	unsynced       bool
+	hang           string
+	fence          int
+	seconds        map[string]map[int]*share
+	pounce         forward.Phase
+	pounces        int
+	seated         map[string]uint64
+	season         *season
+	road           *road
+	band           float64
+	wires          map[[2]string]ident.Moment
+	ops            *rivals
+	docs           map[string]bool
 }
 
 func (w *World) at(d time.Duration, do func()) {
