--- a/agreement/model_guard_test.go
+++ b/agreement/model_guard_test.go
@@ -1,7 +1,6 @@
 package agreement
 
 import (
-	"fmt"
 	"math/rand"
 	"testing"
 
@@ -69,7 +68,7 @@
 					return
 				}
 			}
-			t.Error(fmt.Sprintf("not seen in %d steps", steps))
+			t.Errorf("not seen in %d steps", steps)
 		})
 	}
 }
--- a/agreement/world_test.go
+++ b/agreement/world_test.go
@@ -142,25 +142,25 @@
 }
 
 type world struct {
-	size, first int
-	founded     bool
-	weak        weak
-	still       bool
-	seats       []*seat
-	bag         []letter
-	cut         map[[2]int]bool
-	n, offered  int
-	batch       int
-	past        []letter
-	bad         string
-	oracle      []done
-	known       map[spot][2]uint64
-	leaders     map[uint64]string
-	elected     map[uint64]int
-	votes       map[ballot]int
-	wiped       map[string]bool
-	sums        map[any]uint64
-	count       map[string]int
+	size       int
+	founded    bool
+	weak       weak
+	still      bool
+	seats      []*seat
+	bag        []letter
+	cut        map[[2]int]bool
+	n, offered int
+	batch      int
+	past       []letter
+	bad        string
+	oracle     []done
+	known      map[spot][2]uint64
+	leaders    map[uint64]string
+	elected    map[uint64]int
+	votes      map[ballot]int
+	wiped      map[string]bool
+	sums       map[any]uint64
+	count      map[string]int
 }
 
 type constant struct{}
--- a/cmd/fleetrun/requester.go
+++ b/cmd/fleetrun/requester.go
@@ -124,7 +124,6 @@
 	refused []time.Duration
 	perLane map[string][2]int
 	okAt    []time.Time
-	goneAt  time.Time
 	flooded string
 	took    map[string][]time.Duration
 	mark    map[string][2]int
--- a/control/state.go
+++ b/control/state.go
@@ -212,7 +212,6 @@
 	told      map[string]bool
 	parked    []parked
 	passID    uint64
-	replay    bool
 	draining  bool
 	drainAt   ident.Moment
 	signedOff bool
--- a/data/state.go
+++ b/data/state.go
@@ -168,7 +168,6 @@
 type pending struct {
 	at   ident.Moment
 	what *wire.Announce
-	hops int
 }
 
 type State struct {
--- a/data/visits_property_test.go
+++ b/data/visits_property_test.go
@@ -61,7 +61,6 @@
 // stage holds the backends of one round and what they saw.
 type stage struct {
 	lock   sync.Mutex
-	plays  map[string][]play
 	made   map[string]*made
 	ran    map[string]*ran
 	later  map[string][]func()
--- a/hollow/live.go
+++ b/hollow/live.go
@@ -62,7 +62,6 @@
 	state *data.State
 	hub   *wire.Hub
 	in    chan any
-	named func(ident.Addr) bool
 	ready atomic.Bool
 	gen   atomic.Uint64
 }
--- a/hollow/member.go
+++ b/hollow/member.go
@@ -60,12 +60,10 @@
 	head   *control.State
 	rand   *rand.Rand
 	inbox  []parcel
-	next   []parcel
 	later  []late
 	outbox []parcel
 	idle   map[pass.Key][]int
 	trips  map[ident.Visit]pass.Key
-	lanes  []ident.Lane
 	visits int
 	owed   float64
 	Tally
@@ -241,7 +239,7 @@
 		case data.GuardEnd:
 			m.wait(1, data.GuardLost{Addr: e.Addr, Life: e.Life, Why: "ended"})
 		case data.GuardAsk:
-			m.wait(1, data.GuardSound{Addr: e.Addr, Life: e.Life})
+			m.wait(1, data.GuardSound(e))
 		case forward.Dial:
 			if e.Reuse && len(m.idle[e.Key]) > 0 {
 				m.idle[e.Key] = m.idle[e.Key][1:]
--- a/hollow/report.go
+++ b/hollow/report.go
@@ -69,11 +69,10 @@
 func (w *World) roles() map[string][]*member {
 	out := map[string][]*member{}
 	held := map[string]bool{}
-	for _, m := range w.all[:w.Controls] {
-		for _, h := range m.head.Relay.Core.GetHolds() {
+	if w.Controls > 0 {
+		for _, h := range w.all[0].head.Relay.Core.GetHolds() {
 			held[h.Holder] = true
 		}
-		break
 	}
 	parents := map[string]bool{}
 	for _, m := range w.all[w.Controls:] {
--- a/hollow/world.go
+++ b/hollow/world.go
@@ -42,7 +42,6 @@
 	workers int
 	begin   time.Time
 	parted  int
-	doc     []byte
 	lock    sync.Mutex
 	changes map[uint64]*change
 	last    uint64
--- a/wire/sample/samples.go
+++ b/wire/sample/samples.go
@@ -1,37 +1,37 @@
 package sample
 
-import . "sloeturn/wire"
+import "sloeturn/wire"
 
 // Frames gives one of each kind, for tests that read bytes.
-func Frames() []*Frame {
-	card := &Card{Id: "m", Addr: "10.0.0.2:1", Cell: "a", Incarnation: 3, Role: 1}
-	back := &Backend{Addr: "10.1.0.1:80", Service: "s", Incarnation: "i", Slots: 4, Work: 4, Beat: 1, Pulse: 2, Version: 1}
-	core := &Core{Version: 9, Generation: 2, InForce: 2, Grown: 2, SeatCount: 3, LeaderAddr: "10.0.0.2:1", Leader: "m", Seats: []*Seat{{Member: "n", Addr: "10.0.0.1:1", Incarnation: 7}}, Floors: []*Floor{{Lane: "l", Service: "s", Slots: 2}}, Holds: []*Hold{{Cell: "a", Holder: "c", Incarnation: 7, Epoch: 1}}}
-	change := &Change{Body: &Change_SetDesired{SetDesired: &SetDesired{ChangeId: "x", Doc: []byte(`{"fleet":{"nodes":1}}`)}}}
-	bodies := []*Frame{
-		{Body: &Frame_Heartbeat{Heartbeat: &Heartbeat{}}},
-		{Body: &Frame_Table{Table: &Table{Cards: []*Card{card}}}},
-		{Body: &Frame_Ask{Ask: &Ask{Confirms: []*Confirm{{Member: "n", Incarnation: 7, Staged: 2}}, Cells: []*CellHave{{Cell: "a", Epoch: 1, Upto: 3}}}}},
-		{Body: &Frame_News{News: &News{Core: core, Cells: []*CellNews{{Cell: "a", Epoch: 1, Ranges: []*Range{{Backends: []*Backend{back}}}}}}}},
-		{Body: &Frame_Propose{Propose: &Propose{Token: 1, Change: change}}},
-		{Body: &Frame_ProposeReply{ProposeReply: &ProposeReply{Token: 1, Generation: 2}}},
-		{Body: &Frame_Announce{Announce: &Announce{Addr: "10.1.0.1:80", Service: "s", Slots: 4, Cell: "a"}}},
-		{Body: &Frame_AnnounceReply{AnnounceReply: &AnnounceReply{Token: 1, Code: 200}}},
-		{Body: &Frame_Bequest{Bequest: &Bequest{Cell: "a", Epoch: 1, Backends: []*Backend{back}}}},
+func Frames() []*wire.Frame {
+	card := &wire.Card{Id: "m", Addr: "10.0.0.2:1", Cell: "a", Incarnation: 3, Role: 1}
+	back := &wire.Backend{Addr: "10.1.0.1:80", Service: "s", Incarnation: "i", Slots: 4, Work: 4, Beat: 1, Pulse: 2, Version: 1}
+	core := &wire.Core{Version: 9, Generation: 2, InForce: 2, Grown: 2, SeatCount: 3, LeaderAddr: "10.0.0.2:1", Leader: "m", Seats: []*wire.Seat{{Member: "n", Addr: "10.0.0.1:1", Incarnation: 7}}, Floors: []*wire.Floor{{Lane: "l", Service: "s", Slots: 2}}, Holds: []*wire.Hold{{Cell: "a", Holder: "c", Incarnation: 7, Epoch: 1}}}
+	change := &wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{ChangeId: "x", Doc: []byte(`{"fleet":{"nodes":1}}`)}}}
+	bodies := []*wire.Frame{
+		{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{}}},
+		{Body: &wire.Frame_Table{Table: &wire.Table{Cards: []*wire.Card{card}}}},
+		{Body: &wire.Frame_Ask{Ask: &wire.Ask{Confirms: []*wire.Confirm{{Member: "n", Incarnation: 7, Staged: 2}}, Cells: []*wire.CellHave{{Cell: "a", Epoch: 1, Upto: 3}}}}},
+		{Body: &wire.Frame_News{News: &wire.News{Core: core, Cells: []*wire.CellNews{{Cell: "a", Epoch: 1, Ranges: []*wire.Range{{Backends: []*wire.Backend{back}}}}}}}},
+		{Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: 1, Change: change}}},
+		{Body: &wire.Frame_ProposeReply{ProposeReply: &wire.ProposeReply{Token: 1, Generation: 2}}},
+		{Body: &wire.Frame_Announce{Announce: &wire.Announce{Addr: "10.1.0.1:80", Service: "s", Slots: 4, Cell: "a"}}},
+		{Body: &wire.Frame_AnnounceReply{AnnounceReply: &wire.AnnounceReply{Token: 1, Code: 200}}},
+		{Body: &wire.Frame_Bequest{Bequest: &wire.Bequest{Cell: "a", Epoch: 1, Backends: []*wire.Backend{back}}}},
 	}
-	entry := &Entry{Term: 1, Index: 1, Change: change}
+	entry := &wire.Entry{Term: 1, Index: 1, Change: change}
 	bodies = append(bodies,
-		&Frame{Body: &Frame_Hello{Hello: &Hello{Least: 1, Most: 9}}},
-		&Frame{Body: &Frame_Vote{Vote: &Vote{Term: 2}}},
-		&Frame{Body: &Frame_VoteReply{VoteReply: &VoteReply{Term: 2, Granted: true, Voter: "c/d"}}},
-		&Frame{Body: &Frame_Append{Append: &Append{Term: 2, Entries: []*Entry{entry}}}},
-		&Frame{Body: &Frame_AppendReply{AppendReply: &AppendReply{Term: 1, Voter: "c/d", Ok: true, Match: 9}}},
-		&Frame{Body: &Frame_Snapshot{Snapshot: &Snapshot{Term: 2, LastIndex: 5, LastTerm: 1, Target: "c/d", Image: []byte{1, 2}}}},
-		&Frame{Body: &Frame_SnapshotChunk{SnapshotChunk: &SnapshotChunk{Term: 2, LastIndex: 5, LastTerm: 1, Target: "c/d", Sum: 7, Size: 4, Data: []byte{1, 2}}}},
-		&Frame{Body: &Frame_SnapshotChunkReply{SnapshotChunkReply: &SnapshotChunkReply{Term: 2, Voter: "c/d", LastIndex: 5, Sum: 7, Have: 2}}},
-		&Frame{Body: &Frame_SnapshotReply{SnapshotReply: &SnapshotReply{Term: 1, Voter: "c/d", Match: 5}}},
-		&Frame{Body: &Frame_Handoff{Handoff: &Handoff{Term: 1, Target: "c/d"}}},
-		&Frame{Body: &Frame_Founding{Founding: &Founding{Voter: "c/e", Addr: "10.0.0.2:1", Blank: true}}},
+		&wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Least: 1, Most: 9}}},
+		&wire.Frame{Body: &wire.Frame_Vote{Vote: &wire.Vote{Term: 2}}},
+		&wire.Frame{Body: &wire.Frame_VoteReply{VoteReply: &wire.VoteReply{Term: 2, Granted: true, Voter: "c/d"}}},
+		&wire.Frame{Body: &wire.Frame_Append{Append: &wire.Append{Term: 2, Entries: []*wire.Entry{entry}}}},
+		&wire.Frame{Body: &wire.Frame_AppendReply{AppendReply: &wire.AppendReply{Term: 1, Voter: "c/d", Ok: true, Match: 9}}},
+		&wire.Frame{Body: &wire.Frame_Snapshot{Snapshot: &wire.Snapshot{Term: 2, LastIndex: 5, LastTerm: 1, Target: "c/d", Image: []byte{1, 2}}}},
+		&wire.Frame{Body: &wire.Frame_SnapshotChunk{SnapshotChunk: &wire.SnapshotChunk{Term: 2, LastIndex: 5, LastTerm: 1, Target: "c/d", Sum: 7, Size: 4, Data: []byte{1, 2}}}},
+		&wire.Frame{Body: &wire.Frame_SnapshotChunkReply{SnapshotChunkReply: &wire.SnapshotChunkReply{Term: 2, Voter: "c/d", LastIndex: 5, Sum: 7, Have: 2}}},
+		&wire.Frame{Body: &wire.Frame_SnapshotReply{SnapshotReply: &wire.SnapshotReply{Term: 1, Voter: "c/d", Match: 5}}},
+		&wire.Frame{Body: &wire.Frame_Handoff{Handoff: &wire.Handoff{Term: 1, Target: "c/d"}}},
+		&wire.Frame{Body: &wire.Frame_Founding{Founding: &wire.Founding{Voter: "c/e", Addr: "10.0.0.2:1", Blank: true}}},
 	)
 	for _, f := range bodies {
 		f.From, f.Addr = "m", "10.0.0.2:1"
