--- /dev/null
+++ b/control/changes.go
@@ -0,0 +1,213 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+
+	"sloeturn/agreement"
+	"sloeturn/calendar"
+	"sloeturn/desired"
+	"sloeturn/duty"
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/wire"
+)
+
+func (s *State) propose(a asker, c *wire.Change, now ident.Moment) {
+	if s.Agree == nil || !s.Agree.Steady(now) {
+		lead := s.leaderAddr()
+		if lead == string(s.Addr) {
+			lead = ""
+		}
+		s.reply(a, &wire.ProposeReply{Code: uint32(ledger.NotLeader), LeaderAddr: lead})
+		return
+	}
+	if set := c.GetSetDesired(); set != nil {
+		s.enqueue(desiredAsk{a, set, now})
+		s.pump(now)
+		return
+	}
+	switch c := c.GetBody().(type) {
+	case *wire.Change_HoldBack, *wire.Change_TakeOut, *wire.Change_PeriodTurn, *wire.Change_Land:
+		s.reply(a, &wire.ProposeReply{Code: uint32(ledger.Invalid)})
+		return
+	case *wire.Change_Noop:
+		s.reply(a, &wire.ProposeReply{Code: uint32(s.restore(c.Noop))})
+		return
+	}
+	if s.asked[a] {
+		return
+	}
+	if i, ok := s.Agree.Propose(c, now); ok {
+		s.waits[i] = a
+		s.asked[a] = true
+	}
+}
+
+func (s *State) pump(now ident.Moment) {
+	s.sure()
+	for len(s.queue) > 0 && uint64(s.Book.Index) >= s.setIndex && s.Agree.Steady(now) && s.judge(now) {
+		q := s.queue[0]
+		s.queue = s.queue[1:]
+		s.decideOn(q, now)
+	}
+}
+
+func (s *State) decideOn(q desiredAsk, now ident.Moment) {
+	if k := s.Book.Taken(q.set.ChangeId); k != nil {
+		s.again(q, k)
+		return
+	}
+	edition, tail := s.Book.EndEdition(), s.Book.Stands()
+	if !q.set.ByEdition && (q.set.Basis != uint64(s.Book.Generation) || q.set.Tail != tail) || q.set.ByEdition && q.set.Basis != edition {
+		s.refuseWith(q, "another change came first: "+q.set.ChangeId, &wire.ProposeReply{Code: uint32(ledger.Stale), Generation: uint64(s.Book.Generation), Edition: edition, Tail: tail})
+		return
+	}
+	if q.set.TakeOut != 0 {
+		s.takeOut(q, now)
+		return
+	}
+	var tree any = map[string]any{}
+	var faults []desired.Fault
+	if !q.set.Withdraw {
+		tree, faults = desired.ReadTree(q.set.Doc)
+	}
+	if len(q.set.Only) > 0 && s.Book.Generation == 0 {
+		faults = append(faults, desired.Fault{Path: "", Text: "no desired state is set that a trial could stand beside"})
+	}
+	if len(faults) == 0 && q.set.Merge {
+		tree = desired.Merge(s.endTree(), tree)
+	}
+	if len(faults) == 0 && q.set.KeepCalendar {
+		tree = s.withCalendar(tree)
+	}
+	doc := desired.Write(tree)
+	var d *desired.State
+	if len(faults) == 0 && !q.set.Withdraw {
+		if d, faults = desired.Read(doc); len(faults) == 0 {
+			faults = append(d.Follows(max(edition, s.Book.Floor)), s.dated(d, q.set.TodayMs)...)
+		}
+	}
+	busy := len(s.Book.Held) > 0 || len(s.Book.OpenRegions()) > 0
+	if t := len(q.set.Only) > 0 || q.set.Withdraw; len(faults) == 0 && busy && t {
+		var docs [][]byte
+		if len(q.set.Only) > 0 {
+			docs = append(docs, doc)
+		}
+		if s.Book.Trial != nil {
+			docs = append(docs, s.Book.Trial.Doc)
+		}
+		faults = s.stillTrial(docs...)
+	}
+	if len(faults) > 0 {
+		s.refuse(q, faults...)
+		return
+	}
+	if busy && len(q.set.Only) == 0 && !q.set.Withdraw {
+		s.place(q, tree, d, now)
+		return
+	}
+	s.log(q, &wire.Change{Body: &wire.Change_SetDesired{SetDesired: &wire.SetDesired{Basis: uint64(s.Book.Generation), ChangeId: q.set.ChangeId, Doc: doc, Author: q.set.Author, Only: q.set.Only, Withdraw: q.set.Withdraw, Turn: s.Book.Turn, Sum: q.set.Sum}}}, now)
+}
+
+// dated checks the calendar of a state, against the clock at the door the change came through.
+func (s *State) dated(d *desired.State, today int64) []desired.Fault {
+	c, faults := s.calendarOf(d)
+	if c == nil || len(faults) > 0 || today == 0 {
+		return faults
+	}
+	before, _ := desired.Read(desired.Write(s.endTree()))
+	old := (*calendar.Calendar)(nil)
+	if before != nil && len(before.Blackouts) > 0 {
+		old, _ = calendar.Read(before)
+	}
+	return c.Past(old, today)
+}
+
+// overdue tells those who gave an order here to go on to another control process, if this one has heard nothing from a leader meanwhile.
+func (s *State) overdue(now ident.Moment) {
+	age := now.Sub(s.Relay.CoreAsOf)
+	if !s.Relay.CoreKnown || age < SilentWait {
+		return
+	}
+	for _, t := range ident.Keys(s.orders) {
+		if w := now.Sub(s.orders[t]); w >= SilentWait || w >= CutOffWait && age >= CutOffFor {
+			delete(s.orders, t)
+			s.out = append(s.out, Changed{t, &wire.ProposeReply{Code: uint32(ledger.Lost)}})
+		}
+	}
+}
+
+func (s *State) inForce(f force) {
+	if s.Book.InForce >= f.gen {
+		s.reply(f.asker, &wire.ProposeReply{Code: uint32(ledger.Done), Generation: uint64(f.gen), Edition: s.Book.Edition(f.gen), Tail: s.Book.Stands()})
+		return
+	}
+	s.forces = append(s.forces, f)
+}
+
+func (s *State) reply(a asker, r *wire.ProposeReply) {
+	r.Token = a.token
+	s.send(a.to, &wire.Frame{Body: &wire.Frame_ProposeReply{ProposeReply: r}})
+}
+
+func (s *State) applied(e *wire.Entry, now ident.Moment) {
+	r := s.Book.Apply(e)
+	s.logged(e, r)
+	a, ok := s.waits[e.Index]
+	delete(s.waits, e.Index)
+	delete(s.asked, a)
+	if ok && s.Agree.Role() == agreement.Leader && e.Term == uint64(s.Agree.Term()) {
+		if (e.Change.GetSetDesired() != nil || e.Change.GetHoldBack() != nil) && r.Code == ledger.Done {
+			s.inForce(force{r.Generation, a})
+		} else if r.Code == ledger.Held {
+			s.reply(a, s.heldReply(r.Place))
+		} else {
+			p := &wire.ProposeReply{Code: uint32(r.Code), Generation: uint64(r.Generation), Edition: s.Book.Edition(r.Generation), Seat: uint32(r.Seat), Visit: string(r.Visit), Status: r.Status, Place: r.Place, Tail: s.Book.Stands()}
+			s.reply(a, p)
+		}
+	}
+	if e.Change.GetMark() != nil {
+		keep := s.forces[:0]
+		for _, f := range s.forces {
+			if s.Book.InForce >= f.gen {
+				s.inForce(f)
+			} else {
+				keep = append(keep, f)
+			}
+		}
+		s.forces = keep
+	}
+	s.clocks(now)
+	s.leased(e, now)
+}
+
+func (s *State) logged(e *wire.Entry, r ledger.Result) {
+	d := duty.Decision{Index: e.Index, Note: r.Code.String()}
+	seat := int(r.Seat)
+	switch c := e.Change.GetBody().(type) {
+	case *wire.Change_SetDesired:
+		if d.Decision = "desired"; len(c.SetDesired.Only) > 0 || c.SetDesired.Withdraw {
+			d.Decision = "trial"
+		}
+		d.Note, d.Member = d.Note+" "+c.SetDesired.ChangeId, strings.Join(c.SetDesired.Only, " ")
+	case *wire.Change_Mark:
+		d.Decision, d.Note = "mark", fmt.Sprintf("in force %d, grown %d", s.Book.InForce, s.Book.Grown)
+	case *wire.Change_Noop:
+		s.loggedLeases(c.Noop)
+		return
+	case *wire.Change_SeatTake:
+		d.Decision, d.Member, d.Seat = "seat taken", c.SeatTake.Member, &seat
+	case *wire.Change_SeatFree:
+		seat = int(c.SeatFree.Seat)
+		d.Decision, d.Member, d.Seat, d.Note = "seat freed", c.SeatFree.Member, &seat, d.Note+" "+c.SeatFree.Reason
+	case *wire.Change_CellHold:
+		d.Decision, d.Member, d.Cell = "holder", c.CellHold.Holder, c.CellHold.Cell
+	case *wire.Change_Roster:
+		d.Decision, d.Note = "roster", fmt.Sprintf("%d voters of %d", len(agreement.Voters(c.Roster)), len(c.Roster.Voters))
+	default:
+		s.loggedHeld(e, r)
+		return
+	}
+	s.decide(d)
+}
