--- a/data/cancel.go
+++ b/data/cancel.go
@@ -13,7 +13,7 @@
 // cancel withdraws an attempt nobody waits for. If its request was written, the sending half of the
 // connection is closed: a backend sees that its caller has left and stops, and the end of the other
 // half, or its answer, proves that it has. Until then the slot is held.
-func (n *Node) cancel(v ident.Visit) {
+func (n *Node) cancel(v ident.RequestID) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	k := n.calls[v]
@@ -35,7 +35,7 @@
 	n.lock.Lock()
 	var waiting []*call
 	for _, k := range n.calls {
-		if k.of == nil && k.end == 0 {
+		if k.primary == nil && k.end == 0 {
 			waiting = append(waiting, k)
 		}
 	}
@@ -55,7 +55,7 @@
 	}
 }
 
-func (n *Node) cut(v ident.Visit) {
+func (n *Node) cut(v ident.RequestID) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	if k := n.calls[v]; k != nil && k.conn != nil {
--- a/data/cancel_test.go
+++ b/data/cancel_test.go
@@ -316,12 +316,12 @@
 		r, _ := http.NewRequest("GET", "http://h.example/r/x", nil)
 		r = r.WithContext(duty.WithConn(r.Context(), accepted))
 		lane := g.view.Load().desired.Find("h.example", "/r/x").Pick(0)
-		k := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), conn: c}
+		k := &call{Dialect: &tongue, id: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), conn: c}
 		g.Node.lock.Lock()
 		g.calls["v"] = k
 		g.Node.lock.Unlock()
 		later := ident.Now().Add(time.Second)
-		g.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, AnswerBy: later, Until: later})
+		g.write(forward.Write{Request: "v", Attempt: 1, NotAfter: later, AnswerBy: later, Until: later})
 		g.closeIdle(c.key, 1)
 		got, _ := io.ReadAll(far)
 		require.Empty(t, string(got), how)
@@ -336,13 +336,13 @@
 	require.Same(t, c, g.takeIdle(key, "x"))
 	r, _ := http.NewRequest("GET", "http://h.example/r/x", nil)
 	lane := g.view.Load().desired.Find("h.example", "/r/x").Pick(0)
-	k := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), conn: c}
+	k := &call{Dialect: &tongue, id: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), conn: c}
 	g.Node.lock.Lock()
 	g.calls["v"] = k
 	g.Node.lock.Unlock()
 	g.cancel("v")
 	later := ident.Now().Add(time.Second)
-	g.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, AnswerBy: later, Until: later})
+	g.write(forward.Write{Request: "v", Attempt: 1, NotAfter: later, AnswerBy: later, Until: later})
 	require.Equal(t, []*conn{c}, g.idleOf(key), "its connection is kept for others")
 	g.closeIdle(key, 1)
 	got, _ := io.ReadAll(far)
--- a/data/exchange.go
+++ b/data/exchange.go
@@ -20,9 +20,9 @@
 
 // write sends a request and reads its answer. It ends the slot's use whatever happens.
 func (n *Node) write(e forward.Write) {
-	k := n.find(e.Visit)
+	k := n.find(e.Request)
 	if k == nil || k.conn == nil {
-		n.Put(NotWritten{e.Visit, e.Shot, "no connection"})
+		n.Put(NotWritten{e.Request, e.Attempt, "no connection"})
 		return
 	}
 	c := k.conn
@@ -30,47 +30,47 @@
 	req := k.build(c.key.Addr, e.AnswerBy)
 	words, err := k.words(req)
 	if err != nil {
-		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, "visit could not be put in words"})
+		n.finish(k, c, true, false, NotWritten{e.Request, e.Attempt, "visit could not be put in words"})
 		return
 	}
 	c.SetDeadline(time.Now().Add(e.Until.Sub(ident.Now())))
 	if !c.quiet() {
 		n.finish(k, c, false, true, nil)
-		n.Put(NotWritten{e.Visit, e.Shot, "connection spoke or ended before the first byte"})
+		n.Put(NotWritten{e.Request, e.Attempt, "connection spoke or ended before the first byte"})
 		return
 	}
 	if why := n.unfit(k, e); why != "" {
-		n.finish(k, c, true, false, NotWritten{e.Visit, e.Shot, why})
+		n.finish(k, c, true, false, NotWritten{e.Request, e.Attempt, why})
 		return
 	}
 	sent, err := c.Write(words)
 	if err != nil && sent == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
 		n.finish(k, c, false, true, nil)
-		n.Put(NotWritten{e.Visit, e.Shot, "connection broke before the first byte"})
+		n.Put(NotWritten{e.Request, e.Attempt, "connection broke before the first byte"})
 		return
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		n.finish(k, c, false, true, Ended{e.Visit, e.Shot, forward.Broken, 0})
+		n.finish(k, c, false, true, Ended{e.Request, e.Attempt, forward.Broken, 0})
 		return
 	}
 	resp, body, keep, ending := k.read(c, req)
 	if err != nil {
 		keep = false
-		if ending != forward.Whole && ending != forward.Turned && ending != forward.Moved {
+		if ending != forward.Complete && ending != forward.TurnedAway && ending != forward.Misdirected {
 			ending = forward.Broken
 		}
 	}
-	if resp != nil && (ending == forward.Whole || ending == forward.Turned) {
-		if k.shots == nil {
-			k.shots = map[int]heard{}
+	if resp != nil && (ending == forward.Complete || ending == forward.TurnedAway) {
+		if k.answers == nil {
+			k.answers = map[int]heard{}
 		}
-		k.shots[e.Shot] = heard{resp, body}
+		k.answers[e.Attempt] = heard{resp, body}
 	}
 	status := 0
 	if resp != nil {
 		status, c.rest = resp.StatusCode, granted(resp.Header)
 	}
-	n.finish(k, c, keep && (ending == forward.Whole || ending == forward.Turned), ending == forward.Broken, Ended{e.Visit, e.Shot, ending, status})
+	n.finish(k, c, keep && (ending == forward.Complete || ending == forward.TurnedAway), ending == forward.Broken, Ended{e.Request, e.Attempt, ending, status})
 }
 
 // unfit tells why a request must not be written now, though its connection is good; "" if it may be.
@@ -79,7 +79,7 @@
 	case ident.Now().After(e.NotAfter):
 		return "lease ran out before writing"
 	case duty.Left(k.req):
-		n.Put(Gone{k.first().visit})
+		n.Put(ClientLeft{k.waiting().id})
 		return clientLeft
 	case !n.start(k):
 		return "given up before writing"
@@ -88,9 +88,9 @@
 }
 
 // first returns the attempt that the client's own goroutine waits for.
-func (k *call) first() *call {
-	if k.of != nil {
-		return k.of
+func (k *call) waiting() *call {
+	if k.primary != nil {
+		return k.primary
 	}
 	return k
 }
@@ -103,7 +103,7 @@
 	if k.canceled {
 		return false
 	}
-	fate := &k.first().fate
+	fate := &k.waiting().fate
 	k.started = fate.CompareAndSwap(open, written) || fate.Load() == written
 	return k.started
 }
@@ -128,7 +128,7 @@
 		c.Close()
 	}
 	n.Put(Freed{c.key, keep, bar})
-	n.forget(k.visit)
+	n.forget(k.id)
 }
 
 // canceledEnd tells what a cancellation makes of an attempt's end: a connection that then breaks off
@@ -174,10 +174,10 @@
 			}
 			resp.Close = true
 		}
-		if e := k.turned(resp); e != forward.Whole {
+		if e := k.turned(resp); e != forward.Complete {
 			return resp, body, !resp.Close && resp.ProtoMinor == 1, e
 		}
-		return resp, body, !resp.Close && resp.ProtoMinor == 1, forward.Whole
+		return resp, body, !resp.Close && resp.ProtoMinor == 1, forward.Complete
 	}
 }
 
@@ -202,7 +202,7 @@
 	var op *net.OpError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return forward.Late
+		return forward.TimedOut
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &op):
 		return forward.Broken
 	}
--- a/data/front.go
+++ b/data/front.go
@@ -19,11 +19,11 @@
 // a visit is meant for. Seal: what every good answer bears. Turned: what a backend says that did not
 // run the visit.
 type Dialect struct {
-	Visit  string
-	Left   string
-	Life   string
-	Seal   string
-	Turned string
+	RequestID string
+	TimeLeft  string
+	Instance  string
+	Seal      string
+	NotRun    string
 }
 
 func (n *Node) Unready() string { return *n.ready.Load() }
@@ -31,7 +31,7 @@
 func (n *Node) Front(d Dialect) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		bounded(w, r)
-		n.routed(w, r, &d)
+		n.serveRouted(w, r, &d)
 	})
 }
 
@@ -84,7 +84,7 @@
 }
 
 func (d *Dialect) left(r *http.Request, most time.Duration) (time.Duration, bool) {
-	s := r.Header.Get(d.Left)
+	s := r.Header.Get(d.TimeLeft)
 	if s == "" {
 		return most, true
 	}
@@ -95,7 +95,7 @@
 	return time.Duration(min(ms, expiryMost)) * time.Millisecond, true
 }
 
-func (n *Node) routed(w http.ResponseWriter, r *http.Request, d *Dialect) {
+func (n *Node) serveRouted(w http.ResponseWriter, r *http.Request, d *Dialect) {
 	start := ident.Now()
 	view := n.view.Load()
 	no := func(status int, why string, back time.Duration) {
@@ -109,8 +109,8 @@
 		no(431, "head too large", 0)
 		return
 	}
-	if len(r.Header.Values(d.Visit)) > 1 {
-		no(400, "header "+d.Visit+" given twice", 0)
+	if len(r.Header.Values(d.RequestID)) > 1 {
+		no(400, "header "+d.RequestID+" given twice", 0)
 		return
 	}
 	path := placeOf(r)
@@ -122,7 +122,7 @@
 	lane := route.Pick(n.dice())
 	left, ok := d.left(r, lane.Whole)
 	if !ok {
-		no(400, "header "+d.Left+" must be milliseconds", 0)
+		no(400, "header "+d.TimeLeft+" must be milliseconds", 0)
 		return
 	}
 	if left <= 0 {
@@ -134,9 +134,9 @@
 		no(status, why, 0)
 		return
 	}
-	id := ident.Visit(fmt.Sprintf("%s-%x-%d", n.State.Member, uint64(n.State.Incarnation)&0xffffffff, n.count.Add(1)))
-	k := &call{Dialect: d, visit: id, lane: lane, req: r, body: body, path: path, ans: make(chan answer, 2)}
-	n.take(w, k, forward.Arrival{Visit: id, Lane: lane.Name, Rule: lane, Arrived: ident.Now(), Expiry: start.Add(left)}, view.gen)
+	id := ident.RequestID(fmt.Sprintf("%s-%x-%d", n.State.Member, uint64(n.State.Incarnation)&0xffffffff, n.count.Add(1)))
+	k := &call{Dialect: d, id: id, lane: lane, req: r, body: body, path: path, ans: make(chan answer, 2)}
+	n.take(w, k, forward.Arrival{ID: id, Lane: lane.Name, Rule: lane, Arrived: ident.Now(), Deadline: start.Add(left)}, view.gen)
 }
 
 func (n *Node) early(now ident.Moment) time.Duration {
@@ -151,10 +151,10 @@
 	u := &url.URL{Scheme: "http", Host: string(addr), RawQuery: k.req.URL.RawQuery, ForceQuery: k.req.URL.ForceQuery, Path: k.req.URL.Path, RawPath: k.req.URL.RawPath}
 	req := &http.Request{Method: k.req.Method, URL: u, Host: k.req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}
 	duty.CopyHead(req.Header, k.req.Header)
-	bind(req.Header, k.req.Header, k.Visit)
-	req.Header.Set(k.Left, millisecondsTo(answerBy))
+	bind(req.Header, k.req.Header, k.RequestID)
+	req.Header.Set(k.TimeLeft, millisecondsTo(answerBy))
 	if k.life != "" {
-		req.Header.Set(k.Life, k.life)
+		req.Header.Set(k.Instance, k.life)
 	}
 	k.fill(req)
 	return req
@@ -162,7 +162,7 @@
 
 // named tells whether an answer carries back the visit's name, once, or none if the visit has none.
 func (k *call) named(resp *http.Response) bool {
-	want, got := k.req.Header.Get(k.Visit), resp.Header.Values(k.Visit)
+	want, got := k.req.Header.Get(k.RequestID), resp.Header.Values(k.RequestID)
 	if want == "" && len(got) == 0 {
 		return true
 	}
@@ -179,18 +179,18 @@
 }
 
 func (k *call) another(resp *http.Response) bool {
-	got := resp.Header.Values(k.Visit)
+	got := resp.Header.Values(k.RequestID)
 	return len(got) == 1 && got[0] != "" && !k.named(resp)
 }
 
 func (k *call) turned(resp *http.Response) forward.Ending {
 	switch {
-	case k.Dialect == nil || resp.Header.Get(k.Turned) == "":
-		return forward.Whole
+	case k.Dialect == nil || resp.Header.Get(k.NotRun) == "":
+		return forward.Complete
 	case resp.StatusCode == http.StatusMisdirectedRequest:
-		return forward.Moved
+		return forward.Misdirected
 	}
-	return forward.Turned
+	return forward.TurnedAway
 }
 
 func (k *call) proven(resp *http.Response) bool {
@@ -198,5 +198,5 @@
 		return false
 	}
 	good := resp.StatusCode >= 200 && resp.StatusCode < 300
-	return !good || resp.Header.Get(k.Seal) != "" && resp.Header.Get(k.Turned) == ""
+	return !good || resp.Header.Get(k.Seal) != "" && resp.Header.Get(k.NotRun) == ""
 }
--- a/data/front_test.go
+++ b/data/front_test.go
@@ -35,7 +35,7 @@
 "odd":{"host":"h.example","prefix":"/o|d/","wholeMs":900,"shots":1,"lanes":{"s":1}},
 "aim":{"host":"h.example","prefix":"/aim/","wholeMs":900,"aimMs":240,"shots":3,"lanes":{"s":1}}}}`
 
-var tongue = Dialect{Visit: "Visit-Name", Left: "Left-Ms", Life: "Meant-For", Seal: "Sealed", Turned: "Turned-Away"}
+var tongue = Dialect{RequestID: "Visit-Name", TimeLeft: "Left-Ms", Instance: "Meant-For", Seal: "Sealed", NotRun: "Turned-Away"}
 
 type asked struct {
 	line string
--- a/data/fuzz_test.go
+++ b/data/fuzz_test.go
@@ -42,8 +42,8 @@
 			k.Dialect = &tongue
 		}
 		resp, body, keep, e := k.read(&conn{Conn: ours, read: bufio.NewReader(ours)}, req)
-		if e != forward.Whole && e != forward.Turned {
-			if keep && e != forward.Moved {
+		if e != forward.Complete && e != forward.TurnedAway {
+			if keep && e != forward.Misdirected {
 				t.Fatalf("kept after %s", e)
 			}
 			return
@@ -54,7 +54,7 @@
 		if resp.ContentLength >= 0 && resp.ContentLength != int64(len(body)) && resp.StatusCode != 204 && resp.StatusCode != 304 {
 			t.Fatalf("%d bytes of %d", len(body), resp.ContentLength)
 		}
-		if routed && e == forward.Whole && resp.StatusCode/100 == 2 && (resp.Header.Get("Sealed") == "" || resp.Header.Get("Visit-Name") != "v") {
+		if routed && e == forward.Complete && resp.StatusCode/100 == 2 && (resp.Header.Get("Sealed") == "" || resp.Header.Get("Visit-Name") != "v") {
 			t.Fatalf("passed on unproven: %v", resp.Header)
 		}
 	})
--- a/data/http.go
+++ b/data/http.go
@@ -41,7 +41,7 @@
 	Known        uint32 `json:"knownStatus,omitempty"`
 }
 
-func (n *Node) refuse(w http.ResponseWriter, gen ident.Generation, v ident.Visit, a forward.Answer) {
+func (n *Node) refuse(w http.ResponseWriter, gen ident.Generation, v ident.RequestID, a forward.Answer) {
 	h := w.Header()
 	h.Set("Sloeturn-Ran", string(a.Ran))
 	n.part(h)
@@ -84,7 +84,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, lanePath) {
 			bounded(w, r)
-			n.visit(w, r)
+			n.serveLane(w, r)
 			return
 		}
 		mux.ServeHTTP(w, r)
@@ -186,10 +186,10 @@
 	return ok == 1
 }
 
-func (n *Node) visit(w http.ResponseWriter, r *http.Request) {
+func (n *Node) serveLane(w http.ResponseWriter, r *http.Request) {
 	start := ident.Now()
 	view := n.view.Load()
-	id := ident.Visit(fmt.Sprintf("%s-%x-%d", n.State.Member, uint64(n.State.Incarnation)&0xffffffff, n.count.Add(1)))
+	id := ident.RequestID(fmt.Sprintf("%s-%x-%d", n.State.Member, uint64(n.State.Incarnation)&0xffffffff, n.count.Add(1)))
 	no := func(status int, why string, back time.Duration) {
 		n.refuse(w, view.gen, id, forward.Answer{Status: status, Ran: forward.RanNo, Reason: why, RetryAfter: back})
 	}
@@ -226,9 +226,9 @@
 		no(status, why, 0)
 		return
 	}
-	k := &call{visit: id, lane: lane, req: r, body: body, path: "/" + rest, ans: make(chan answer, 2)}
+	k := &call{id: id, lane: lane, req: r, body: body, path: "/" + rest, ans: make(chan answer, 2)}
 	now := ident.Now()
-	a := forward.Arrival{Visit: id, Lane: lane.Name, Rule: lane, Arrived: now, Expiry: start.Add(left)}
+	a := forward.Arrival{ID: id, Lane: lane.Name, Rule: lane, Arrived: now, Deadline: start.Add(left)}
 	if lane.Once {
 		sum := sha256.Sum256([]byte(lane.Tenant + "\x00" + string(lane.Service) + "\x00" + idem))
 		a.Key = sum[:16]
@@ -241,7 +241,7 @@
 }
 
 func (n *Node) take(w http.ResponseWriter, k *call, a forward.Arrival, gen ident.Generation) {
-	id := k.visit
+	id := k.id
 	no := func(why string, back time.Duration) {
 		n.deny(w, k, gen, forward.Answer{Status: 503, Ran: forward.RanNo, Reason: why, RetryAfter: back})
 	}
@@ -254,7 +254,7 @@
 		k.end = ident.Now()
 		n.lock.Unlock()
 		n.forget(id)
-		n.forget(k.twin)
+		n.forget(k.hedge)
 	}()
 	if !n.Offer(Arrive{a}) {
 		no("node busy", time.Second)
@@ -274,7 +274,7 @@
 		case <-late.C:
 			if k.fate.CompareAndSwap(open, refused) {
 				no("node too slow", 2*time.Second)
-				n.Put(Gone{id})
+				n.Put(ClientLeft{id})
 				return
 			}
 		}
@@ -283,7 +283,7 @@
 
 // abandon ends the wait of a client that has left, and its connection.
 func (n *Node) abandon(k *call) {
-	n.Put(Gone{k.visit})
+	n.Put(ClientLeft{k.id})
 	panic(http.ErrAbortHandler)
 }
 
@@ -292,7 +292,7 @@
 		n.decline(w, a)
 		return
 	}
-	n.refuse(w, gen, k.visit, a)
+	n.refuse(w, gen, k.id, a)
 }
 
 func (n *Node) reply(w http.ResponseWriter, gen ident.Generation, k *call, a answer) {
@@ -303,14 +303,14 @@
 	h := w.Header()
 	if k.Dialect != nil {
 		duty.CopyHead(h, a.resp.Header)
-		bind(h, a.resp.Header, k.Visit, k.Seal, k.Turned)
+		bind(h, a.resp.Header, k.RequestID, k.Seal, k.NotRun)
 		n.part(h)
 	} else {
 		duty.CopyHead(h, a.resp.Header, "Retry-After")
 		h.Set("Sloeturn-Ran", string(forward.RanYes))
 		n.part(h)
 		h.Set("Sloeturn-Generation", strconv.FormatUint(uint64(gen), 10))
-		h.Set("Sloeturn-Visit", string(k.visit))
+		h.Set("Sloeturn-Visit", string(k.id))
 	}
 	if a.resp.Request.Method == "HEAD" {
 		if v := a.resp.Header.Get("Content-Length"); v != "" {
@@ -333,7 +333,7 @@
 	u.RawPath = k.path
 	req := &http.Request{Method: k.req.Method, URL: u, Host: string(addr), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}
 	duty.CopyHead(req.Header, k.req.Header)
-	req.Header.Set("Sloeturn-Visit", string(k.visit))
+	req.Header.Set("Sloeturn-Visit", string(k.id))
 	req.Header.Set("Sloeturn-Service", string(k.lane.Service))
 	req.Header.Set("Sloeturn-Lane", string(k.lane.Name))
 	req.Header.Set("Sloeturn-Expiry-Ms", millisecondsTo(answerBy))
--- a/data/node.go
+++ b/data/node.go
@@ -42,19 +42,19 @@
 
 type call struct {
 	*Dialect
-	visit ident.Visit
-	life  string
-	lane  *desired.Lane
-	req   *http.Request
-	body  []byte
-	path  string
-	ans   chan answer
-	conn  *conn
-	shots map[int]heard
-	end   ident.Moment
-	fate  atomic.Int32
-	of    *call
-	twin  ident.Visit
+	id      ident.RequestID
+	life    string
+	lane    *desired.Lane
+	req     *http.Request
+	body    []byte
+	path    string
+	ans     chan answer
+	conn    *conn
+	answers map[int]heard
+	end     ident.Moment
+	fate    atomic.Int32
+	primary *call
+	hedge   ident.RequestID
 	// left is closed once the client is seen to have left.
 	left chan struct{}
 	// started tells that the request is being written, canceled that nobody waits for the answer.
@@ -91,7 +91,7 @@
 
 	lock   sync.Mutex
 	idle   map[pass.Key][]*conn
-	calls  map[ident.Visit]*call
+	calls  map[ident.RequestID]*call
 	guards map[ident.Addr]*sentry
 	silent map[ident.Addr]bool
 	asks   map[uint64]chan Announced
@@ -104,7 +104,7 @@
 }
 
 func NewNode(b Boot, l log.Logger) *Node {
-	n := &Node{Log: l, Stream: duty.NewStream(b.Decisions, b.Incarnation), idle: map[pass.Key][]*conn{}, calls: map[ident.Visit]*call{}, guards: map[ident.Addr]*sentry{}, silent: map[ident.Addr]bool{}, asks: map[uint64]chan Announced{}, ended: make(chan struct{})}
+	n := &Node{Log: l, Stream: duty.NewStream(b.Decisions, b.Incarnation), idle: map[pass.Key][]*conn{}, calls: map[ident.RequestID]*call{}, guards: map[ident.Addr]*sentry{}, silent: map[ident.Addr]bool{}, asks: map[uint64]chan Announced{}, ended: make(chan struct{})}
 	n.State = New(b, ident.Now())
 	n.Hub = &wire.Hub{Name: string(b.Member), Addr: string(b.Addr), Build: b.Build, Incarnation: uint64(b.Incarnation), Log: l, Take: func(f *wire.Frame) { n.Offer(Got{f}) }}
 	n.Step = n.State.Step
@@ -151,20 +151,20 @@
 			go n.dial(e)
 		case forward.Write:
 			go n.write(e)
-		case forward.Beside:
+		case forward.Hedge:
 			n.beside(e)
 		case forward.Drop:
-			go n.drop(e.Visit)
+			go n.drop(e.Request)
 		case forward.Cut:
-			n.cut(e.Visit)
+			n.cut(e.Request)
 		case forward.Cancel:
-			n.cancel(e.Visit)
+			n.cancel(e.Request)
 		case forward.Answer:
-			n.answer(e.Visit, answer{Answer: e})
+			n.answer(e.Request, answer{Answer: e})
 		case forward.Deliver:
 			n.deliver(e)
 		case forward.Trace:
-			n.Add(duty.Decision{Generation: uint64(n.State.adopted), Decision: "visit", Visit: string(e.Visit), Lane: string(e.Lane), From: e.From.String(), To: e.To.String(), Backend: string(e.Addr), Note: e.Note}, now)
+			n.Add(duty.Decision{Generation: uint64(n.State.adopted), Decision: "visit", Visit: string(e.Request), Lane: string(e.Lane), From: e.From.String(), To: e.To.String(), Backend: string(e.Addr), Note: e.Note}, now)
 		case pass.Close:
 			go n.closeIdle(e.Key, e.Count)
 		case Shed:
@@ -194,13 +194,13 @@
 	}
 }
 
-func (n *Node) find(v ident.Visit) *call {
+func (n *Node) find(v ident.RequestID) *call {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	return n.calls[v]
 }
 
-func (n *Node) answer(v ident.Visit, a answer) {
+func (n *Node) answer(v ident.RequestID, a answer) {
 	if c := n.find(v); c != nil {
 		select {
 		case c.ans <- a:
@@ -210,9 +210,9 @@
 }
 
 func (n *Node) deliver(e forward.Deliver) {
-	if c := n.find(e.Visit); c != nil {
-		got := c.shots[e.Shot]
-		n.answer(e.Visit, answer{Answer: forward.Answer{Visit: e.Visit, Ran: forward.RanYes}, resp: got.resp, body: got.body})
+	if c := n.find(e.Request); c != nil {
+		got := c.answers[e.Attempt]
+		n.answer(e.Request, answer{Answer: forward.Answer{Request: e.Request, Ran: forward.RanYes}, resp: got.resp, body: got.body})
 	}
 }
 
@@ -224,18 +224,18 @@
 	if c == nil {
 		wait := e.Until.Sub(ident.Now())
 		if e.Backend.Barred || wait <= 0 {
-			n.Put(LinkFailed{e.Visit, e.Shot, e.Key, false})
+			n.Put(ConnectFailed{e.Request, e.Attempt, e.Key, false})
 			return
 		}
 		raw, err := net.DialTimeout("tcp", string(e.Key.Addr), wait)
 		if err != nil {
-			n.Put(LinkFailed{e.Visit, e.Shot, e.Key, true})
+			n.Put(ConnectFailed{e.Request, e.Attempt, e.Key, true})
 			return
 		}
 		c = &conn{Conn: raw, read: bufio.NewReaderSize(raw, readerSize), key: e.Key, life: e.Backend.Life}
 	}
 	n.lock.Lock()
-	k := n.calls[e.Visit]
+	k := n.calls[e.Request]
 	if k != nil {
 		k.conn = c
 	}
@@ -245,19 +245,19 @@
 		n.Put(Freed{e.Key, true, false})
 		return
 	}
-	n.Put(Linked{e.Visit, e.Shot})
+	n.Put(Connected{e.Request, e.Attempt})
 }
 
-func (n *Node) beside(e forward.Beside) {
+func (n *Node) beside(e forward.Hedge) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	if k := n.calls[e.Visit]; k != nil {
-		n.calls[e.Twin] = &call{Dialect: k.Dialect, visit: e.Twin, lane: k.lane, req: k.req, body: k.body, path: k.path, ans: k.ans, of: k}
-		k.twin = e.Twin
+	if k := n.calls[e.Request]; k != nil {
+		n.calls[e.Hedge] = &call{Dialect: k.Dialect, id: e.Hedge, lane: k.lane, req: k.req, body: k.body, path: k.path, ans: k.ans, primary: k}
+		k.hedge = e.Hedge
 	}
 }
 
-func (n *Node) drop(v ident.Visit) {
+func (n *Node) drop(v ident.RequestID) {
 	n.lock.Lock()
 	k := n.calls[v]
 	var c *conn
@@ -272,9 +272,9 @@
 	n.forget(v)
 }
 
-func (k *call) over() bool { return k.end != 0 || k.of != nil && k.of.end != 0 }
+func (k *call) over() bool { return k.end != 0 || k.primary != nil && k.primary.end != 0 }
 
-func (n *Node) forget(v ident.Visit) {
+func (n *Node) forget(v ident.RequestID) {
 	n.lock.Lock()
 	if k := n.calls[v]; k != nil && k.conn == nil && k.over() {
 		delete(n.calls, v)
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -224,14 +224,14 @@
 	lane := g.view.Load().desired.Find("h.example", "/r/x").Pick(0)
 	r, _ := http.NewRequest("GET", "http://h.example/r/x", nil)
 	r.RequestURI = "/r/x"
-	first := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2)}
+	first := &call{Dialect: &tongue, id: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2)}
 	first.fate.Store(refused)
-	twin := &call{Dialect: &tongue, visit: "v-beside", lane: lane, req: r, path: "/r/x", ans: first.ans, conn: c, of: first}
+	twin := &call{Dialect: &tongue, id: "v-beside", lane: lane, req: r, path: "/r/x", ans: first.ans, conn: c, primary: first}
 	g.Node.lock.Lock()
 	g.calls["v"], g.calls["v-beside"] = first, twin
 	g.Node.lock.Unlock()
 	later := ident.Now().Add(100 * time.Millisecond)
-	g.write(forward.Write{Visit: "v-beside", Shot: 3, NotAfter: later, AnswerBy: later, Until: later})
+	g.write(forward.Write{Request: "v-beside", Attempt: 3, NotAfter: later, AnswerBy: later, Until: later})
 	g.closeIdle(c.key, 1)
 	got, _ := io.ReadAll(far)
 	require.Empty(t, string(got))
@@ -255,12 +255,12 @@
 		lane := g.view.Load().desired.Find("h.example", "/a/x").Pick(0)
 		r, _ := http.NewRequest("GET", "http://h.example/a/x", nil)
 		r.RequestURI = "/a/x"
-		k := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/a/x", ans: make(chan answer, 2), conn: c}
+		k := &call{Dialect: &tongue, id: "v", lane: lane, req: r, path: "/a/x", ans: make(chan answer, 2), conn: c}
 		g.Node.lock.Lock()
 		g.calls["v"] = k
 		g.Node.lock.Unlock()
 		later := ident.Now().Add(100 * time.Millisecond)
-		g.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, AnswerBy: later, Until: later})
+		g.write(forward.Write{Request: "v", Attempt: 1, NotAfter: later, AnswerBy: later, Until: later})
 		got, _ := io.ReadAll(far)
 		require.Empty(t, string(got), name)
 	}
@@ -330,13 +330,13 @@
 		r, _ := http.NewRequest("POST", "http://h.example/a/x", nil)
 		r.RequestURI = "/a/x"
 		r.Header.Set("Visit-Name", "v")
-		k := &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/a/x", body: make([]byte, 32<<20), ans: make(chan answer, 2), conn: c}
+		k := &call{Dialect: &tongue, id: "v", lane: lane, req: r, path: "/a/x", body: make([]byte, 32<<20), ans: make(chan answer, 2), conn: c}
 		g.Node.lock.Lock()
 		g.calls["v"] = k
 		g.Node.lock.Unlock()
 		later := ident.Now().Add(2 * time.Second)
-		g.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, AnswerBy: later, Until: later})
-		got := k.shots[1]
+		g.write(forward.Write{Request: "v", Attempt: 1, NotAfter: later, AnswerBy: later, Until: later})
+		got := k.answers[1]
 		if name == "short" {
 			require.Nil(t, got.resp)
 			continue
@@ -402,9 +402,9 @@
 	r, _ := http.NewRequest("POST", "http://h.example/a/x", nil)
 	r.RequestURI = "/a/x"
 	lane := &desired.Lane{Name: "s", Service: "s", Answer: 4096}
-	n.calls["v"] = &call{Dialect: &tongue, visit: "v", lane: lane, req: r, path: "/a/x", body: make([]byte, 32<<20), ans: make(chan answer, 2), conn: c}
+	n.calls["v"] = &call{Dialect: &tongue, id: "v", lane: lane, req: r, path: "/a/x", body: make([]byte, 32<<20), ans: make(chan answer, 2), conn: c}
 	later := ident.Now().Add(2 * time.Second)
-	n.write(forward.Write{Visit: "v", Shot: 1, NotAfter: later, AnswerBy: later, Until: later})
+	n.write(forward.Write{Request: "v", Attempt: 1, NotAfter: later, AnswerBy: later, Until: later})
 	require.Equal(t, Ended{"v", 1, forward.Broken, 0}, <-got)
 	require.Equal(t, Freed{c.key, false, true}, <-got)
 }
@@ -421,7 +421,7 @@
 		r.Header.Set("Visit-Name", "v")
 		k := &call{Dialect: &tongue, lane: &desired.Lane{Answer: 4096}, req: r}
 		_, body, kept, ending := k.read(&conn{Conn: near, read: bufio.NewReaderSize(near, readerSize)}, r)
-		require.Equal(t, forward.Whole, ending)
+		require.Equal(t, forward.Complete, ending)
 		require.Equal(t, "hi", string(body))
 		require.Equal(t, keep, kept, "%q", more)
 	}
--- a/data/visits_property_test.go
+++ b/data/visits_property_test.go
@@ -537,7 +537,7 @@
 	h.query(func(*State, ident.Moment) any {
 		step := h.Step
 		h.Step = func(now ident.Moment, e any) {
-			if _, ok := e.(Linked); ok {
+			if _, ok := e.(Connected); ok {
 				if d := time.Duration(h.pausing.Swap(0)); d > 0 {
 					h.count("stall")
 					<-time.After(d)
--- a/desired/route.go
+++ b/desired/route.go
@@ -30,7 +30,7 @@
 	Aim        time.Duration
 	Whole      time.Duration
 	Rank       int
-	Shots      int
+	Attempts   int
 	Targets    []Target
 	Sum        int
 }
@@ -63,7 +63,7 @@
 	out.Aim = o.span("aimMs", 1, 3600000, 0)
 	out.Rank = o.whole("rank", 0, 1000, 0, false)
 	out.Whole = time.Duration(o.whole("wholeMs", 1, 3600000, 1, true)) * time.Millisecond
-	out.Shots = o.whole("shots", 1, 16, 1, true)
+	out.Attempts = o.whole("shots", 1, 16, 1, true)
 	c.targets(out, o, s)
 	o.end()
 	return out
@@ -95,8 +95,8 @@
 
 func (r *Route) rule(l *Lane, most *Limits) *Lane {
 	out := *l
-	out.Route, out.Again, out.Aim, out.Rank, out.Once = r.Name, r.Repeatable, r.Aim, r.Rank, false
-	out.Work, out.Whole, out.Shots = r.Whole, r.Whole, r.Shots
+	out.Route, out.Repeatable, out.Aim, out.Rank, out.Once = r.Name, r.Repeatable, r.Aim, r.Rank, false
+	out.Work, out.Whole, out.Attempts = r.Whole, r.Whole, r.Attempts
 	if r.Aim > 0 {
 		wait := max(time.Millisecond, r.Aim/4-10*time.Millisecond)
 		out.Wait, out.Connect = min(out.Wait, wait), min(out.Connect, wait)
--- a/desired/route_test.go
+++ b/desired/route_test.go
@@ -37,22 +37,22 @@
 	require.True(t, pay.Named)
 	require.Zero(t, pay.Probe.Slots)
 	require.Equal(t, []int{9, 50, 200}, []int{pay.Line, pay.FurtherShare, s.Services["look"].FurtherShare})
-	require.True(t, s.Lanes["look"].Again)
+	require.True(t, s.Lanes["look"].Repeatable)
 
 	r := s.Routes["Pay.v1_x-2"]
-	require.Equal(t, Route{Name: "Pay.v1_x-2", Host: "api.example", Prefix: "/pay/", Aim: 200 * time.Millisecond, Rank: 3, Whole: 900 * time.Millisecond, Shots: 5, Targets: r.Targets, Sum: 4}, *r)
+	require.Equal(t, Route{Name: "Pay.v1_x-2", Host: "api.example", Prefix: "/pay/", Aim: 200 * time.Millisecond, Rank: 3, Whole: 900 * time.Millisecond, Attempts: 5, Targets: r.Targets, Sum: 4}, *r)
 	require.Len(t, r.Targets, 3)
 	a := *s.Lanes["pay-a"]
 	a.Route, a.Aim, a.Rank, a.Once = r.Name, r.Aim, 3, false
-	a.Work, a.Whole, a.Shots, a.Body = r.Whole, r.Whole, 5, 1000
+	a.Work, a.Whole, a.Attempts, a.Body = r.Whole, r.Whole, 5, 1000
 	a.Wait, a.Connect = 40*time.Millisecond, 40*time.Millisecond
 	require.Equal(t, &a, r.Targets[1].Rule)
 	require.True(t, s.Lanes["pay-a"].Once)
 	b := r.Targets[2].Rule
 	require.Equal(t, []time.Duration{0, 40 * time.Millisecond}, []time.Duration{b.Wait, b.Connect})
 	look := s.Routes["all"].Targets[0].Rule
-	require.True(t, look.Again)
-	require.False(t, r.Targets[0].Rule.Again)
+	require.True(t, look.Repeatable)
+	require.False(t, r.Targets[0].Rule.Repeatable)
 	require.Equal(t, []time.Duration{180 * time.Millisecond, 150 * time.Millisecond}, []time.Duration{look.Wait, look.Connect})
 	require.Equal(t, int64(10), look.Body)
 }
@@ -207,10 +207,10 @@
 	}
 	s := with(`{"routes":{"Pay.v1_x-2":{"lanes":{"pay-b":2,"pay-a":null}}}}`)
 	require.Equal(t, "pay-b:2 ", lanes(s.Routes["Pay.v1_x-2"]))
-	require.Equal(t, 5, s.Routes["Pay.v1_x-2"].Shots)
+	require.Equal(t, 5, s.Routes["Pay.v1_x-2"].Attempts)
 	s = with(`{"routes":{"Pay.v1_x-2":{"host":"h","prefix":"/p/","repeatable":true,"aimMs":900,"rank":4,"wholeMs":7,"shots":2,"lanes":{"look":8}}}}`)
 	r := s.Routes["Pay.v1_x-2"]
-	require.Equal(t, Route{Name: r.Name, Host: "h", Prefix: "/p/", Repeatable: true, Aim: 900 * time.Millisecond, Rank: 4, Whole: 7 * time.Millisecond, Shots: 2, Targets: r.Targets, Sum: 8}, *r)
+	require.Equal(t, Route{Name: r.Name, Host: "h", Prefix: "/p/", Repeatable: true, Aim: 900 * time.Millisecond, Rank: 4, Whole: 7 * time.Millisecond, Attempts: 2, Targets: r.Targets, Sum: 8}, *r)
 	require.Equal(t, "look:8 ", lanes(r))
 	require.Len(t, s.Routes, 3)
 	s = with(`{"routes":{"Pay.v1_x-2":null,"new":{"host":"h","prefix":"/","wholeMs":7,"shots":2,"lanes":{"look":8,"pay-a":null}}}}`)
--- a/desired/state.go
+++ b/desired/state.go
@@ -46,24 +46,24 @@
 }
 
 type Lane struct {
-	Name    ident.Lane
-	Tenant  string
-	Service ident.Service
-	Slots   int
-	Weight  int
-	Waiters int
-	Wait    time.Duration
-	Connect time.Duration
-	Work    time.Duration
-	Whole   time.Duration
-	Once    bool
-	Shots   int
-	Body    int64
-	Answer  int64
-	Again   bool
-	Route   string
-	Aim     time.Duration
-	Rank    int
+	Name       ident.Lane
+	Tenant     string
+	Service    ident.Service
+	Slots      int
+	Weight     int
+	Waiters    int
+	Wait       time.Duration
+	Connect    time.Duration
+	Work       time.Duration
+	Whole      time.Duration
+	Once       bool
+	Attempts   int
+	Body       int64
+	Answer     int64
+	Repeatable bool
+	Route      string
+	Aim        time.Duration
+	Rank       int
 }
 
 type Limits struct {
@@ -355,10 +355,10 @@
 	out.Work = o.span("workMs", 1, 3600000, 1000)
 	out.Whole = o.span("wholeMs", 1, 3600000, int(math.Max(2000, float64(out.Work.Milliseconds()+200))))
 	out.Once = o.flag("once")
-	if out.Again = o.flag("repeatable"); out.Again && out.Once {
+	if out.Repeatable = o.flag("repeatable"); out.Repeatable && out.Once {
 		c.say(path+"/repeatable", "cannot stand beside once")
 	}
-	out.Shots = o.whole("shots", 1, 4, 2, false)
+	out.Attempts = o.whole("shots", 1, 4, 2, false)
 	out.Body = int64(o.whole("bodyBytes", 0, 16<<20, 64<<10, false))
 	out.Answer = int64(o.whole("answerBytes", 1, 64<<20, 1<<20, false))
 	if out.Tenant != "" && s.Tenants[out.Tenant] == nil {
--- a/forward/beside_test.go
+++ b/forward/beside_test.go
@@ -12,7 +12,7 @@
 		r.come(route)
 		d := r.sends(1)
 		r.now = r.now.Add(50 * time.Millisecond)
-		r.hears(d, Whole, 200)
+		r.hears(d, Complete, 200)
 		r.Flush()
 	}
 }
@@ -29,13 +29,13 @@
 	first = r.sends(1)
 	require.Empty(r.t, pick[Dial](r.wait(45*time.Millisecond)))
 	all := r.wait(10 * time.Millisecond)
-	pair, list := pick[Beside](all), pick[Dial](all)
+	pair, list := pick[Hedge](all), pick[Dial](all)
 	require.Len(r.t, pair, 1)
 	require.Len(r.t, list, 1)
 	second = list[0]
-	require.Equal(r.t, Beside{v, second.Visit}, pair[0])
+	require.Equal(r.t, Hedge{v, second.Request}, pair[0])
 	require.NotEqual(r.t, first.Key.Addr, second.Key.Addr)
-	require.True(r.t, r.Linked(second.Visit, second.Shot, r.now))
+	require.True(r.t, r.Connected(second.Request, second.Attempt, r.now))
 	require.Len(r.t, pick[Write](r.Flush()), 1)
 	return first, second
 }
@@ -47,9 +47,9 @@
 		if late {
 			first, second = second, first
 		}
-		r.hears(second, Whole, 200)
-		require.Equal(t, []Deliver{{second.Visit, second.Shot}}, pick[Deliver](r.Flush()))
-		r.hears(first, Whole, 200)
+		r.hears(second, Complete, 200)
+		require.Equal(t, []Deliver{{second.Request, second.Attempt}}, pick[Deliver](r.Flush()))
+		r.hears(first, Complete, 200)
 		all := r.Flush()
 		require.Empty(t, pick[Deliver](all))
 		require.Empty(t, pick[Answer](all))
@@ -69,7 +69,7 @@
 		require.Empty(t, pick[Deliver](all))
 		require.Empty(t, pick[Answer](all))
 		require.Empty(t, pick[Dial](all))
-		r.hears(second, Turned, 503)
+		r.hears(second, TurnedAway, 503)
 		require.Equal(t, RanUnknown, r.told().Ran)
 	}
 }
@@ -90,8 +90,8 @@
 func TestALeavingRequesterLeavesBothShots(t *testing.T) {
 	r := newRoad(t, 3, 3, 10, 200)
 	first, second := r.twin()
-	r.Gone(first.Visit, r.now)
-	r.hears(first, Whole, 200)
+	r.ClientLeft(first.Request, r.now)
+	r.hears(first, Complete, 200)
 	r.hears(second, Broken, 0)
 	all := r.Flush()
 	require.Empty(t, pick[Deliver](all))
@@ -107,12 +107,12 @@
 	r.come("once")
 	r.sends(1)
 	all := r.wait(60 * time.Millisecond)
-	require.Len(t, pick[Beside](all), 1)
+	require.Len(t, pick[Hedge](all), 1)
 	require.Empty(t, pick[Dial](all))
 	all = r.wait(250 * time.Millisecond)
 	require.Empty(t, pick[Answer](all))
-	r.hears(first, Whole, 200)
-	require.Equal(t, []Deliver{{first.Visit, 1}}, pick[Deliver](r.Flush()))
+	r.hears(first, Complete, 200)
+	require.Equal(t, []Deliver{{first.Request, 1}}, pick[Deliver](r.Flush()))
 	require.Equal(t, 1, r.Open())
 }
 
@@ -124,12 +124,12 @@
 			if late {
 				first, second = second, first
 			}
-			r.hears(first, Whole, status)
+			r.hears(first, Complete, status)
 			all := r.Flush()
 			require.Empty(t, pick[Deliver](all), status)
 			require.Empty(t, pick[Answer](all), status)
-			r.hears(second, Whole, 200)
-			require.Equal(t, []Deliver{{second.Visit, second.Shot}}, pick[Deliver](r.Flush()), status)
+			r.hears(second, Complete, 200)
+			require.Equal(t, []Deliver{{second.Request, second.Attempt}}, pick[Deliver](r.Flush()), status)
 			require.Zero(t, r.Open())
 		}
 	}
@@ -142,9 +142,9 @@
 	first := r.sends(1)
 	second := pick[Dial](r.wait(60 * time.Millisecond))[0]
 	r.hears(first, Broken, 0)
-	r.Gone(v, r.now)
+	r.ClientLeft(v, r.now)
 	r.Flush()
-	require.False(t, r.Linked(second.Visit, second.Shot, r.now))
+	require.False(t, r.Connected(second.Request, second.Attempt, r.now))
 	require.Empty(t, r.Flush())
 	require.Zero(t, r.Open())
 }
--- a/forward/cancel_test.go
+++ b/forward/cancel_test.go
@@ -9,12 +9,12 @@
 
 // canceled takes the effects since the last call and requires exactly one cancellation, of d.
 func (r *road) canceled(d Dial) {
-	require.Equal(r.t, []Cancel{{d.Visit}}, pick[Cancel](r.Flush()))
+	require.Equal(r.t, []Cancel{{d.Request}}, pick[Cancel](r.Flush()))
 }
 
 // cancelEnds plays a backend that closes its connection after a cancellation.
 func (r *road) cancelEnds(d Dial) {
-	r.Ended(d.Visit, d.Shot, Canceled, 0, r.now)
+	r.Ended(d.Request, d.Attempt, Canceled, 0, r.now)
 	r.Freed(d.Key, false, false, r.now)
 }
 
@@ -22,9 +22,9 @@
 	r := newRoad(t, 3, 3, 10, 200)
 	v := r.come("again")
 	d := r.sends(1)
-	r.Gone(v, r.now)
+	r.ClientLeft(v, r.now)
 	r.canceled(d)
-	r.Gone(v, r.now)
+	r.ClientLeft(v, r.now)
 	require.Empty(t, r.wait(100*time.Millisecond), "canceled once")
 	require.Equal(t, 1, r.Open(), "the slot is held until the backend has let go")
 	require.Equal(t, 1, r.State.State.Held())
@@ -41,10 +41,10 @@
 	r := newRoad(t, 3, 3, 10, 200)
 	v := r.come("once")
 	d := r.sends(1)
-	r.Gone(v, r.now)
+	r.ClientLeft(v, r.now)
 	require.Empty(t, pick[Cancel](r.Flush()))
 	require.Empty(t, pick[Cancel](r.wait(1200*time.Millisecond)), "nor at its deadline")
-	r.hears(d, Whole, 200)
+	r.hears(d, Complete, 200)
 	require.Empty(t, pick[Deliver](r.Flush()))
 	require.Zero(t, r.Open())
 }
@@ -56,10 +56,10 @@
 		if late {
 			first, second = second, first
 		}
-		r.hears(second, Whole, 200)
+		r.hears(second, Complete, 200)
 		all := r.Flush()
-		require.Equal(t, []Deliver{{second.Visit, second.Shot}}, pick[Deliver](all))
-		require.Equal(t, []Cancel{{first.Visit}}, pick[Cancel](all))
+		require.Equal(t, []Deliver{{second.Request, second.Attempt}}, pick[Deliver](all))
+		require.Equal(t, []Cancel{{first.Request}}, pick[Cancel](all))
 		r.cancelEnds(first)
 		require.Empty(t, r.answers())
 		require.Zero(t, r.Open())
@@ -81,8 +81,8 @@
 func TestBothParallelAttemptsAreCanceledWhenTheClientLeaves(t *testing.T) {
 	r := newRoad(t, 3, 3, 10, 200)
 	first, second := r.twin()
-	r.Gone(first.Visit, r.now)
-	require.ElementsMatch(t, []Cancel{{first.Visit}, {second.Visit}}, pick[Cancel](r.Flush()))
+	r.ClientLeft(first.Request, r.now)
+	require.ElementsMatch(t, []Cancel{{first.Request}, {second.Request}}, pick[Cancel](r.Flush()))
 	r.cancelEnds(first)
 	r.cancelEnds(second)
 	require.Empty(t, r.answers())
@@ -94,7 +94,7 @@
 	first, second := r.twin()
 	r.hears(first, Broken, 0)
 	r.Flush()
-	r.Gone(first.Visit, r.now)
+	r.ClientLeft(first.Request, r.now)
 	r.canceled(second)
 	r.cancelEnds(second)
 	require.Empty(t, r.answers())
@@ -108,7 +108,7 @@
 	all := r.wait(500 * time.Millisecond)
 	require.Len(t, pick[Answer](all), 1)
 	require.Equal(t, 504, pick[Answer](all)[0].Status)
-	require.Equal(t, []Cancel{{d.Visit}}, pick[Cancel](all))
+	require.Equal(t, []Cancel{{d.Request}}, pick[Cancel](all))
 	r.cancelEnds(d)
 	require.Empty(t, r.answers())
 	require.Zero(t, r.Open())
@@ -118,7 +118,7 @@
 	r := newRoad(t, 3, 3, 10, 200)
 	v := r.come("again")
 	d := r.sends(1)
-	r.Gone(v, r.now)
+	r.ClientLeft(v, r.now)
 	r.canceled(d)
 	require.Empty(t, pick[Cut](r.wait(1900*time.Millisecond)))
 	require.Equal(t, []Cut{{v}}, pick[Cut](r.wait(200*time.Millisecond)))
@@ -128,9 +128,9 @@
 	r := newRoad(t, 3, 3, 10, 200)
 	v := r.come("again")
 	d := r.sends(1)
-	r.Gone(v, r.now)
+	r.ClientLeft(v, r.now)
 	r.canceled(d)
-	r.NotWritten(d.Visit, d.Shot, "client left", r.now)
+	r.NotWritten(d.Request, d.Attempt, "client left", r.now)
 	r.Freed(d.Key, true, false, r.now)
 	all := r.Flush()
 	require.Empty(t, pick[Dial](all))
@@ -146,7 +146,7 @@
 		v := r.come("again")
 		d := r.sends(1)
 		r.now = r.now.Add(wait)
-		r.Gone(v, r.now)
+		r.ClientLeft(v, r.now)
 		r.canceled(d)
 		r.cancelEnds(d)
 		return before, r.State.State.Pace("b0")
--- a/forward/hedge.go
+++ b/forward/hedge.go
@@ -4,32 +4,32 @@
 	"sloeturn/ident"
 )
 
-// other returns the attempt beside v if its answer is still waited for, else nil.
-func (s *State) other(v *Visit) *Visit {
-	if m := s.visits[v.mate]; v.mate != "" && m != nil && !m.Told {
+// partner returns the attempt beside req if its answer is still waited for, else nil.
+func (s *State) partner(req *Request) *Request {
+	if m := s.requests[req.partner]; req.partner != "" && m != nil && !m.Done {
 		return m
 	}
 	return nil
 }
 
-// beside sends one further attempt of an overdue request to another backend. The first whole answer
+// hedge sends one further attempt of an overdue request to another backend. The first whole answer
 // counts; the budget of the service pays for it.
-func (s *State) beside(v *Visit, now ident.Moment) {
-	if v.mate != "" || v.Told || !v.Rule.Again || v.Shot >= v.Rule.Shots {
+func (s *State) hedge(req *Request, now ident.Moment) {
+	if req.partner != "" || req.Done || !req.Rule.Repeatable || req.Attempt >= req.Rule.Attempts {
 		return
 	}
-	late, usual, ok := s.State.Overdue(v.kind())
-	if !ok || now.Sub(v.sent) < late || v.AnswerBy.Sub(now) < usual || !s.further(v.Rule.Service) {
+	late, usual, ok := s.State.Overdue(req.kind())
+	if !ok || now.Sub(req.sentAt) < late || req.AnswerBy.Sub(now) < usual || !s.spend(req.Rule.Service) {
 		return
 	}
-	t := &Visit{Arrival: v.Arrival, Shot: v.Rule.Shots - 1, Unsure: true, twin: true, mate: v.Visit, skip: map[ident.Addr]bool{v.Backend.Addr: true}}
-	t.Visit += besideName
-	for a := range v.skip {
-		t.skip[a] = true
+	t := &Request{Arrival: req.Arrival, Attempt: req.Rule.Attempts - 1, MayHaveRun: true, hedge: true, partner: req.ID, tried: map[ident.Addr]bool{req.Backend.Addr: true}}
+	t.ID += hedgeSuffix
+	for a := range req.tried {
+		t.tried[a] = true
 	}
-	v.mate = t.Visit
-	t.asked, t.GiveUpAt = now, now.Add(Patience(v.Rule))
-	s.visits[t.Visit] = t
-	s.emit(Beside{v.Visit, t.Visit})
+	req.partner = t.ID
+	t.waitsSince, t.GiveUpAt = now, now.Add(Patience(req.Rule))
+	s.requests[t.ID] = t
+	s.emit(Hedge{req.ID, t.ID})
 	s.ask(t, now)
 }
--- a/forward/shots_test.go
+++ b/forward/shots_test.go
@@ -29,23 +29,23 @@
 	d, faults := desired.Read([]byte(fmt.Sprintf(paths, most, part)))
 	require.Empty(t, faults)
 	b := &bench{now: 1e9, d: d}
-	b.State = New(pass.New(), func(v *Visit, now ident.Moment) (ident.Moment, string) { return now.Add(time.Second), b.gate })
+	b.State = New(pass.New(), func(v *Request, now ident.Moment) (ident.Moment, string) { return now.Add(time.Second), b.gate })
 	b.Rules(d, ledger.Slots(d), 0, 1, b.now)
 	b.fill(backs, share)
 	b.Credit("s", float64(most))
 	return &road{b, t}
 }
 
-func (r *road) come(route string) ident.Visit {
+func (r *road) come(route string) ident.RequestID {
 	r.n++
-	v := ident.Visit(fmt.Sprint("v", r.n))
+	v := ident.RequestID(fmt.Sprint("v", r.n))
 	route, short := strings.CutSuffix(route, "!")
 	left := 2 * time.Second
 	if short {
 		left = 500 * time.Millisecond
 	}
 	rule := r.d.Find("h", "/"+route+"/x").Pick(0)
-	r.Arrive(Arrival{Visit: v, Lane: rule.Name, Rule: rule, Arrived: r.now, Expiry: r.now.Add(left)}, r.now)
+	r.Arrive(Arrival{ID: v, Lane: rule.Name, Rule: rule, Arrived: r.now, Deadline: r.now.Add(left)}, r.now)
 	return v
 }
 
@@ -53,17 +53,17 @@
 	all := r.Flush()
 	list := pick[Dial](all)
 	require.Len(r.t, list, 1)
-	require.Equal(r.t, shot, list[0].Shot)
+	require.Equal(r.t, shot, list[0].Attempt)
 	require.Empty(r.t, pick[Answer](all))
 	require.Empty(r.t, pick[Deliver](all))
-	require.True(r.t, r.Linked(list[0].Visit, shot, r.now))
+	require.True(r.t, r.Connected(list[0].Request, shot, r.now))
 	require.Len(r.t, pick[Write](r.Flush()), 1)
 	return list[0]
 }
 
 func (r *road) hears(d Dial, e Ending, status int) {
-	r.Ended(d.Visit, d.Shot, e, status, r.now)
-	r.Freed(d.Key, e == Whole || e == Turned, false, r.now)
+	r.Ended(d.Request, d.Attempt, e, status, r.now)
+	r.Freed(d.Key, e == Complete || e == TurnedAway, false, r.now)
 }
 
 func (r *road) told() Answer {
@@ -82,7 +82,7 @@
 	require.Empty(r.t, pick[Answer](all))
 	d := pick[Deliver](all)
 	require.Len(r.t, d, 1)
-	require.Equal(r.t, shot, d[0].Shot)
+	require.Equal(r.t, shot, d[0].Attempt)
 	require.Zero(r.t, r.Open())
 }
 
@@ -90,7 +90,7 @@
 	for _, c := range []struct {
 		how    Ending
 		status int
-	}{{Whole, 500}, {Whole, 503}, {Whole, 502}, {Whole, 408}, {Whole, 429}, {Garbled, 0}, {Broken, 0}, {Late, 0}} {
+	}{{Complete, 500}, {Complete, 503}, {Complete, 502}, {Complete, 408}, {Complete, 429}, {Garbled, 0}, {Broken, 0}, {TimedOut, 0}} {
 		r := newRoad(t, 6, 4, 10, 200)
 		r.come("once")
 		r.hears(r.sends(1), c.how, c.status)
@@ -109,7 +109,7 @@
 }
 
 func TestWhatTheBackendDidNotRunIsShotAgainElsewhere(t *testing.T) {
-	for _, how := range []Ending{Turned, Moved} {
+	for _, how := range []Ending{TurnedAway, Misdirected} {
 		for _, route := range []string{"once", "again"} {
 			r := newRoad(t, 6, 4, 10, 200)
 			r.come(route)
@@ -117,7 +117,7 @@
 			r.hears(one, how, 503)
 			two := r.sends(2)
 			require.NotEqual(t, one.Key.Addr, two.Key.Addr)
-			r.hears(two, Whole, 200)
+			r.hears(two, Complete, 200)
 			r.delivers(2)
 		}
 	}
@@ -128,14 +128,14 @@
 		r := newRoad(t, 9, 4, 10, 0)
 		r.come(route)
 		for shot := 1; shot <= 3; shot++ {
-			r.hears(r.sends(shot), Turned, 503)
+			r.hears(r.sends(shot), TurnedAway, 503)
 		}
 		r.delivers(3)
 
 		r = newRoad(t, 9, 4, 1, 0)
 		r.come(route)
-		r.hears(r.sends(1), Turned, 503)
-		r.hears(r.sends(2), Turned, 503)
+		r.hears(r.sends(1), TurnedAway, 503)
+		r.hears(r.sends(2), TurnedAway, 503)
 		r.delivers(2)
 
 		for late, route := range map[time.Duration]string{time.Second: route, 500 * time.Millisecond: route + "!"} {
@@ -143,7 +143,7 @@
 			r.come(route)
 			d := r.sends(1)
 			r.now = r.now.Add(late)
-			r.hears(d, Turned, 503)
+			r.hears(d, TurnedAway, 503)
 			r.delivers(1)
 			require.Zero(t, r.Counts["further"])
 		}
@@ -161,12 +161,12 @@
 				if len(d) == 0 {
 					break
 				}
-				if d[0].Shot > 1 {
+				if d[0].Attempt > 1 {
 					further++
 				}
-				r.Linked(d[0].Visit, d[0].Shot, r.now)
+				r.Connected(d[0].Request, d[0].Attempt, r.now)
 				r.Flush()
-				r.hears(d[0], Turned, 503)
+				r.hears(d[0], TurnedAway, 503)
 			}
 		}
 		require.LessOrEqual(t, further, 3+part/10)
@@ -180,14 +180,14 @@
 	}{
 		"garbled": {func(r *road) { r.hears(r.sends(2), Garbled, 0); r.hears(r.sends(3), Garbled, 0) }},
 		"broken":  {func(r *road) { r.hears(r.sends(2), Broken, 0); r.hears(r.sends(3), Broken, 0) }},
-		"turned":  {func(r *road) { r.hears(r.sends(2), Turned, 503); r.hears(r.sends(3), Turned, 503) }},
-		"moved":   {func(r *road) { r.hears(r.sends(2), Moved, 421); r.hears(r.sends(3), Moved, 421) }},
-		"gateway": {func(r *road) { r.hears(r.sends(2), Whole, 503); r.hears(r.sends(3), Whole, 503) }},
-		"gate":    {func(r *road) { r.gate = "stale"; r.Linked(pick[Dial](r.Flush())[0].Visit, 2, r.now) }},
+		"turned":  {func(r *road) { r.hears(r.sends(2), TurnedAway, 503); r.hears(r.sends(3), TurnedAway, 503) }},
+		"moved":   {func(r *road) { r.hears(r.sends(2), Misdirected, 421); r.hears(r.sends(3), Misdirected, 421) }},
+		"gateway": {func(r *road) { r.hears(r.sends(2), Complete, 503); r.hears(r.sends(3), Complete, 503) }},
+		"gate":    {func(r *road) { r.gate = "stale"; r.Connected(pick[Dial](r.Flush())[0].Request, 2, r.now) }},
 		"refused": {func(r *road) {
 			for shot := 2; shot <= 3; shot++ {
 				d := pick[Dial](r.Flush())[0]
-				r.LinkFailed(d.Visit, shot, d.Key, true, r.now)
+				r.ConnectFailed(d.Request, shot, d.Key, true, r.now)
 			}
 		}},
 		"waited": {func(r *road) {
@@ -199,7 +199,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRoad(t, 9, 4, 10, 0)
 			r.come("again")
-			r.hears(r.sends(1), Whole, 500)
+			r.hears(r.sends(1), Complete, 500)
 			c.rest(r)
 			r.delivers(1)
 		})
@@ -210,28 +210,28 @@
 	for _, first := range []struct {
 		how    Ending
 		status int
-	}{{Garbled, 0}, {Broken, 0}, {Whole, 503}} {
+	}{{Garbled, 0}, {Broken, 0}, {Complete, 503}} {
 		for name, rest := range map[string]func(r *road){
-			"turned": func(r *road) { r.hears(r.sends(2), Turned, 503); r.hears(r.sends(3), Turned, 503) },
-			"moved":  func(r *road) { r.hears(r.sends(2), Moved, 421); r.hears(r.sends(3), Moved, 421) },
-			"gate":   func(r *road) { r.gate = "stale"; r.Linked(pick[Dial](r.Flush())[0].Visit, 2, r.now) },
+			"turned": func(r *road) { r.hears(r.sends(2), TurnedAway, 503); r.hears(r.sends(3), TurnedAway, 503) },
+			"moved":  func(r *road) { r.hears(r.sends(2), Misdirected, 421); r.hears(r.sends(3), Misdirected, 421) },
+			"gate":   func(r *road) { r.gate = "stale"; r.Connected(pick[Dial](r.Flush())[0].Request, 2, r.now) },
 			"unwritten": func(r *road) {
 				for shot := 2; shot <= 3; shot++ {
 					d := r.sends(shot)
-					r.NotWritten(d.Visit, d.Shot, "broke", r.now)
+					r.NotWritten(d.Request, d.Attempt, "broke", r.now)
 					r.Freed(d.Key, false, true, r.now)
 				}
 			},
 			"refused": func(r *road) {
 				for shot := 2; shot <= 3; shot++ {
 					d := pick[Dial](r.Flush())[0]
-					r.LinkFailed(d.Visit, shot, d.Key, true, r.now)
+					r.ConnectFailed(d.Request, shot, d.Key, true, r.now)
 				}
 			},
 			"none left": func(r *road) {
 				d := r.sends(2)
 				r.fill(0, 0)
-				r.hears(d, Turned, 503)
+				r.hears(d, TurnedAway, 503)
 			},
 			"waited": func(r *road) { r.Flush(); r.now = r.now.Add(GiveUp); r.Tick(r.now) },
 		} {
@@ -250,7 +250,7 @@
 func TestAMovedBackendsAnswerIsNoAnswer(t *testing.T) {
 	r := newRoad(t, 1, 4, 10, 0)
 	r.come("once")
-	r.hears(r.sends(1), Moved, 421)
+	r.hears(r.sends(1), Misdirected, 421)
 	a := r.told()
 	require.Equal(t, 503, a.Status)
 	require.Equal(t, RanNo, a.Ran)
@@ -279,10 +279,10 @@
 		at = r.now
 		v = r.come(route)
 		r.now = r.now.Add(most / 2)
-		r.Ended(busy, 1, Whole, 200, r.now)
+		r.Ended(busy, 1, Complete, 200, r.now)
 		r.Freed(pass.Key{Lane: "r", Addr: "b0"}, false, false, r.now)
 		d := pick[Dial](r.Flush())[0]
-		require.Equal(t, v, d.Visit)
+		require.Equal(t, v, d.Request)
 		require.LessOrEqual(t, d.Until, at.Add(most), route)
 
 		r = newRoad(t, 2, 1, 10, 0)
@@ -291,7 +291,7 @@
 		v = r.come(route)
 		d = r.sends(1)
 		r.now = r.now.Add(300 * time.Millisecond)
-		r.hears(d, Turned, 503)
+		r.hears(d, TurnedAway, 503)
 		at = r.now
 		require.NotNil(t, r.Find(v))
 		for r.Find(v) != nil {
@@ -307,13 +307,13 @@
 		r.come(route)
 		d = r.sends(1)
 		r.now = r.now.Add(300 * time.Millisecond)
-		r.hears(d, Turned, 503)
+		r.hears(d, TurnedAway, 503)
 		at = r.now
 		r.now = r.now.Add(most / 2)
-		r.Ended(busy, 1, Whole, 200, r.now)
+		r.Ended(busy, 1, Complete, 200, r.now)
 		r.Freed(other.Key, false, false, r.now)
 		d = pick[Dial](r.Flush())[0]
-		require.Equal(t, 2, d.Shot)
+		require.Equal(t, 2, d.Attempt)
 		require.LessOrEqual(t, d.Until, at.Add(most), route)
 	}
 }
@@ -323,7 +323,7 @@
 	r.come("once")
 	r.sends(1)
 	r.come("once")
-	r.hears(r.sends(1), Turned, 503)
+	r.hears(r.sends(1), TurnedAway, 503)
 	r.now = r.now.Add(GiveUp)
 	r.Tick(r.now)
 	a := pick[Answer](r.Flush())[0]
@@ -335,23 +335,23 @@
 func TestAFurtherShotThatNeverLeftIsNotSpent(t *testing.T) {
 	r := newRoad(t, 1, 4, 1, 0)
 	r.come("once")
-	r.hears(r.sends(1), Turned, 503)
+	r.hears(r.sends(1), TurnedAway, 503)
 	r.delivers(1)
 	require.Zero(t, r.Counts["further"])
 	r.fill(2, 4)
 	r.come("once")
-	r.hears(r.sends(1), Turned, 503)
-	r.hears(r.sends(2), Whole, 200)
+	r.hears(r.sends(1), TurnedAway, 503)
+	r.hears(r.sends(2), Complete, 200)
 	r.delivers(2)
 	require.Equal(t, uint64(1), r.Counts["further"])
 }
 
 func TestALeftOrToldVisitIsNotShotAgain(t *testing.T) {
-	for _, how := range []Ending{Turned, Moved, Garbled, Broken, Whole} {
+	for _, how := range []Ending{TurnedAway, Misdirected, Garbled, Broken, Complete} {
 		r := newRoad(t, 9, 4, 10, 0)
 		v := r.come("again")
 		d := r.sends(1)
-		r.Gone(v, r.now)
+		r.ClientLeft(v, r.now)
 		r.hears(d, how, 500)
 		all := r.Flush()
 		require.Empty(t, pick[Dial](all))
@@ -376,11 +376,11 @@
 func TestAVisitThatLeavesBetweenShotsFreesWhatItHeld(t *testing.T) {
 	r := newRoad(t, 9, 4, 10, 0)
 	v := r.come("once")
-	r.hears(r.sends(1), Turned, 503)
+	r.hears(r.sends(1), TurnedAway, 503)
 	d := pick[Dial](r.Flush())[0]
-	r.Gone(v, r.now)
+	r.ClientLeft(v, r.now)
 	require.Zero(t, r.Open())
-	require.False(t, r.Linked(v, 2, r.now))
+	require.False(t, r.Connected(v, 2, r.now))
 	r.Freed(d.Key, false, false, r.now)
 	require.Zero(t, r.Held()-1)
 }
@@ -388,15 +388,15 @@
 func TestAClaimIsHeldFromShotToShotAndReleasedOnce(t *testing.T) {
 	for name, last := range map[string]func(r *road, d Dial){
 		"sent":    nil,
-		"refused": func(r *road, d Dial) { r.LinkFailed(d.Visit, 2, d.Key, true, r.now) },
-		"gate":    func(r *road, d Dial) { r.gate = "stale"; r.Linked(d.Visit, 2, r.now) },
-		"left":    func(r *road, d Dial) { r.Gone(d.Visit, r.now) },
+		"refused": func(r *road, d Dial) { r.ConnectFailed(d.Request, 2, d.Key, true, r.now) },
+		"gate":    func(r *road, d Dial) { r.gate = "stale"; r.Connected(d.Request, 2, r.now) },
+		"left":    func(r *road, d Dial) { r.ClientLeft(d.Request, r.now) },
 		"late":    func(r *road, d Dial) { r.now = r.now.Add(GiveUp); r.Tick(r.now) },
 	} {
 		r := newRoad(t, 3, 4, 1, 0)
 		v := r.arrive("o")
 		d := pick[Dial](r.Flush())[0]
-		r.Linked(v, 1, r.now)
+		r.Connected(v, 1, r.now)
 		require.Len(t, pick[Claim](r.Flush()), 1)
 		r.Claimed(v, ledger.Done, 0, r.now)
 		r.Flush()
@@ -411,7 +411,7 @@
 			require.Zero(t, r.Open())
 			continue
 		}
-		r.Linked(v, 2, r.now)
+		r.Connected(v, 2, r.now)
 		all = r.Flush()
 		require.Empty(t, pick[Claim](all))
 		require.Len(t, pick[Write](all), 1)
@@ -428,15 +428,15 @@
 	r.come("once")
 	d := r.sends(1)
 	r.now = r.now.Add(100 * time.Millisecond)
-	r.NotWritten(d.Visit, d.Shot, "connection broke before the first byte", r.now)
+	r.NotWritten(d.Request, d.Attempt, "connection broke before the first byte", r.now)
 	require.Empty(t, pick[Answer](r.Flush()))
 	r.now = start.Add(GiveUp)
 	r.Tick(r.now)
 	a := pick[Answer](r.Flush())
 	require.Len(t, a, 1)
 	require.Equal(t, RanNo, a[0].Ran)
-	require.Equal(t, d.Visit, a[0].Visit)
-	require.NotEmpty(t, held.Visit)
+	require.Equal(t, d.Request, a[0].Request)
+	require.NotEmpty(t, held.Request)
 }
 
 func TestAVisitThatWasNeverWrittenIsRefusedInItsFirstTime(t *testing.T) {
@@ -466,12 +466,12 @@
 func TestWordOfAnEarlierShotChangesNothing(t *testing.T) {
 	r := newRoad(t, 6, 4, 10, 200)
 	v := r.come("once")
-	r.hears(r.sends(1), Turned, 503)
+	r.hears(r.sends(1), TurnedAway, 503)
 	two := r.sends(2)
 	r.NotWritten(v, 1, "broke", r.now)
-	r.Ended(v, 1, Turned, 503, r.now)
-	r.Ended(v, 1, Whole, 200, r.now)
+	r.Ended(v, 1, TurnedAway, 503, r.now)
+	r.Ended(v, 1, Complete, 200, r.now)
 	require.Empty(t, r.Flush())
-	r.hears(two, Whole, 200)
+	r.hears(two, Complete, 200)
 	r.delivers(2)
 }
--- a/forward/state_test.go
+++ b/forward/state_test.go
@@ -28,7 +28,7 @@
 	d, faults := desired.Read([]byte(doc))
 	require.Empty(t, faults)
 	b := &bench{now: 1e9, d: d}
-	b.State = New(pass.New(), func(v *Visit, now ident.Moment) (ident.Moment, string) { return now.Add(time.Second), b.gate })
+	b.State = New(pass.New(), func(v *Request, now ident.Moment) (ident.Moment, string) { return now.Add(time.Second), b.gate })
 	b.Rules(d, ledger.Slots(d), 0, 1, b.now)
 	b.fill(backs, share)
 	return b
@@ -43,10 +43,10 @@
 	b.Flush()
 }
 
-func (b *bench) arrive(lane string) ident.Visit {
+func (b *bench) arrive(lane string) ident.RequestID {
 	b.n++
-	v := ident.Visit(fmt.Sprint("v", b.n))
-	a := Arrival{Visit: v, Lane: ident.Lane(lane), Rule: b.d.Lanes[ident.Lane(lane)], Arrived: b.now, Expiry: b.now.Add(2 * time.Second)}
+	v := ident.RequestID(fmt.Sprint("v", b.n))
+	a := Arrival{ID: v, Lane: ident.Lane(lane), Rule: b.d.Lanes[ident.Lane(lane)], Arrived: b.now, Deadline: b.now.Add(2 * time.Second)}
 	if lane == "o" {
 		a.Key = []byte(v)
 	}
@@ -71,10 +71,10 @@
 		b.arrive("m")
 		for k := 0; k < 4; k++ {
 			for _, d := range pick[Dial](b.Flush()) {
-				if d.Shot > 1 {
+				if d.Attempt > 1 {
 					further++
 				}
-				b.LinkFailed(d.Visit, d.Shot, d.Key, false, b.now)
+				b.ConnectFailed(d.Request, d.Attempt, d.Key, false, b.now)
 			}
 		}
 		b.now = b.now.Add(50 * time.Millisecond)
@@ -91,8 +91,8 @@
 	used := pick[Dial](b.Flush())
 	require.Len(t, used, 3)
 	for _, d := range used {
-		b.Linked(d.Visit, d.Shot, b.now)
-		b.Ended(d.Visit, d.Shot, Whole, 200, b.now)
+		b.Connected(d.Request, d.Attempt, b.now)
+		b.Ended(d.Request, d.Attempt, Complete, 200, b.now)
 		b.Freed(d.Key, true, false, b.now)
 	}
 	b.Wanted("s")
@@ -116,7 +116,7 @@
 	b.arrive("g")
 	no := pick[Answer](b.Flush())
 	require.Len(t, no, 1)
-	require.Equal(t, Answer{Visit: "v3", Status: 503, Ran: RanNo, Reason: "waiting places full", RetryAfter: time.Second}, no[0])
+	require.Equal(t, Answer{Request: "v3", Status: 503, Ran: RanNo, Reason: "waiting places full", RetryAfter: time.Second}, no[0])
 	b.now = b.now.Add(GiveUp)
 	b.Tick(b.now)
 	no = pick[Answer](b.Flush())
@@ -127,23 +127,23 @@
 	b := newBench(t, 1, 1)
 	v := b.arrive("g")
 	d := pick[Dial](b.Flush())[0]
-	b.Linked(v, d.Shot, b.now)
+	b.Connected(v, d.Attempt, b.now)
 	require.Len(t, pick[Write](b.Flush()), 1)
-	b.Gone(v, b.now)
+	b.ClientLeft(v, b.now)
 	w := b.arrive("g")
 	require.Empty(t, pick[Dial](b.Flush()))
-	b.Ended(v, 1, Whole, 200, b.now)
+	b.Ended(v, 1, Complete, 200, b.now)
 	b.Freed(d.Key, true, false, b.now)
 	got := pick[Dial](b.Flush())
 	require.Len(t, got, 1)
-	require.Equal(t, w, got[0].Visit)
+	require.Equal(t, w, got[0].Request)
 	require.True(t, got[0].Reuse)
 }
 
 func TestAbandonedWorkIsReclaimedByTheExpiryDuty(t *testing.T) {
 	b := newBench(t, 1, 1)
 	v := b.arrive("g")
-	b.Linked(v, 1, b.now)
+	b.Connected(v, 1, b.now)
 	b.Flush()
 	b.now = b.now.Add(b.d.Lanes["g"].Work)
 	b.Tick(b.now)
@@ -154,7 +154,7 @@
 	b.now = b.now.Add(2 * b.d.Lanes["g"].Whole)
 	b.Tick(b.now)
 	require.Len(t, pick[Cut](b.Flush()), 1)
-	b.Ended(v, 1, Late, 0, b.now)
+	b.Ended(v, 1, TimedOut, 0, b.now)
 	require.Empty(t, pick[Answer](b.Flush()))
 	require.Zero(t, b.Open())
 }
@@ -162,7 +162,7 @@
 func TestTheGateIsAskedAgainJustBeforeWriting(t *testing.T) {
 	b := newBench(t, 1, 2)
 	v := b.arrive("o")
-	b.Linked(v, 1, b.now)
+	b.Connected(v, 1, b.now)
 	require.Len(t, pick[Claim](b.Flush()), 1)
 	b.gate = "cell news stale"
 	b.Claimed(v, ledger.Done, 0, b.now)
@@ -181,7 +181,7 @@
 	}{{0, RanUnknown}, {201, RanYes}} {
 		v := b.arrive("o")
 		d := pick[Dial](b.Flush())[0]
-		b.Linked(v, 1, b.now)
+		b.Connected(v, 1, b.now)
 		b.Claimed(v, ledger.Claimed, c.status, b.now)
 		a := pick[Answer](b.Flush())[0]
 		require.Equal(t, 409, a.Status)
@@ -194,9 +194,9 @@
 func TestABackendsOwnUnavailableIsNeverPassedOnAsNotRun(t *testing.T) {
 	b := newBench(t, 1, 1)
 	v := b.arrive("g")
-	b.Linked(v, 1, b.now)
+	b.Connected(v, 1, b.now)
 	b.Flush()
-	b.Ended(v, 1, Whole, 503, b.now)
+	b.Ended(v, 1, Complete, 503, b.now)
 	a := pick[Answer](b.Flush())[0]
 	require.Equal(t, 502, a.Status)
 	require.Equal(t, RanUnknown, a.Ran)
--- a/hollow/member.go
+++ b/hollow/member.go
@@ -63,7 +63,7 @@
 	later  []late
 	outbox []parcel
 	idle   map[pass.Key][]int
-	trips  map[ident.Visit]pass.Key
+	trips  map[ident.RequestID]pass.Key
 	visits int
 	owed   float64
 	Tally
@@ -187,8 +187,8 @@
 			continue
 		}
 		m.visits++
-		id := ident.Visit(fmt.Sprintf("%s-%d", m.name, m.visits))
-		m.step(data.Arrive{Arrival: forward.Arrival{Visit: id, Lane: name, Rule: rule, Arrived: m.w.now, Expiry: m.w.now.Add(3 * time.Second)}})
+		id := ident.RequestID(fmt.Sprintf("%s-%d", m.name, m.visits))
+		m.step(data.Arrive{Arrival: forward.Arrival{ID: id, Lane: name, Rule: rule, Arrived: m.w.now, Deadline: m.w.now.Add(3 * time.Second)}})
 	}
 }
 
@@ -244,16 +244,16 @@
 			if e.Reuse && len(m.idle[e.Key]) > 0 {
 				m.idle[e.Key] = m.idle[e.Key][1:]
 			}
-			m.trips[e.Visit] = e.Key
-			m.wait(1, data.Linked{Visit: e.Visit, Shot: e.Shot})
+			m.trips[e.Request] = e.Key
+			m.wait(1, data.Connected{Request: e.Request, Attempt: e.Attempt})
 		case forward.Write:
-			m.wait(workTime, data.Ended{Visit: e.Visit, Shot: e.Shot, Ending: forward.Whole, Status: 200})
-			m.wait(workTime, data.Freed{Key: m.trips[e.Visit], Keep: true})
-			m.idle[m.trips[e.Visit]] = append(m.idle[m.trips[e.Visit]], m.w.round+workTime)
-			delete(m.trips, e.Visit)
+			m.wait(workTime, data.Ended{Request: e.Request, Attempt: e.Attempt, Ending: forward.Complete, Status: 200})
+			m.wait(workTime, data.Freed{Key: m.trips[e.Request], Keep: true})
+			m.idle[m.trips[e.Request]] = append(m.idle[m.trips[e.Request]], m.w.round+workTime)
+			delete(m.trips, e.Request)
 		case forward.Drop:
-			m.wait(1, data.Freed{Key: m.trips[e.Visit], Keep: false})
-			delete(m.trips, e.Visit)
+			m.wait(1, data.Freed{Key: m.trips[e.Request], Keep: false})
+			delete(m.trips, e.Request)
 		case forward.Deliver:
 			m.w.served.Add(1)
 		case forward.Answer:
--- a/hollow/world.go
+++ b/hollow/world.go
@@ -89,7 +89,7 @@
 func backend(i int) string { return fmt.Sprintf("10.1.%d.%d:6000", i/200, i%200+1) }
 
 func (w *World) add(name, addr string, i int) *member {
-	m := &member{w: w, at: len(w.all), name: name, addr: addr, zone: w.zone(i), region: w.region(i), rand: rand.New(rand.NewSource(w.rand.Int63())), idle: map[pass.Key][]int{}, trips: map[ident.Visit]pass.Key{}}
+	m := &member{w: w, at: len(w.all), name: name, addr: addr, zone: w.zone(i), region: w.region(i), rand: rand.New(rand.NewSource(w.rand.Int63())), idle: map[pass.Key][]int{}, trips: map[ident.RequestID]pass.Key{}}
 	w.place[addr] = m.at
 	w.all = append(w.all, m)
 	return m
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -19,7 +19,7 @@
 	Lane        string
 	Service     string
 	Addr        string
-	Visit       string
+	RequestID   string
 	Incarnation uint64
 	Generation  uint64
 	Epoch       uint64
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -48,7 +48,7 @@
 	Code       Code
 	Generation ident.Generation
 	Seat       ident.Seat
-	Visit      ident.Visit
+	Visit      ident.RequestID
 	Status     uint32
 	Faults     []desired.Fault
 	Place      uint64
@@ -311,16 +311,16 @@
 func (b *Book) claim(c *wire.Claim) Result {
 	if l := b.Claims[string(c.Key)]; l != nil && l.Status == Released {
 		if l.Visit == c.Visit {
-			return Result{Code: Lost, Visit: ident.Visit(l.Visit)}
+			return Result{Code: Lost, Visit: ident.RequestID(l.Visit)}
 		}
 	} else if l != nil {
 		if l.Visit == c.Visit {
-			return Result{Visit: ident.Visit(l.Visit), Status: l.Status}
+			return Result{Visit: ident.RequestID(l.Visit), Status: l.Status}
 		}
 		if !bytes.Equal(l.Body, c.Body) {
-			return Result{Code: Invalid, Visit: ident.Visit(l.Visit), Status: l.Status}
+			return Result{Code: Invalid, Visit: ident.RequestID(l.Visit), Status: l.Status}
 		}
-		return Result{Code: Claimed, Visit: ident.Visit(l.Visit), Status: l.Status}
+		return Result{Code: Claimed, Visit: ident.RequestID(l.Visit), Status: l.Status}
 	}
 	if b.order.Len() >= ClaimsKept {
 		return Result{Code: Full}
@@ -328,7 +328,7 @@
 	l := &wire.ClaimLine{Key: c.Key, Visit: c.Visit, Body: c.Body, Stamp: b.Stamp}
 	b.Claims[string(c.Key)] = l
 	b.order.PushBack(l)
-	return Result{Visit: ident.Visit(c.Visit)}
+	return Result{Visit: ident.RequestID(c.Visit)}
 }
 
 func (b *Book) release(c *wire.Release) Result {
--- a/pass/state.go
+++ b/pass/state.go
@@ -60,9 +60,9 @@
 }
 
 type waiter struct {
-	visit ident.Visit
-	until ident.Moment
-	skip  map[ident.Addr]bool
+	request ident.RequestID
+	until   ident.Moment
+	skip    map[ident.Addr]bool
 }
 
 type lane struct {
@@ -75,15 +75,15 @@
 }
 
 type Grant struct {
-	Visit   ident.Visit
+	Request ident.RequestID
 	Lane    ident.Lane
 	Backend Backend
 	Reuse   bool
 }
 
 type Refusal struct {
-	Visit  ident.Visit
-	Reason Reason
+	Request ident.RequestID
+	Reason  Reason
 }
 
 type Close struct {
@@ -137,7 +137,7 @@
 			continue
 		}
 		for l.queue.Len() > 0 {
-			s.refuse(l.queue.PopFront().visit, l, NoBackend)
+			s.refuse(l.queue.PopFront().request, l, NoBackend)
 		}
 		if l.busy == 0 {
 			delete(s.lanes, n)
@@ -322,9 +322,9 @@
 	return best, why
 }
 
-func (s *State) grant(l *lane, v ident.Visit, b *Backend) {
+func (s *State) grant(l *lane, v ident.RequestID, b *Backend) {
 	p := s.pool(Key{l.Lane, b.Addr}, b.Service)
-	g := Grant{Visit: v, Lane: l.Lane, Backend: *b}
+	g := Grant{Request: v, Lane: l.Lane, Backend: *b}
 	if p.Idle > 0 {
 		p.Idle--
 		g.Reuse = true
@@ -337,7 +337,7 @@
 	s.out.Grants = append(s.out.Grants, g)
 }
 
-func (s *State) refuse(v ident.Visit, l *lane, why Reason) {
+func (s *State) refuse(v ident.RequestID, l *lane, why Reason) {
 	s.Refused++
 	if l != nil {
 		s.missed[l.Service]++
@@ -345,7 +345,7 @@
 	s.out.Refusals = append(s.out.Refusals, Refusal{v, why})
 }
 
-func (s *State) Ask(v ident.Visit, name ident.Lane, until ident.Moment, skip map[ident.Addr]bool, now ident.Moment) {
+func (s *State) Ask(v ident.RequestID, name ident.Lane, until ident.Moment, skip map[ident.Addr]bool, now ident.Moment) {
 	l := s.lanes[name]
 	if l == nil {
 		s.refuse(v, nil, NoBackend)
@@ -402,10 +402,10 @@
 			switch {
 			case b != nil:
 				l.queue.Remove(i)
-				s.grant(l, w.visit, b)
+				s.grant(l, w.request, b)
 			case why != LaneFull:
 				l.queue.Remove(i)
-				s.refuse(w.visit, l, why)
+				s.refuse(w.request, l, why)
 			case len(w.skip) == 0:
 				i = l.queue.Len()
 			default:
@@ -424,13 +424,13 @@
 	return out
 }
 
-func (s *State) Leave(v ident.Visit, name ident.Lane) {
+func (s *State) Leave(v ident.RequestID, name ident.Lane) {
 	l := s.lanes[name]
 	if l == nil {
 		return
 	}
 	for i := 0; i < l.queue.Len(); i++ {
-		if l.queue.At(i).visit == v {
+		if l.queue.At(i).request == v {
 			l.queue.Remove(i)
 			return
 		}
@@ -478,7 +478,7 @@
 				i++
 			} else {
 				l.queue.Remove(i)
-				s.refuse(w.visit, l, WaitedOut)
+				s.refuse(w.request, l, WaitedOut)
 			}
 		}
 	}
--- a/pass/state_test.go
+++ b/pass/state_test.go
@@ -26,7 +26,7 @@
 	for _, a := range skip {
 		m[a] = true
 	}
-	s.Ask(ident.Visit(fmt.Sprint("v", n)), "l", until, m, 1)
+	s.Ask(ident.RequestID(fmt.Sprint("v", n)), "l", until, m, 1)
 	return s.Flush()
 }
 
@@ -77,11 +77,11 @@
 	s.Release(Key{"l", "b0"}, true)
 	o := s.Flush()
 	require.Len(t, o.Grants, 1)
-	require.Equal(t, ident.Visit("v4"), o.Grants[0].Visit)
+	require.Equal(t, ident.RequestID("v4"), o.Grants[0].Request)
 	s.Release(Key{"l", "b1"}, true)
 	o = s.Flush()
 	require.Len(t, o.Grants, 1)
-	require.Equal(t, ident.Visit("v3"), o.Grants[0].Visit)
+	require.Equal(t, ident.RequestID("v3"), o.Grants[0].Request)
 }
 
 func TestAWaiterBehindAMorePatientOneIsRefusedInItsTime(t *testing.T) {
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -58,14 +58,14 @@
 	tree   any
 	now_   *desired.State
 	gen    ident.Generation
-	claims map[string]ident.Visit
-	keys   map[ident.Visit]pass.Key
+	claims map[string]ident.RequestID
+	keys   map[ident.RequestID]pass.Key
 	bars   map[ident.Addr]uint64
 }
 
 func New(out io.Writer, from uint64) *Player {
-	p := &Player{out: json.NewEncoder(out), from: from, sound: cell.New(self, 1), claims: map[string]ident.Visit{}, keys: map[ident.Visit]pass.Key{}, bars: map[ident.Addr]uint64{}}
-	p.State = forward.New(pass.New(), func(v *forward.Visit, now ident.Moment) (ident.Moment, string) {
+	p := &Player{out: json.NewEncoder(out), from: from, sound: cell.New(self, 1), claims: map[string]ident.RequestID{}, keys: map[ident.RequestID]pass.Key{}, bars: map[ident.Addr]uint64{}}
+	p.State = forward.New(pass.New(), func(v *forward.Request, now ident.Moment) (ident.Moment, string) {
 		if p.now_ == nil || p.now_.Lanes[v.Lane] == nil {
 			return 0, "lane changed"
 		}
@@ -192,12 +192,12 @@
 		p.say(Line{Decision: "refused", Visit: e.Visit, Lane: e.Lane, Status: 404, Ran: "no", Reason: "no such lane"})
 		return
 	}
-	if e.Visit == "" || p.Find(ident.Visit(e.Visit)) != nil || e.ExpiryMs <= 0 {
+	if e.Visit == "" || p.Find(ident.RequestID(e.Visit)) != nil || e.ExpiryMs <= 0 {
 		p.wrong("visit needs a name of its own and expiryMs")
 		return
 	}
 	l := p.now_.Lanes[ident.Lane(e.Lane)]
-	a := forward.Arrival{Visit: ident.Visit(e.Visit), Lane: l.Name, Rule: l, Arrived: p.now, Expiry: p.now.Add(time.Duration(e.ExpiryMs) * time.Millisecond)}
+	a := forward.Arrival{ID: ident.RequestID(e.Visit), Lane: l.Name, Rule: l, Arrived: p.now, Deadline: p.now.Add(time.Duration(e.ExpiryMs) * time.Millisecond)}
 	if l.Once {
 		if e.Key == "" {
 			p.say(Line{Decision: "refused", Visit: e.Visit, Lane: e.Lane, Status: 400, Ran: "no", Reason: "this lane needs a key"})
@@ -210,24 +210,24 @@
 }
 
 func (p *Player) answer(e event) {
-	v := ident.Visit(e.Visit)
+	v := ident.RequestID(e.Visit)
 	k, ok := p.keys[v]
 	if !ok {
 		p.wrong("visit %q is not at a backend", e.Visit)
 		return
 	}
 	delete(p.keys, v)
-	how := forward.Whole
+	how := forward.Complete
 	if e.Status == 0 {
 		how = forward.Broken
 	}
 	p.Ended(v, p.shot(v), how, e.Status, p.now)
-	p.Freed(k, how == forward.Whole, how != forward.Whole, p.now)
+	p.Freed(k, how == forward.Complete, how != forward.Complete, p.now)
 }
 
-func (p *Player) shot(v ident.Visit) int {
+func (p *Player) shot(v ident.RequestID) int {
 	if k := p.Find(v); k != nil {
-		return k.Shot
+		return k.Attempt
 	}
 	return 0
 }
@@ -243,28 +243,28 @@
 func (p *Player) one(e any) {
 	switch e := e.(type) {
 	case forward.Dial:
-		p.keys[e.Visit] = e.Key
-		p.Linked(e.Visit, e.Shot, p.now)
+		p.keys[e.Request] = e.Key
+		p.Connected(e.Request, e.Attempt, p.now)
 	case forward.Claim:
-		v := e.Visit
+		v := e.Request
 		first, held := p.claims[string(v.Arrival.Key)]
-		if held && first != v.Visit {
-			p.Claimed(v.Visit, ledger.Claimed, 0, p.now)
+		if held && first != v.ID {
+			p.Claimed(v.ID, ledger.Claimed, 0, p.now)
 			return
 		}
-		p.claims[string(v.Arrival.Key)] = v.Visit
-		p.Claimed(v.Visit, ledger.Done, 0, p.now)
+		p.claims[string(v.Arrival.Key)] = v.ID
+		p.Claimed(v.ID, ledger.Done, 0, p.now)
 	case forward.Release:
-		delete(p.claims, string(e.Visit.Arrival.Key))
+		delete(p.claims, string(e.Request.Arrival.Key))
 	case forward.Drop:
-		if k, ok := p.keys[e.Visit]; ok {
-			delete(p.keys, e.Visit)
+		if k, ok := p.keys[e.Request]; ok {
+			delete(p.keys, e.Request)
 			p.Freed(k, true, false, p.now)
 		}
 	case forward.Cut:
-		if k, ok := p.keys[e.Visit]; ok {
-			delete(p.keys, e.Visit)
-			p.Ended(e.Visit, p.shot(e.Visit), forward.Late, 0, p.now)
+		if k, ok := p.keys[e.Request]; ok {
+			delete(p.keys, e.Request)
+			p.Ended(e.Request, p.shot(e.Request), forward.TimedOut, 0, p.now)
 			p.Freed(k, false, false, p.now)
 		}
 	case forward.Bar:
@@ -275,15 +275,15 @@
 		}
 	case forward.Trace:
 		if e.To == forward.Sent || e.To == forward.Admitted {
-			p.say(Line{Decision: e.To.String(), Visit: string(e.Visit), Lane: string(e.Lane), Backend: string(e.Addr)})
+			p.say(Line{Decision: e.To.String(), Visit: string(e.Request), Lane: string(e.Lane), Backend: string(e.Addr)})
 		}
 	case forward.Answer:
 		what := "refused"
 		if e.Ran != forward.RanNo {
 			what = "answered"
 		}
-		p.say(Line{Decision: what, Visit: string(e.Visit), Status: e.Status, Ran: string(e.Ran), Reason: e.Reason, RetryMs: e.RetryAfter.Milliseconds()})
+		p.say(Line{Decision: what, Visit: string(e.Request), Status: e.Status, Ran: string(e.Ran), Reason: e.Reason, RetryMs: e.RetryAfter.Milliseconds()})
 	case forward.Deliver:
-		p.say(Line{Decision: "delivered", Visit: string(e.Visit), Ran: "yes"})
+		p.say(Line{Decision: "delivered", Visit: string(e.Request), Ran: "yes"})
 	}
 }
--- a/simulate/backend.go
+++ b/simulate/backend.go
@@ -197,7 +197,7 @@
 		if !b.up || b.lives != life || !l.open {
 			return
 		}
-		how, status := forward.Whole, 200
+		how, status := forward.Complete, 200
 		if w.Routed {
 			status = w.status()
 		}
@@ -214,7 +214,7 @@
 		case b.mode == "garble" && w.Rand.Intn(2) == 0:
 			t.bad = true
 			if how = forward.Garbled; w.Weak == "answers" {
-				how = forward.Whole
+				how = forward.Complete
 			}
 		}
 		b.end(t, l, how, status)
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -421,7 +421,7 @@
 }
 
 func (w *World) pounced(n *nodeSim, e forward.Trace) {
-	t := n.trips[e.Visit]
+	t := n.trips[e.Request]
 	if w.pounces == 0 || t == nil || t.key == "" || e.To != w.pounce {
 		return
 	}
--- a/simulate/holiday.go
+++ b/simulate/holiday.go
@@ -92,7 +92,7 @@
 		k := d.Routes[n]
 		for _, t := range k.Targets {
 			for _, r := range d.Services[t.Rule.Service].Regions {
-				out[r] += fmt.Sprint(n, k.Host, k.Prefix, t.Weight, t.Rule.Name, k.Shots, k.Whole)
+				out[r] += fmt.Sprint(n, k.Host, k.Prefix, t.Weight, t.Rule.Name, k.Attempts, k.Whole)
 			}
 		}
 	}
--- a/simulate/leave.go
+++ b/simulate/leave.go
@@ -36,7 +36,7 @@
 
 // clientLeaves closes a client's connection after a while, unless it was answered before, and looks
 // half a second later whether its work was ended.
-func (n *nodeSim) clientLeaves(id ident.Visit, after time.Duration) {
+func (n *nodeSim) clientLeaves(id ident.RequestID, after time.Duration) {
 	n.later(after, func() {
 		t := n.trips[id]
 		if t == nil || t.done == nil {
@@ -46,7 +46,7 @@
 		t.done = nil
 		t.client.over(n.p.w.Now)
 		if n.p.w.Weak != "unseen" {
-			n.p.step(data.Gone{Visit: id})
+			n.p.step(data.ClientLeft{Request: id})
 		}
 	})
 }
@@ -69,7 +69,7 @@
 
 // judge breaks a promise if a backend that drops what its callers leave still works on a repeatable
 // request half a second after its client left or was answered.
-func (n *nodeSim) judge(id ident.Visit) {
+func (n *nodeSim) judge(id ident.RequestID) {
 	w := n.p.w
 	if n.p.node != n || !w.touch(n.p) {
 		return
@@ -97,7 +97,7 @@
 // cancel closes this node's half of an attempt's connection, or keeps the attempt from being written.
 func (n *nodeSim) cancel(e forward.Cancel) {
 	w := n.p.w
-	t := n.trips[e.Visit]
+	t := n.trips[e.Request]
 	if t == nil || w.Weak == "cancel" {
 		return
 	}
@@ -113,7 +113,7 @@
 	if w.Weak == "hasty" {
 		t.link = nil
 		l.busy = ""
-		n.p.step(data.Ended{Visit: t.visit, Shot: t.shot, Ending: forward.Canceled})
+		n.p.step(data.Ended{Request: t.visit, Attempt: t.shot, Ending: forward.Canceled})
 		n.p.step(data.Freed{Key: l.key})
 		w.at(n.wait(), func() { w.byPlace[l.place].hungUp(t, l) })
 		return
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -18,14 +18,14 @@
 	place string
 	life  string
 	key   pass.Key
-	busy  ident.Visit
+	busy  ident.RequestID
 	guard bool
 	open  bool
 	idle  bool
 }
 
 type trip struct {
-	visit   ident.Visit
+	visit   ident.RequestID
 	lane    ident.Lane
 	service string
 	key     string
@@ -46,16 +46,16 @@
 	p      *Proc
 	state  *data.State
 	links  map[uint64]*link
-	trips  map[ident.Visit]*trip
+	trips  map[ident.RequestID]*trip
 	guards map[ident.Addr]*link
 	life   uint64
 	visits uint64
 }
 
 func newNode(p *Proc, b data.Boot) *nodeSim {
-	n := &nodeSim{p: p, state: data.New(b, p.clock()), links: map[uint64]*link{}, trips: map[ident.Visit]*trip{}, guards: map[ident.Addr]*link{}, life: p.life}
+	n := &nodeSim{p: p, state: data.New(b, p.clock()), links: map[uint64]*link{}, trips: map[ident.RequestID]*trip{}, guards: map[ident.Addr]*link{}, life: p.life}
 	if p.w.Weak == "gate" {
-		n.state.Gate = func(v *forward.Visit, now ident.Moment) (ident.Moment, string) {
+		n.state.Gate = func(v *forward.Request, now ident.Moment) (ident.Moment, string) {
 			if n.state.Relay.Desired == nil || n.state.Seat() < 0 {
 				return 0, "no desired state"
 			}
@@ -176,33 +176,33 @@
 			p.send(e)
 		case forward.Dial:
 			n.later(n.wait(), func() { n.dial(e) })
-		case forward.Beside:
-			if t := n.trips[e.Visit]; t != nil {
+		case forward.Hedge:
+			if t := n.trips[e.Request]; t != nil {
 				c := *t
-				c.visit, c.link, c.job = e.Twin, nil, nil
+				c.visit, c.link, c.job = e.Hedge, nil, nil
 				c.written, c.canceled = false, false
-				n.trips[e.Twin] = &c
+				n.trips[e.Hedge] = &c
 			}
 		case forward.Write:
 			n.later(n.wait()/4, func() { n.write(e) })
 		case forward.Drop:
-			n.later(0, func() { n.keep(e.Visit) })
+			n.later(0, func() { n.keep(e.Request) })
 		case forward.Cancel:
 			n.cancel(e)
 		case forward.Cut:
-			if t := n.trips[e.Visit]; t != nil && t.link != nil {
+			if t := n.trips[e.Request]; t != nil && t.link != nil {
 				l := t.link
 				n.dropLink(l)
-				n.later(0, func() { n.ended(t, l, forward.Late, 0, false) })
+				n.later(0, func() { n.ended(t, l, forward.TimedOut, 0, false) })
 			}
 		case forward.Answer:
 			n.answer(e)
 		case forward.Deliver:
-			if t := n.trips[e.Visit]; t != nil && t.done != nil {
+			if t := n.trips[e.Request]; t != nil && t.done != nil {
 				d := t.done
 				t.done = nil
 				t.client.over(w.Now)
-				n.passedOn(t, e.Shot)
+				n.passedOn(t, e.Attempt)
 				if t.bad && !w.Routed {
 					w.Break("garbled answer passed on", "%s", t.visit)
 				}
@@ -258,7 +258,7 @@
 			w.adopted(p, e)
 		case forward.Trace:
 			w.pounced(n, e)
-			w.Say("%s visit %s lane %s: %s to %s at %s %s", p.Name, e.Visit, e.Lane, e.From, e.To, e.Addr, e.Note)
+			w.Say("%s visit %s lane %s: %s to %s at %s %s", p.Name, e.Request, e.Lane, e.From, e.To, e.Addr, e.Note)
 		case data.Exit:
 			w.Say("%s ends", p.Name)
 			n.leave()
@@ -313,26 +313,26 @@
 	var l *link
 	if e.Reuse {
 		l = n.takeIdle(e.Key, e.Backend.Life)
-		if l != nil && e.Shot == 1 && !n.p.w.Routed && n.trips[e.Visit] != nil {
-			n.p.w.traffic[n.trips[e.Visit].service] = append(n.p.w.traffic[n.trips[e.Visit].service], n.p.w.Now)
+		if l != nil && e.Attempt == 1 && !n.p.w.Routed && n.trips[e.Request] != nil {
+			n.p.w.traffic[n.trips[e.Request].service] = append(n.p.w.traffic[n.trips[e.Request].service], n.p.w.Now)
 		}
 	}
 	if l == nil {
 		if e.Backend.Barred {
-			n.p.step(data.LinkFailed{Visit: e.Visit, Shot: e.Shot, Key: e.Key})
+			n.p.step(data.ConnectFailed{Request: e.Request, Attempt: e.Attempt, Key: e.Key})
 			return
 		}
-		if e.Shot == 1 && !n.p.w.Routed && n.trips[e.Visit] != nil {
-			n.p.w.traffic[n.trips[e.Visit].service] = append(n.p.w.traffic[n.trips[e.Visit].service], n.p.w.Now)
+		if e.Attempt == 1 && !n.p.w.Routed && n.trips[e.Request] != nil {
+			n.p.w.traffic[n.trips[e.Request].service] = append(n.p.w.traffic[n.trips[e.Request].service], n.p.w.Now)
 		}
 		l = n.open(string(e.Key.Addr), e.Key, e.Backend.Life)
-		if e.Shot > 1 && !n.p.w.Routed && n.trips[e.Visit] != nil {
-			n.p.w.further[n.trips[e.Visit].service] = append(n.p.w.further[n.trips[e.Visit].service], n.p.w.Now)
+		if e.Attempt > 1 && !n.p.w.Routed && n.trips[e.Request] != nil {
+			n.p.w.further[n.trips[e.Request].service] = append(n.p.w.further[n.trips[e.Request].service], n.p.w.Now)
 		}
 	}
-	t := n.trips[e.Visit]
+	t := n.trips[e.Request]
 	if l == nil {
-		n.p.step(data.LinkFailed{Visit: e.Visit, Shot: e.Shot, Key: e.Key, Bar: true})
+		n.p.step(data.ConnectFailed{Request: e.Request, Attempt: e.Attempt, Key: e.Key, Bar: true})
 		return
 	}
 	l.idle = false
@@ -342,11 +342,11 @@
 		return
 	}
 	t.link = l
-	l.busy = e.Visit
-	n.p.step(data.Linked{Visit: e.Visit, Shot: e.Shot})
+	l.busy = e.Request
+	n.p.step(data.Connected{Request: e.Request, Attempt: e.Attempt})
 }
 
-func (n *nodeSim) keep(v ident.Visit) {
+func (n *nodeSim) keep(v ident.RequestID) {
 	t := n.trips[v]
 	if t == nil || t.link == nil {
 		return
@@ -370,34 +370,34 @@
 }
 
 func (n *nodeSim) write(e forward.Write) {
-	if v := n.state.Find(e.Visit); v != nil && v.Shot != e.Shot {
+	if v := n.state.Find(e.Request); v != nil && v.Attempt != e.Attempt {
 		return
 	}
-	t := n.trips[e.Visit]
+	t := n.trips[e.Request]
 	if t == nil || t.link == nil {
-		n.p.step(data.NotWritten{Visit: e.Visit, Shot: e.Shot, Why: "no connection"})
+		n.p.step(data.NotWritten{Request: e.Request, Attempt: e.Attempt, Why: "no connection"})
 		return
 	}
 	l := t.link
 	if !l.open {
 		t.link = nil
 		delete(n.links, l.id)
-		n.p.step(data.NotWritten{Visit: e.Visit, Shot: e.Shot, Why: "broke before the first byte"})
+		n.p.step(data.NotWritten{Request: e.Request, Attempt: e.Attempt, Why: "broke before the first byte"})
 		n.p.step(data.Freed{Key: l.key, Bar: true})
 		return
 	}
 	w := n.p.w
 	if n.p.clock().After(e.NotAfter) && w.Weak != "gate" {
-		n.p.step(data.NotWritten{Visit: e.Visit, Shot: e.Shot, Why: "lease ran out"})
-		n.keep(e.Visit)
+		n.p.step(data.NotWritten{Request: e.Request, Attempt: e.Attempt, Why: "lease ran out"})
+		n.keep(e.Request)
 		return
 	}
 	if t.canceled {
-		n.p.step(data.NotWritten{Visit: e.Visit, Shot: e.Shot, Why: "canceled"})
-		n.keep(e.Visit)
+		n.p.step(data.NotWritten{Request: e.Request, Attempt: e.Attempt, Why: "canceled"})
+		n.keep(e.Request)
 		return
 	}
-	t.shot, t.written = e.Shot, true
+	t.shot, t.written = e.Attempt, true
 	if g := uint64(n.state.Relay.DocGen); g < w.acked && w.Stale == 0 {
 		w.Break("older generation served", "%s sends under %d after %d was acknowledged", n.p.Name, g, w.acked)
 	}
@@ -419,12 +419,12 @@
 		}
 		how = t.heard(n.p.w, how, status)
 		if how == forward.Broken && n.p.w.Weak == "told" {
-			n.p.step(data.NotWritten{Visit: t.visit, Shot: t.shot, Why: "a lie"})
+			n.p.step(data.NotWritten{Request: t.visit, Attempt: t.shot, Why: "a lie"})
 		} else {
-			n.p.step(data.Ended{Visit: t.visit, Shot: t.shot, Ending: how, Status: status})
+			n.p.step(data.Ended{Request: t.visit, Attempt: t.shot, Ending: how, Status: status})
 		}
 		b := n.p.w.byPlace[l.place]
-		keep := (how == forward.Whole || how == forward.Turned) && l.open && !b.closes && !t.canceled
+		keep := (how == forward.Complete || how == forward.TurnedAway) && l.open && !b.closes && !t.canceled
 		if keep {
 			l.idle = true
 			b.tire(l)
@@ -458,7 +458,7 @@
 }
 
 func (n *nodeSim) answer(a forward.Answer) {
-	t := n.trips[a.Visit]
+	t := n.trips[a.Request]
 	if t == nil || t.done == nil {
 		return
 	}
@@ -472,14 +472,14 @@
 			}
 			w.slowestRefusal = max(w.slowestRefusal, took)
 			if took > 210*ms || t.aim > 0 && took > t.aim/4+15*ms {
-				w.Break("refusal late", "%s after %v: %s", a.Visit, took, a.Reason)
+				w.Break("refusal late", "%s after %v: %s", a.Request, took, a.Reason)
 			}
 		}
-		if w.ranBy[string(a.Visit)] > 0 {
-			w.Break("told not run, but it ran", "%s: %s", a.Visit, a.Reason)
+		if w.ranBy[string(a.Request)] > 0 {
+			w.Break("told not run, but it ran", "%s: %s", a.Request, a.Reason)
 		}
 		if a.RetryAfter == 0 {
-			w.Break("refusal without a time to come back", "%s: %s", a.Visit, a.Reason)
+			w.Break("refusal without a time to come back", "%s: %s", a.Request, a.Reason)
 		}
 	}
 	d := t.done
@@ -489,7 +489,7 @@
 	n.later(0, func() { n.forget(t) })
 }
 
-func (n *nodeSim) arrive(lane, key string, left time.Duration, done func(a forward.Answer, served bool)) ident.Visit {
+func (n *nodeSim) arrive(lane, key string, left time.Duration, done func(a forward.Answer, served bool)) ident.RequestID {
 	d := n.state.Relay.Desired
 	if n.p.w.Routed {
 		return n.routed(lane, left, done)
@@ -500,7 +500,7 @@
 	}
 	n.visits++
 	rule := d.Lanes[ident.Lane(lane)]
-	id := ident.Visit(fmt.Sprintf("%s-%d-%d", n.p.Name, n.life, n.visits))
+	id := ident.RequestID(fmt.Sprintf("%s-%d-%d", n.p.Name, n.life, n.visits))
 	t := &trip{visit: id, lane: rule.Name, service: string(rule.Service), key: key, arrived: n.p.w.Now, done: done}
 	n.trips[id] = t
 	n.watch(t)
@@ -508,7 +508,7 @@
 	if n.p.w.Weak == "patience" {
 		at = at.Add(2 * time.Second)
 	}
-	a := forward.Arrival{Visit: id, Lane: rule.Name, Rule: rule, Arrived: at, Expiry: n.p.clock().Add(left)}
+	a := forward.Arrival{ID: id, Lane: rule.Name, Rule: rule, Arrived: at, Deadline: n.p.clock().Add(left)}
 	if key != "" {
 		a.Key = []byte(key)
 		a.Body = []byte("body")
--- a/simulate/routes.go
+++ b/simulate/routes.go
@@ -134,7 +134,7 @@
 	w.at(10*ms, w.bruise)
 }
 
-func (n *nodeSim) routed(path string, left time.Duration, done func(a forward.Answer, served bool)) ident.Visit {
+func (n *nodeSim) routed(path string, left time.Duration, done func(a forward.Answer, served bool)) ident.RequestID {
 	w, d := n.p.w, n.state.Desired()
 	if d == nil {
 		done(forward.Answer{Status: 503, Ran: forward.RanNo, Reason: "no desired state"}, false)
@@ -153,16 +153,16 @@
 		return ""
 	}
 	rule := *r.Pick(w.Rand.Uint64())
-	id := ident.Visit(fmt.Sprintf("%s-%d-%d", n.p.Name, n.life, n.visits))
-	t := &trip{visit: id, lane: rule.Name, service: string(rule.Service), arrived: w.Now, done: done, routed: routed{again: rule.Again, aim: rule.Aim, ends: map[int]end{}}}
+	id := ident.RequestID(fmt.Sprintf("%s-%d-%d", n.p.Name, n.life, n.visits))
+	t := &trip{visit: id, lane: rule.Name, service: string(rule.Service), arrived: w.Now, done: done, routed: routed{again: rule.Repeatable, aim: rule.Aim, ends: map[int]end{}}}
 	n.trips[id] = t
 	n.watch(t)
 	w.traffic[t.service] = append(w.traffic[t.service], w.Now)
 	if w.Weak == "again" {
-		rule.Again = true
+		rule.Repeatable = true
 	}
 	at := n.p.clock()
-	n.p.step(data.Arrive{Arrival: forward.Arrival{Visit: id, Lane: rule.Name, Rule: &rule, Arrived: at, Expiry: at.Add(left)}})
+	n.p.step(data.Arrive{Arrival: forward.Arrival{ID: id, Lane: rule.Name, Rule: &rule, Arrived: at, Deadline: at.Add(left)}})
 	return id
 }
 
@@ -171,7 +171,7 @@
 		return how
 	}
 	if how == forward.Broken && w.Weak == "turned" {
-		how = forward.Turned
+		how = forward.TurnedAway
 	}
 	t.ends[t.shot] = end{how, status}
 	return how
@@ -186,12 +186,12 @@
 	switch {
 	case !ok:
 		w.Break("an answer no shot had", "%s shot %d", t.visit, shot)
-	case e.Ending == forward.Turned:
+	case e.Ending == forward.TurnedAway:
 		t.refused = true
 		if w.ranBy[string(t.visit)] > 0 {
 			w.Break("told not run, but it ran", "%s: turned away at shot %d", t.visit, shot)
 		}
-	case e.Ending != forward.Whole:
+	case e.Ending != forward.Complete:
 		w.Break("garbled answer passed on", "%s shot %d was %s", t.visit, shot, e.Ending)
 	case e.status == 503:
 		w.Break("a backend's own 503 passed on", "%s shot %d", t.visit, shot)
@@ -216,12 +216,12 @@
 	}
 	if l.life != b.life && w.Weak != "life" {
 		w.Count["moved"]++
-		end(forward.Moved, 421)
+		end(forward.Misdirected, 421)
 		return false
 	}
 	if b.working >= b.slots+1 || b.mode == "full" {
 		w.Count["turned away"]++
-		end(forward.Turned, 503)
+		end(forward.TurnedAway, 503)
 		return false
 	}
 	if t.refused {
