--- a/cmd/fleetshell/queries.go
+++ b/cmd/fleetshell/queries.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return failed, err
 	}
-	s.table(rows, "member", "cell", "ready", "why", "seat", "generation", "coreAgeMs", "parent", "openVisits", "held", "build")
+	s.table(rows, "member", "cell", "ready", "why", "seat", "generation", "coreAgeMs", "parent", "openVisits", "held", "canceled", "build")
 	return s.ended(mute)
 }
 
--- a/data/cancel_test.go
+++ b/data/cancel_test.go
@@ -114,6 +114,11 @@
 	return g.query(func(s *State, now ident.Moment) any { return s.Open() }).(int)
 }
 
+// canceled tells how many cancellations backends have not followed yet.
+func (g *gateway) canceled() int {
+	return g.query(func(s *State, now ident.Moment) any { return s.Canceled() }).(int)
+}
+
 func receive[T any](t *testing.T, from chan T, within time.Duration, why string) (got T) {
 	select {
 	case got = <-from:
@@ -209,9 +214,15 @@
 	for range 20 {
 		g.beat()
 		require.Equal(t, 1, g.held(), "the backend still holds the connection")
+		require.Equal(t, 1, g.canceled())
 	}
 	w.letGo()
 	require.Eventually(t, func() bool { return g.held() == 0 && g.openRequests() == 0 }, time.Second, time.Millisecond)
+	require.Zero(t, g.canceled())
+	text := g.query(g.metrics).(string)
+	require.Contains(t, text, `sloeturn_visits_total{kind="client left"} 1`)
+	require.Contains(t, text, `sloeturn_visits_total{kind="ended canceled"} 1`)
+	require.Contains(t, text, "sloeturn_canceled_open 0")
 }
 
 func TestWorkThatMustNotBeRepeatedIsNotBrokenOffByItsClient(t *testing.T) {
--- a/data/http.go
+++ b/data/http.go
@@ -419,7 +419,7 @@
 		"member": s.Member, "cell": s.Cell, "incarnation": strconv.FormatUint(uint64(s.Incarnation), 10), "build": s.Build,
 		"ready": s.Ready(), "why": s.Why(now), "draining": s.draining, "seat": s.Seat(), "generation": s.Relay.DocGen, "trial": s.Trial(),
 		"coreAgeMs": now.Sub(s.Relay.CoreAsOf).Milliseconds(), "leaseAgeMs": now.Sub(s.Relay.Leased).Milliseconds(), "leaseRevoked": s.Relay.Revoked() != nil, "coreVersion": s.Relay.Core.GetVersion(), "leader": s.Relay.Core.GetLeader(),
-		"parent": s.Relay.Parent(), "openVisits": s.Open(), "held": s.Pass.Held(), "cells": cells,
+		"parent": s.Relay.Parent(), "openVisits": s.Open(), "held": s.Pass.Held(), "canceled": s.Canceled(), "cells": cells,
 	}
 }
 
@@ -434,6 +434,7 @@
 	p("refused_total", s.Pass.Refused)
 	p("open_visits", s.Open())
 	p("connections_held", s.Pass.Held())
+	p("canceled_open", s.Canceled())
 	p("generation", uint64(s.Relay.DocGen))
 	p("core_age_seconds", now.Sub(s.Relay.CoreAsOf).Seconds())
 	p("lease_age_seconds", now.Sub(s.Relay.Leased).Seconds())
@@ -442,7 +443,7 @@
 	p("wire_lost_total", n.Hub.Lost.Load())
 	p("ring_dropped_total", n.Dropped.Load())
 	p("slowest_batch_seconds", time.Duration(n.Slowest.Load()).Seconds())
-	for _, k := range []string{"refused", "further", "ended whole", "ended garbled", "ended broken", "ended late"} {
+	for _, k := range []string{"refused", "further", "ended whole", "ended garbled", "ended broken", "ended late", "ended canceled", "client left"} {
 		p("visits_total{kind=\""+k+"\"}", s.Counts[k])
 	}
 	for _, l := range s.Pass.Lines() {
--- a/forward/cancel.go
+++ b/forward/cancel.go
@@ -7,6 +7,9 @@
 // ClientLeft hears that a client closed its connection before it was answered: nothing more is sent for
 // it, and what was sent is canceled where its work may be repeated.
 func (s *State) ClientLeft(id ident.RequestID, now ident.Moment) {
+	if s.requests[id] != nil || s.requests[id+hedgeSuffix] != nil {
+		s.Counts["client left"]++
+	}
 	for _, attempt := range []*Request{s.requests[id], s.requests[id+hedgeSuffix]} {
 		if attempt != nil {
 			s.leave(attempt, "client left", now)
@@ -15,6 +18,17 @@
 	s.passed(now)
 }
 
+// Canceled counts the attempts whose cancellation was asked for and whose backends have not let go.
+func (s *State) Canceled() int {
+	count := 0
+	for _, req := range s.requests {
+		if req.canceled {
+			count++
+		}
+	}
+	return count
+}
+
 // leave ends the wait for an attempt's answer. An attempt that was not sent is withdrawn, one that
 // was is canceled.
 func (s *State) leave(req *Request, why string, now ident.Moment) {
