Simulate: a closed half no longer overtakes the request on its connection

The trace: the hedge was written 0.3 ms before its client left; the simulated network drew a delay for each message by itself, so the closed half reached the backend before the request, which then ran on a connection that was closed. TCP keeps the order; the simulator now does too.

--- a/agreement/state.go
+++ b/agreement/state.go
@@ -1,3 +1,5 @@
+// Package agreement is the reducer of a replicated log: elections with pre-vote, replication, snapshots and
+// changes of membership, one step at a time.
 package agreement
 
 import (
--- a/boot/boot.go
+++ b/boot/boot.go
@@ -1,3 +1,4 @@
+// Package boot reads and checks a program's settings and opens its log.
 package boot
 
 import (
--- a/calendar/calendar.go
+++ b/calendar/calendar.go
@@ -1,3 +1,4 @@
+// Package calendar reads the blackout days of regions from iCalendar files.
 package calendar
 
 import (
--- a/cell/state.go
+++ b/cell/state.go
@@ -1,3 +1,5 @@
+// Package cell is the table of a cell's backends, as its holder keeps it from their heartbeats, and the
+// copies that others keep of it.
 package cell
 
 import (
--- a/control/state.go
+++ b/control/state.go
@@ -1,3 +1,5 @@
+// Package control is the control process: its reducer over agreement, ledger, members and cells, and the
+// executor that owns sockets, disk and clock.
 package control
 
 import (
--- a/data/node.go
+++ b/data/node.go
@@ -19,27 +19,31 @@
 	"sloeturn/wire"
 )
 
+// conn is a connection to a backend.
 type conn struct {
 	net.Conn
 	read  *bufio.Reader
 	key   pass.Key
-	life  string
-	watch chan error
-	since ident.Moment
-	rest  time.Duration
+	life  string        // the incarnation it was opened to
+	watch chan error    // how the watch of a resting connection ended
+	since ident.Moment  // when it began to rest
+	rest  time.Duration // how long its backend lets it rest; 0: not said
 }
 
+// answer is what a client is told: a backend's answer, or without one this node's own.
 type answer struct {
 	forward.Answer
 	resp *http.Response
 	body []byte
 }
 
+// heard is a backend's whole answer to one attempt.
 type heard struct {
 	resp *http.Response
 	body []byte
 }
 
+// call is what the executor holds of a request, or of the hedge of one.
 type call struct {
 	*Dialect
 	id      ident.RequestID
@@ -55,7 +59,7 @@
 	fate    atomic.Int32
 	primary *call
 	hedge   ident.RequestID
-	// left is closed once the client is seen to have left.
+	// left wakes the client's goroutine once the client is seen to have left.
 	left chan struct{}
 	// started tells that the request is being written, canceled that nobody waits for the answer.
 	// Both are guarded by Node.lock.
@@ -63,6 +67,7 @@
 	canceled bool
 }
 
+// The fate of a request: whether it may still be refused as not run.
 const (
 	open = iota
 	written
--- a/data/state.go
+++ b/data/state.go
@@ -1,3 +1,5 @@
+// Package data is the data process: its reducer over membership, news, admission and requests, and the
+// executor that owns the connections of clients and backends.
 package data
 
 import (
--- a/desired/state.go
+++ b/desired/state.go
@@ -1,3 +1,4 @@
+// Package desired reads and checks configurations and lays changes on them; it names all faults at once.
 package desired
 
 import (
--- a/duty/loop.go
+++ b/duty/loop.go
@@ -1,3 +1,5 @@
+// Package duty holds what both processes run on: the event loop, their HTTP servers, the stream of
+// decisions, and looks at connections.
 package duty
 
 import (
--- a/hollow/world.go
+++ b/hollow/world.go
@@ -1,3 +1,5 @@
+// Package hollow runs hundreds of members in one process over a simulated network, to measure how their
+// costs grow.
 package hollow
 
 import (
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -1,3 +1,4 @@
+// Package ident holds the small types that name things, and the monotonic clock.
 package ident
 
 import (
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -1,3 +1,5 @@
+// Package ledger is the agreed book: configurations, seats, cells' holders and claims, and the law that
+// keeps the connections to a backend under its cap.
 package ledger
 
 import (
--- a/member/state.go
+++ b/member/state.go
@@ -1,3 +1,4 @@
+// Package member is the reducer of membership: cards, heartbeats to watchers, and who is silent.
 package member
 
 import (
--- a/nginximport/import.go
+++ b/nginximport/import.go
@@ -1,3 +1,4 @@
+// Package nginximport turns an nginx configuration into one of this gateway's.
 package nginximport
 
 import (
--- a/pass/state.go
+++ b/pass/state.go
@@ -1,3 +1,5 @@
+// Package pass is admission: pools of connections for each lane and backend, bounded waiting, and the
+// choice of a backend by its pace and load.
 package pass
 
 import (
--- a/relay/state.go
+++ b/relay/state.go
@@ -1,3 +1,4 @@
+// Package relay carries the core, cells and confirmations down and up the tree of members, each with its age.
 package relay
 
 import (
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -1,3 +1,4 @@
+// Package replay plays recorded events against the reducers, for the shell's offline work.
 package replay
 
 import (
--- a/ringfile/ring.go
+++ b/ringfile/ring.go
@@ -1,3 +1,4 @@
+// Package ringfile keeps a log on a ring of preallocated files, with checksums that tell torn from corrupt.
 package ringfile
 
 import (
--- a/simulate/leave.go
+++ b/simulate/leave.go
@@ -115,10 +115,9 @@
 		l.busy = ""
 		n.p.step(data.Ended{Request: t.visit, Attempt: t.shot, Ending: forward.Canceled})
 		n.p.step(data.Freed{Key: l.key})
-		w.at(n.wait(), func() { w.byPlace[l.place].hungUp(t, l) })
-		return
 	}
-	w.at(n.wait(), func() { w.byPlace[l.place].hungUp(t, l) })
+	way := max(n.wait(), t.reachesAt.Sub(w.Now)+time.Microsecond)
+	w.at(way, func() { w.byPlace[l.place].hungUp(t, l) })
 }
 
 // hungUp has a backend see that its caller closed its half of a connection.
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -34,10 +34,12 @@
 	frozen  bool
 	bad     bool
 	// client is shared by the attempts of a request, the rest is one attempt's own.
-	client   *client
-	job      *job
-	written  bool
-	canceled bool
+	client  *client
+	job     *job
+	written bool
+	// reachesAt is when the written request reaches its backend: a closed half can't overtake it.
+	reachesAt ident.Moment
+	canceled  bool
 	routed
 	done func(a forward.Answer, served bool)
 }
@@ -403,7 +405,9 @@
 	}
 	w.still(n.p)
 	b := w.byPlace[l.place]
-	w.at(n.wait(), func() { b.take(t, l) })
+	way := n.wait()
+	t.reachesAt = w.Now.Add(way)
+	w.at(way, func() { b.take(t, l) })
 }
 
 func (n *nodeSim) ended(t *trip, l *link, how forward.Ending, status int, bar bool) {
--- a/simulate/world.go
+++ b/simulate/world.go
@@ -1,3 +1,5 @@
+// Package simulate runs whole fleets of the real reducers on a simulated clock, network and disk, and
+// names each promise that breaks.
 package simulate
 
 import (
--- a/wire/link.go
+++ b/wire/link.go
@@ -1,3 +1,4 @@
+// Package wire carries protobuf messages in frames over TCP between members.
 package wire
 
 import (
