Agreement, tests: what stood twice stands once

The majority of what voters have reached (rounds, synced entries) and the look at a reply's term and voter each stood two and three times in agreement; the accept loop stood four times in data's tests.

--- a/agreement/replicate.go
+++ b/agreement/replicate.go
@@ -151,16 +151,25 @@
 	}
 }
 
-func (s *State) AppendReply(a *wire.AppendReply, now ident.Moment) {
+// follower returns what this leader knows of a voter that replied to it, or nil if the reply is of
+// another term. A newer term ends this one.
+func (s *State) follower(voter string, term uint64, now ident.Moment) *progress {
 	if s.role == Blank {
-		return
+		return nil
 	}
-	if a.Term > s.term {
-		s.toTerm(a.Term, now)
-		return
+	if term > s.term {
+		s.toTerm(term, now)
+		return nil
+	}
+	if s.role != Leader || term != s.term {
+		return nil
 	}
-	l := s.progress[a.Voter]
-	if s.role != Leader || a.Term != s.term || l == nil {
+	return s.progress[voter]
+}
+
+func (s *State) AppendReply(a *wire.AppendReply, now ident.Moment) {
+	l := s.follower(a.Voter, a.Term, now)
+	if l == nil {
 		return
 	}
 	l.heard, l.ailing, l.leaving = now, a.Ailing, a.Leaving
@@ -209,43 +218,36 @@
 	s.freshen()
 }
 
-func (s *State) freshen() {
-	got := []uint64{}
+// majorityReached returns what a majority of the voters have reached: own is this voter's, of tells
+// another's. It is 0 without voters.
+func (s *State) majorityReached(own uint64, of func(l *progress) uint64) uint64 {
+	var reached []uint64
 	for _, v := range Voters(s.Roster()) {
+		value := uint64(0)
 		if v.Id == string(s.Self.Voter) {
-			got = append(got, s.roundNow)
+			value = own
 		} else if l := s.progress[v.Id]; l != nil {
-			got = append(got, l.round)
-		} else {
-			got = append(got, 0)
+			value = of(l)
 		}
+		reached = append(reached, value)
 	}
-	if len(got) == 0 {
-		return
+	if len(reached) == 0 {
+		return 0
 	}
-	sort.Slice(got, func(i, j int) bool { return got[i] > got[j] })
-	n := got[len(got)/2]
+	return quorumIndex(reached)
+}
+
+// freshen moves the moment that the leader's word is as of, by the rounds a majority has answered.
+func (s *State) freshen() {
+	n := s.majorityReached(s.roundNow, func(l *progress) uint64 { return l.round })
 	for s.rounds.Len() > 0 && s.rounds.Front().n <= n {
 		s.asOf = max(s.asOf, s.rounds.PopFront().at)
 	}
 }
 
+// advance commits what a majority has synced, if it is of this term.
 func (s *State) advance() {
-	got := []uint64{}
-	for _, v := range Voters(s.Roster()) {
-		if v.Id == string(s.Self.Voter) {
-			got = append(got, s.synced)
-		} else if l := s.progress[v.Id]; l != nil {
-			got = append(got, l.match)
-		} else {
-			got = append(got, 0)
-		}
-	}
-	if len(got) == 0 {
-		return
-	}
-	sort.Slice(got, func(i, j int) bool { return got[i] > got[j] })
-	n := got[len(got)/2]
+	n := s.majorityReached(s.synced, func(l *progress) uint64 { return l.match })
 	if t, ok := s.termAt(n); ok && n > s.commit && t == s.term {
 		s.commit = n
 	}
@@ -265,6 +267,7 @@
 	}
 }
 
+// quorumIndex returns the highest value that a majority of the values are at or above.
 func quorumIndex(got []uint64) uint64 {
 	sort.Slice(got, func(i, j int) bool { return got[i] > got[j] })
 	return got[len(got)/2]
--- a/agreement/snapshots.go
+++ b/agreement/snapshots.go
@@ -72,15 +72,8 @@
 }
 
 func (s *State) SnapshotReply(a *wire.SnapshotReply, now ident.Moment) {
-	if s.role == Blank {
-		return
-	}
-	if a.Term > s.term {
-		s.toTerm(a.Term, now)
-		return
-	}
-	l := s.progress[a.Voter]
-	if s.role != Leader || a.Term != s.term || l == nil {
+	l := s.follower(a.Voter, a.Term, now)
+	if l == nil {
 		return
 	}
 	l.heard, l.snapAt, l.snap = now, 0, nil
--- a/agreement/transfer.go
+++ b/agreement/transfer.go
@@ -95,15 +95,8 @@
 }
 
 func (s *State) SnapshotChunkReply(a *wire.SnapshotChunkReply, now ident.Moment) {
-	if s.role == Blank {
-		return
-	}
-	if a.Term > s.term {
-		s.toTerm(a.Term, now)
-		return
-	}
-	l := s.progress[a.Voter]
-	if s.role != Leader || a.Term != s.term || l == nil {
+	l := s.follower(a.Voter, a.Term, now)
+	if l == nil {
 		return
 	}
 	l.heard = now
--- a/data/cancel_test.go
+++ b/data/cancel_test.go
@@ -43,15 +43,7 @@
 	require.NoError(t, err)
 	w := &watcher{ear: ear, started: make(chan string, 64), left: make(chan string, 64), release: make(chan struct{}), headers: make(chan *http.Request, 64)}
 	t.Cleanup(func() { ear.Close(); w.letGo() })
-	go func() {
-		for {
-			c, err := ear.Accept()
-			if err != nil {
-				return
-			}
-			go w.serve(c)
-		}
-	}()
+	go acceptAll(ear, w.serve)
 	return w
 }
 
--- a/data/front_test.go
+++ b/data/front_test.go
@@ -149,15 +149,7 @@
 		require.NoError(t, err)
 		g.ears = append(g.ears, ear)
 		t.Cleanup(func() { ear.Close() })
-		go func() {
-			for {
-				c, err := ear.Accept()
-				if err != nil {
-					return
-				}
-				go g.talk(i, c)
-			}
-		}()
+		go acceptAll(ear, func(c net.Conn) { g.talk(i, c) })
 	}
 	t.Cleanup(func() { close(g.crowd.ended) })
 	g.Node = NewNode(Boot{Member: "n", Addr: ident.Addr(addr), Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"127.0.0.1:9"}}, log.NewNopLogger())
--- a/data/peer_test.go
+++ b/data/peer_test.go
@@ -36,20 +36,23 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
+// acceptAll serves each connection that comes in, until the listener is closed.
+func acceptAll(ear net.Listener, serve func(net.Conn)) {
+	for {
+		c, err := ear.Accept()
+		if err != nil {
+			return
+		}
+		go serve(c)
+	}
+}
+
 func newPeer(t *testing.T, probe string) *peer {
 	ear, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { ear.Close() })
 	p := &peer{addr: ear.Addr().String(), probe: probe, script: map[string]string{}, seen: map[string]int{}, linked: make(chan net.Conn, 64)}
-	go func() {
-		for {
-			c, err := ear.Accept()
-			if err != nil {
-				return
-			}
-			go p.talk(c)
-		}
-	}()
+	go acceptAll(ear, p.talk)
 	return p
 }
 
--- a/data/visits_property_test.go
+++ b/data/visits_property_test.go
@@ -327,15 +327,7 @@
 		require.NoError(t, err)
 		t.Cleanup(func() { ear.Close() })
 		g.ears = append(g.ears, ear)
-		go func() {
-			for {
-				c, err := ear.Accept()
-				if err != nil {
-					return
-				}
-				go h.serve(c)
-			}
-		}()
+		go acceptAll(ear, h.serve)
 	}
 	ear, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
