Forward: a routed request's deadline is its route's where that comes first

Cause: the route's time was only looked at before a retry began and when an answer was due. A request that was turned away shortly before it waited for a slot up to 0.18 s more and was then sent to a backend with its time already up, to be answered 504 and canceled at once. Found while reading where else the node works for nobody.

Now the deadline of a routed request is the nearer of the two from its arrival on, and every check that heeds the client's heeds the route's. Test first, red: a second attempt was written at 1,010 ms of a route of 1,000. It is refused now, 503, for it never ran.

--- a/forward/cancel_test.go
+++ b/forward/cancel_test.go
@@ -114,6 +114,25 @@
 	require.Zero(t, r.Open())
 }
 
+func TestNothingIsSentOnceItsRoutesTimeIsUp(t *testing.T) {
+	for _, route := range []string{"once", "again"} {
+		r := newRoad(t, 3, 3, 10, 200)
+		r.come(route)
+		first := r.sends(1)
+		r.now = r.now.Add(950 * time.Millisecond)
+		r.hears(first, TurnedAway, 503)
+		second := pick[Dial](r.Flush())
+		require.Len(t, second, 1)
+		r.now = r.now.Add(60 * time.Millisecond)
+		r.Connected(second[0].Request, second[0].Attempt, r.now)
+		all := r.Flush()
+		require.Empty(t, pick[Write](all), route)
+		require.Len(t, pick[Answer](all), 1, route)
+		require.Equal(t, 503, pick[Answer](all)[0].Status)
+		require.Zero(t, r.Open())
+	}
+}
+
 func TestACanceledAttemptThatNeverEndsIsReclaimed(t *testing.T) {
 	r := newRoad(t, 3, 3, 10, 200)
 	v := r.come("again")
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -12,7 +12,10 @@
 // retry sends a request to another backend, waiting for a slot until then at most. It is false where
 // attempts, time or the budget are used up, or nobody waits any more.
 func (s *State) retry(req *Request, now, until ident.Moment) bool {
-	if req.Done || req.partner != "" || req.Attempt >= req.Rule.Attempts || !req.Deadline.After(now) || req.Rule.Route != "" && !req.Arrived.Add(req.Rule.Work).After(now) || !s.spend(req.Rule.Service) {
+	if req.Done || req.partner != "" || req.Attempt >= req.Rule.Attempts || !req.Deadline.After(now) {
+		return false
+	}
+	if !s.spend(req.Rule.Service) {
 		return false
 	}
 	req.tried[req.Backend.Addr] = true
--- a/forward/state.go
+++ b/forward/state.go
@@ -55,8 +55,12 @@
 	req.Phase = to
 }
 
-// Arrive takes a client's request in.
+// Arrive takes a client's request in. The deadline of a routed one is the client's or the route's,
+// whichever comes first.
 func (s *State) Arrive(a Arrival, now ident.Moment) {
+	if a.Rule.Route != "" {
+		a.Deadline = min(a.Deadline, a.Arrived.Add(a.Rule.Work))
+	}
 	req := &Request{Arrival: a, tried: map[ident.Addr]bool{}}
 	req.GiveUpAt, req.waitsSince = a.Arrived.Add(Patience(req.Rule)), a.Arrived
 	s.requests[req.ID] = req
@@ -202,9 +206,9 @@
 		s.unsent(req, why, true, now)
 		return
 	}
-	req.AnswerBy = min(req.Deadline, now.Add(req.Rule.Work))
-	if req.Rule.Route != "" {
-		req.AnswerBy = min(req.Deadline, req.Arrived.Add(req.Rule.Work))
+	req.AnswerBy = req.Deadline
+	if req.Rule.Route == "" {
+		req.AnswerBy = min(req.Deadline, now.Add(req.Rule.Work))
 	}
 	req.ReclaimAt = now.Add(2 * req.Rule.Whole)
 	req.sentAt, req.timedOut = now, false
