Simulate: a connection that breaks before its request is written is no lost answer

The trace: a backend's own 500 is kept, a second attempt connects, its backend crashes between the reducer's order to write and the write; the simulator booked that end under the first attempt's number, so the kept answer seemed to be a broken one. The reducer and the executor are right: the end of an unwritten attempt is "not written".

--- a/simulate/node.go
+++ b/simulate/node.go
@@ -454,7 +454,7 @@
 			l.idle = false
 			n.p.step(data.IdleBroke{Key: l.key, Bar: true})
 		case l.busy != "":
-			if t := n.trips[l.busy]; t != nil && t.link == l && n.state.Find(t.visit) != nil && n.state.Find(t.visit).Phase == forward.Sent {
+			if t := n.trips[l.busy]; t != nil && t.link == l && t.written && n.state.Find(t.visit) != nil && n.state.Find(t.visit).Phase == forward.Sent {
 				n.ended(t, l, forward.Broken, 0, true)
 			}
 		}
