--- a/data/cancel.go
+++ b/data/cancel.go
@@ -55,6 +55,7 @@
 	}
 }
 
+// cut ends an attempt's reading and writing, so that its slot is taken back.
 func (n *Node) cut(v ident.RequestID) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
--- a/data/exchange.go
+++ b/data/exchange.go
@@ -87,7 +87,7 @@
 	return ""
 }
 
-// first returns the attempt that the client's own goroutine waits for.
+// waiting returns the attempt that the client's own goroutine waits for.
 func (k *call) waiting() *call {
 	if k.primary != nil {
 		return k.primary
