Tests: a cancellation is no failure, and its half-closed connection isn't kept

Cause: taking each guard of the cancellation out, two went unseen: booking a canceled attempt as broken, which bars its backend, and putting a half-closed connection back into the pool. The check that a backend "is not barred" proved nothing, for a named service's bar is undone at once; it now says what it shows.

A new test records the executor's events for backends that close, break off, talk nonsense or answer in full after the half was closed.

--- a/data/cancel_test.go
+++ b/data/cancel_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"sloeturn/desired"
 	"sloeturn/duty"
 	"sloeturn/forward"
 	"sloeturn/ident"
@@ -155,7 +157,7 @@
 	}
 	g.beat()
 	resp, _ := g.raw(request("length", "/r/!"))
-	require.Equal(t, 200, resp.StatusCode, "the backend is not barred")
+	require.Equal(t, 200, resp.StatusCode, "the backend is used again")
 }
 
 func TestABackendIsLetGoWhenItsClientLeavesBehindANextRequest(t *testing.T) {
@@ -300,6 +302,66 @@
 	receive(t, w.left, letGoWithin, "a request that was given up is let go")
 }
 
+// prepared registers an attempt at a connection and returns the order to write it.
+func prepared(n *Node, c *conn, r *http.Request) forward.Write {
+	lane := &desired.Lane{Name: "s", Service: "s", Answer: 4096, Repeatable: true}
+	n.lock.Lock()
+	n.calls["v"] = &call{Dialect: &tongue, id: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), conn: c}
+	n.lock.Unlock()
+	later := ident.Now().Add(time.Second)
+	return forward.Write{Request: "v", Attempt: 1, NotAfter: later, AnswerBy: later, Until: later}
+}
+
+// recorded is a node whose events are recorded in place of its reducer's steps.
+func recorded(t *testing.T) (*Node, chan any) {
+	n := NewNode(Boot{Member: "n", Addr: "127.0.0.1:9", Cell: "a", Incarnation: 7}, log.NewNopLogger())
+	events := make(chan any, 16)
+	n.Step = func(_ ident.Moment, e any) {
+		if e != n.Beat {
+			events <- e
+		}
+	}
+	n.Loop.Open()
+	go n.Run()
+	t.Cleanup(n.Stop)
+	return n, events
+}
+
+func TestACanceledAttemptIsNoFailureAndItsConnectionIsNotKept(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nVisit-Name: n\r\nSealed: wax\r\nContent-Length: 2\r\n\r\nhi"
+	for say, want := range map[string]Ended{
+		"":                {"v", 1, forward.Canceled, 0},
+		"HTTP/1.1":        {"v", 1, forward.Canceled, 0},
+		"garbage\r\n\r\n": {"v", 1, forward.Canceled, 0},
+		whole:             {"v", 1, forward.Complete, 200},
+	} {
+		n, events := recorded(t)
+		arrived := make(chan struct{})
+		c, key := raced(t, &gateway{Node: n}, func(far net.Conn) {
+			go func() {
+				b := bufio.NewReader(far)
+				http.ReadRequest(b)
+				close(arrived)
+				b.ReadByte()
+				io.WriteString(far, say)
+				if say != whole {
+					far.Close()
+				}
+			}()
+		})
+		require.Same(t, c, n.takeIdle(key, "x"))
+		r, _ := http.NewRequest("GET", "http://h.example/r/x", nil)
+		r.Header.Set("Visit-Name", "n")
+		order := prepared(n, c, r)
+		go n.write(order)
+		receive(t, arrived, time.Second, say)
+		n.cancel("v")
+		require.Equal(t, want, receive(t, events, time.Second, say), "%q", say)
+		require.Equal(t, Freed{key, false, false}, receive(t, events, time.Second, say), "%q: neither kept nor barred", say)
+		require.Empty(t, (&gateway{Node: n}).idleOf(key), "%q", say)
+	}
+}
+
 func TestNothingIsWrittenForAClientThatHasLeft(t *testing.T) {
 	g := newGateway(t, "s").up()
 	for how, leave := range leavings {
@@ -318,13 +380,7 @@
 		g.takeIdle(key, "x")
 		r, _ := http.NewRequest("GET", "http://h.example/r/x", nil)
 		r = r.WithContext(duty.WithConn(r.Context(), accepted))
-		lane := g.view.Load().desired.Find("h.example", "/r/x").Pick(0)
-		k := &call{Dialect: &tongue, id: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), conn: c}
-		g.Node.lock.Lock()
-		g.calls["v"] = k
-		g.Node.lock.Unlock()
-		later := ident.Now().Add(time.Second)
-		g.write(forward.Write{Request: "v", Attempt: 1, NotAfter: later, AnswerBy: later, Until: later})
+		g.write(prepared(g.Node, c, r))
 		g.closeIdle(c.key, 1)
 		got, _ := io.ReadAll(far)
 		require.Empty(t, string(got), how)
@@ -338,14 +394,9 @@
 	c, key := raced(t, g, func(c net.Conn) { far = c })
 	require.Same(t, c, g.takeIdle(key, "x"))
 	r, _ := http.NewRequest("GET", "http://h.example/r/x", nil)
-	lane := g.view.Load().desired.Find("h.example", "/r/x").Pick(0)
-	k := &call{Dialect: &tongue, id: "v", lane: lane, req: r, path: "/r/x", ans: make(chan answer, 2), conn: c}
-	g.Node.lock.Lock()
-	g.calls["v"] = k
-	g.Node.lock.Unlock()
+	order := prepared(g.Node, c, r)
 	g.cancel("v")
-	later := ident.Now().Add(time.Second)
-	g.write(forward.Write{Request: "v", Attempt: 1, NotAfter: later, AnswerBy: later, Until: later})
+	g.write(order)
 	require.Equal(t, []*conn{c}, g.idleOf(key), "its connection is kept for others")
 	g.closeIdle(key, 1)
 	got, _ := io.ReadAll(far)
--- a/data/visit_test.go
+++ b/data/visit_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"sloeturn/desired"
@@ -382,16 +381,7 @@
 }
 
 func TestARequestThatWasPartlyWrittenIsNeverCalledNotWritten(t *testing.T) {
-	n := NewNode(Boot{Member: "n", Addr: "127.0.0.1:9", Cell: "a", Incarnation: 7}, log.NewNopLogger())
-	got := make(chan any, 16)
-	n.Step = func(_ ident.Moment, e any) {
-		if e != n.Beat {
-			got <- e
-		}
-	}
-	n.Loop.Open()
-	go n.Run()
-	defer n.Stop()
+	n, got := recorded(t)
 	c, _ := raced(t, &gateway{Node: n}, func(far net.Conn) {
 		go func() {
 			io.ReadFull(far, make([]byte, 100))
