Sight: the log tells what became of a leaving backend, and figures have a port of their own

Change: moves of backends carry their cause, the cell's holder logs leavings, ends and what undoes one; announcements that are passed over are counted; nodes log a cell's news that is older than 1.5 s and both daemons tell its age.

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -44,6 +44,7 @@
 	Address   string   `arg:"--address" help:"ip:port the other members reach this one at"`
 	HTTP      string   `arg:"--http" help:"ip:port for requesters and backends"`
 	Operators string   `arg:"--operators" help:"ip:port of the operators' interface"`
+	Metrics   string   `arg:"--metrics" help:"ip:port where monitoring reads this process's figures at /metrics, and nothing else; without it only operators do"`
 	Seeds     []string `arg:"--seeds" help:"addresses of other members"`
 	LogLevel  string   `arg:"--log-level" help:"debug, info, warn or error"`
 	DrainMs   int      `arg:"--drain-ms" help:"longest time a planned stop may take"`
@@ -77,6 +78,7 @@
 	Address   string   `json:"address"`
 	HTTP      string   `json:"http"`
 	Operators string   `json:"operators"`
+	Metrics   string   `json:"metrics,omitempty"`
 	Seeds     []string `json:"seeds"`
 	LogLevel  string   `json:"logLevel"`
 	DrainMs   int      `json:"drainMs"`
@@ -169,6 +171,7 @@
 	over(&s.Address, f.Address)
 	over(&s.HTTP, f.HTTP)
 	over(&s.Operators, f.Operators)
+	over(&s.Metrics, f.Metrics)
 	over(&s.LogLevel, f.LogLevel)
 	if len(f.Seeds) > 0 {
 		s.Seeds = f.Seeds
@@ -260,6 +263,12 @@
 	if s.Operators == s.HTTP || s.Operators == s.Address || s.HTTP == s.Address {
 		say("operators", "address, http and operators must differ")
 	}
+	if s.Metrics != "" {
+		place("metrics", s.Metrics)
+		if s.Metrics == s.Operators || s.Metrics == s.HTTP || s.Metrics == s.Address {
+			say("metrics", "must differ from address, http and operators; is %q", s.Metrics)
+		}
+	}
 	for i, a := range s.Seeds {
 		place(fmt.Sprintf("seeds/%d", i), a)
 	}
@@ -351,7 +360,7 @@
 	}
 	for _, p := range []struct{ name, old, new string }{
 		{"name", s.Name, n.Name}, {"cell", s.Cell, n.Cell}, {"address", s.Address, n.Address}, {"http", s.HTTP, n.HTTP},
-		{"operators", s.Operators, n.Operators}, {"data", s.Data, n.Data}, {"seeds", strings.Join(s.Seeds, ","), strings.Join(n.Seeds, ",")},
+		{"operators", s.Operators, n.Operators}, {"metrics", s.Metrics, n.Metrics}, {"data", s.Data, n.Data}, {"seeds", strings.Join(s.Seeds, ","), strings.Join(n.Seeds, ",")},
 		{"founders", strings.Join(s.Founders, ","), strings.Join(n.Founders, ",")},
 		{"leaseMs", fmt.Sprint(s.LeaseMs), fmt.Sprint(n.LeaseMs)}, {"staleMs", fmt.Sprint(s.StaleMs), fmt.Sprint(n.StaleMs)},
 		{"decisions", fmt.Sprint(s.Decisions), fmt.Sprint(n.Decisions)},
--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -103,3 +103,21 @@
 		require.Equal(t, path, faults[0].Path, doc)
 	}
 }
+
+func TestTheMetricsAddressIsOptionalCheckedAndNeedsARestart(t *testing.T) {
+	f := Flags{Name: "one", Cell: "a", Address: "127.0.0.1:1", HTTP: "127.0.0.1:2", Operators: "127.0.0.1:3", Seeds: []string{"127.0.0.2:1"}}
+	s, faults := Read(f, nil)
+	require.Empty(t, faults)
+	require.Empty(t, s.Metrics)
+	for _, bad := range []string{"9464", "0.0.0.0:9464", "127.0.0.1:0", "127.0.0.1:3"} {
+		f.Metrics = bad
+		_, faults = Read(f, nil)
+		require.Len(t, faults, 1, bad)
+		require.Equal(t, "metrics", faults[0].Path)
+	}
+	f.Metrics = "127.0.0.1:4"
+	changed, fixed, faults := s.Reload(f, nil)
+	require.Empty(t, faults)
+	require.Empty(t, changed)
+	require.Equal(t, []string{"metrics"}, fixed)
+}
--- a/cell/state.go
+++ b/cell/state.go
@@ -57,6 +57,9 @@
 	moves []Move
 	ended map[ident.Addr]ending
 	Quiet func(ident.Service) bool
+
+	// PassedOver counts the announcements that were older than what was known of their backend.
+	PassedOver uint64
 }
 
 type ending struct {
@@ -66,10 +69,28 @@
 	at    ident.Moment
 }
 
+// Move is a change of a backend's state in the table of a cell.
 type Move struct {
 	Addr     ident.Addr
 	Service  ident.Service
+	Life     string
 	From, To string
+	Why      string
+}
+
+// The causes of moves.
+const (
+	whyBeat      = "beat"
+	whyDraining  = "says that it leaves"
+	whySignedOff = "signed off"
+	whySilent    = "silent"
+	whyReplaced  = "another life at its address"
+	whyBack      = "beat after its sign-off"
+)
+
+// Leaves says whether the move belongs to a backend's leaving, or undoes one.
+func (m Move) Leaves() bool {
+	return m.Why == whyDraining || m.Why == whySignedOff || m.Why == whyBack
 }
 
 var states = [...]string{"ready", "leaving", "gone"}
@@ -218,11 +239,15 @@
 	s.sums[p] += Sum(string(b.Addr), b.Version)
 }
 
-func (s *Soundness) drop(a ident.Addr) {
+func (s *Soundness) move(b *Backend, from, to, why string) {
+	s.moves = append(s.moves, Move{Addr: b.Addr, Service: b.Service, Life: b.Life, From: from, To: to, Why: why})
+}
+
+func (s *Soundness) drop(a ident.Addr, why string) {
 	b := s.table[a]
 	s.sums[Part(string(a))] -= Sum(string(a), b.Version)
 	delete(s.table, a)
-	s.moves = append(s.moves, Move{a, b.Service, states[b.State], "gone"})
+	s.move(b, states[b.State], states[Gone], why)
 	s.ver++
 	s.tombs.add(string(a), s.ver)
 }
@@ -236,11 +261,12 @@
 	}
 	b := s.table[addr]
 	if s.late(b, a) {
+		s.PassedOver++
 		return true
 	}
 	if a.State == Gone {
 		if b != nil && (b.Service == ident.Service(a.Service) || a.Addr == "") && (a.Incarnation == "" || a.Incarnation == b.Life) {
-			s.drop(addr)
+			s.drop(addr, whySignedOff)
 			s.ended[addr] = ending{s.pulse, a.Incarnation, max(b.Turn, a.Turn), now}
 		}
 		return true
@@ -262,17 +288,21 @@
 			if life == b.Life {
 				life = fmt.Sprintf("%s-%d-%d", life, s.Epoch, s.pulse)
 			}
-			s.drop(addr)
+			s.drop(addr, whyReplaced)
 		}
 		b = &Backend{Addr: addr, Service: ident.Service(a.Service), Life: life, ColdAll: cold}
 		s.table[addr] = b
-		s.moves = append(s.moves, Move{addr, b.Service, "", "ready"})
+		why := whyBeat
+		if e, ended := s.ended[addr]; ended && e.life == a.Incarnation {
+			why = whyBack
+		}
+		s.move(b, "", states[Ready], why)
 	}
 	old := *b
 	b.Slots = int(min(a.Slots, SlotLimit))
 	if b.State != Leaving && a.State == Leaving {
 		b.State = Leaving
-		s.moves = append(s.moves, Move{addr, b.Service, "ready", "leaving"})
+		s.move(b, states[Ready], states[Leaving], whyDraining)
 		if b.LeftAt = s.pulse; a.Notice {
 			b.LeftAt = math.MaxUint64
 		}
@@ -362,7 +392,7 @@
 	}
 	for _, b := range s.Lines() {
 		if now.Sub(b.Heard) > BeatSilence {
-			s.drop(b.Addr)
+			s.drop(b.Addr, whySilent)
 			continue
 		}
 		if w := Work(b, now); w != b.Work {
--- a/control/holders.go
+++ b/control/holders.go
@@ -324,7 +324,10 @@
 
 func (s *State) moved(h *hold) {
 	for _, m := range h.sound.Moves() {
-		s.decide(duty.Decision{Decision: "soundness", Cell: string(h.sound.Cell), Backend: string(m.Addr), Service: string(m.Service), From: m.From, To: m.To})
+		s.decide(duty.Decision{Decision: "soundness", Cell: string(h.sound.Cell), Backend: string(m.Addr), Service: string(m.Service), From: m.From, To: m.To, Note: m.Why})
+		if m.Leaves() {
+			s.out = append(s.out, Note{"Backend " + string(m.Addr) + " (" + m.Life + ", " + string(m.Service) + ") of cell " + string(h.sound.Cell) + " is " + m.To + ": " + m.Why + "."})
+		}
 	}
 }
 
--- a/control/http.go
+++ b/control/http.go
@@ -69,7 +69,7 @@
 	})
 	mux.HandleFunc("POST /events", n.events)
 	mux.Handle("GET /decisions", n.Stream)
-	mux.HandleFunc("GET /metrics", n.metrics)
+	mux.HandleFunc("GET /metrics", n.Metrics)
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, r *http.Request) { duty.JSON(w, 200, map[string]any{"live": true}) })
 	mux.HandleFunc("GET /ready", n.ready)
 	return mux
@@ -474,7 +474,8 @@
 	return map[string]any{"member": s.Member, "backends": out}
 }
 
-func (n *Node) metrics(w http.ResponseWriter, r *http.Request) {
+// Metrics serves this process's figures as text, in the exposition format that monitoring reads.
+func (n *Node) Metrics(w http.ResponseWriter, r *http.Request) {
 	v, err := n.Query(func(s *State, now ident.Moment) any {
 		var b strings.Builder
 		p := func(name string, v any) { fmt.Fprintf(&b, "sloeturn_%s %v\n", name, v) }
@@ -501,6 +502,13 @@
 			p("calendar_clocks_told", len(clocks))
 		}
 		p("core_age_seconds", now.Sub(s.Relay.CoreAsOf).Seconds())
+		for _, c := range ident.Keys(s.Relay.Cells) {
+			p(fmt.Sprintf("cell_age_seconds{cell=%q}", c), now.Sub(s.Relay.Cells[c].AsOf).Seconds())
+		}
+		for _, c := range ident.Keys(s.holds) {
+			p(fmt.Sprintf("announcements_passed_over_total{cell=%q}", c), s.holds[c].sound.PassedOver)
+			p(fmt.Sprintf("drains_unanswered{cell=%q}", c), len(s.holds[c].drains))
+		}
 		if s.Agree != nil {
 			p("agreement_commit", uint64(s.Agree.Commit()))
 			p("agreement_term", uint64(s.Agree.Term()))
--- a/control/serve.go
+++ b/control/serve.go
@@ -47,6 +47,11 @@
 		},
 		Reload: reload,
 	}
+	if set.Metrics != "" {
+		figures := http.NewServeMux()
+		figures.HandleFunc("GET /metrics", n.Metrics)
+		app.HTTP[set.Metrics] = figures
+	}
 	for _, d := range doors {
 		app.HTTP[d.Addr] = d.Open(n)
 	}
--- a/data/http.go
+++ b/data/http.go
@@ -365,15 +365,7 @@
 	mux.Handle("GET /decisions", n.Stream)
 	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, r *http.Request) { n.ask(w, n.fleet) })
 	mux.HandleFunc("GET /pools", func(w http.ResponseWriter, r *http.Request) { n.ask(w, n.pools) })
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
-		v := n.query(n.metrics)
-		if v == nil {
-			duty.Wrong(w, 503, "busy", nil)
-			return
-		}
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		io.WriteString(w, v.(string))
-	})
+	mux.HandleFunc("GET /metrics", n.Metrics)
 	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, r *http.Request) {
 		n.Put(Drain{})
 		duty.JSON(w, 202, map[string]any{"draining": true})
@@ -381,6 +373,17 @@
 	return mux
 }
 
+// Metrics serves this process's figures as text, in the exposition format that monitoring reads.
+func (n *Node) Metrics(w http.ResponseWriter, r *http.Request) {
+	v := n.query(n.metrics)
+	if v == nil {
+		duty.Wrong(w, 503, "busy", nil)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	io.WriteString(w, v.(string))
+}
+
 func (n *Node) query(f func(s *State, now ident.Moment) any) any {
 	got := make(chan any, 1)
 	if !n.Offer(Query{func(s *State, now ident.Moment) { got <- f(s, now) }}) {
@@ -438,6 +441,9 @@
 	p("generation", uint64(s.Relay.DocGen))
 	p("core_age_seconds", now.Sub(s.Relay.CoreAsOf).Seconds())
 	p("lease_age_seconds", now.Sub(s.Relay.Leased).Seconds())
+	for _, c := range ident.Keys(s.Relay.Cells) {
+		p(fmt.Sprintf("cell_age_seconds{cell=%q}", c), now.Sub(s.Relay.Cells[c].AsOf).Seconds())
+	}
 	p("wire_sent_total", n.Hub.Sent.Load())
 	p("wire_bytes_total", n.Hub.Bytes.Load())
 	p("wire_lost_total", n.Hub.Lost.Load())
--- a/data/state.go
+++ b/data/state.go
@@ -93,12 +93,13 @@
 	freeing      bool
 	gone         bool
 	born         ident.Moment
+	oldNews      map[ident.Cell]time.Duration
 	out          []any
 	now          ident.Moment
 }
 
 func New(b Boot, now ident.Moment) *State {
-	s := &State{Boot: b, bars: map[ident.Addr]bar{}, strikes: map[ident.Addr]strike{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}, born: now}
+	s := &State{Boot: b, bars: map[ident.Addr]bar{}, strikes: map[ident.Addr]strike{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}, oldNews: map[ident.Cell]time.Duration{}, born: now}
 	s.Pass = pass.New()
 	s.Pass.Salt = string(b.Member)
 	s.State = forward.New(s.Pass, s.gate)
@@ -272,6 +273,7 @@
 	s.Relay.Eager = s.Eager(now)
 	s.Relay.Tick(s.Members.Ring(), s.Members.Key(), targets, now)
 	s.refresh(now)
+	s.watchNews(now)
 	s.takeSeat(heads, now)
 	s.restore(heads, now)
 	s.State.Tick(now)
