--- /dev/null
+++ b/simulate/signoff.go
@@ -0,0 +1,83 @@
+package simulate
+
+import (
+	"time"
+
+	"sloeturn/cell"
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+const (
+	// latestBeat is the longest that a beat is on its way in a scene of sign-offs.
+	latestBeat = 3 * time.Second
+	// drainTime is how long a backend serves on at least after its leaving was acknowledged.
+	drainTime = 2 * time.Second
+)
+
+// SignOff has a backend say that it ends, by its incarnation alone, to one control process after
+// another until one acknowledges it; the first may be named. It serves on and beats no more.
+func (b *Backend) SignOff(first *Proc) {
+	w, life := b.w, b.lives
+	b.mute = true
+	var try func(p *Proc)
+	try = func(p *Proc) {
+		if !b.up || b.lives != life {
+			return
+		}
+		a := &wire.Announce{State: cell.Gone, Incarnation: b.life}
+		w.tell(p, a, ms, func() bool { return true }, func(ok bool) {
+			switch {
+			case b.lives != life:
+			case !ok:
+				w.at(100*ms, func() { try(w.Control(w.Rand.Intn(w.Controls))) })
+			case b.leftAt == 0:
+				b.leftAt = w.Now
+				w.Say("%s is known to have signed off", b.name)
+			}
+		})
+	}
+	try(first)
+}
+
+// signedOff plays one sign-off with beats still on their way, beside one trouble of the control side.
+func (w *World) signedOff(b *Backend) {
+	for i := 0; i < 3; i++ {
+		b.send(cell.Ready, time.Duration(w.Rand.Intn(int(latestBeat/ms)))*ms, nil)
+	}
+	first := w.Control(w.Rand.Intn(w.Controls))
+	switch w.Rand.Intn(3) {
+	case 0:
+		w.Kill(first)
+		w.Start(first)
+	case 1:
+		w.at(time.Duration(w.Rand.Intn(1500))*ms, func() { w.killHolder(b.cell) })
+	}
+	b.SignOff(first)
+}
+
+func (w *World) killHolder(name string) {
+	l := w.Leader()
+	if l == nil || l.control.Book.Holds[ident.Cell(name)] == nil {
+		return
+	}
+	if p := w.byName(l.control.Book.Holds[ident.Cell(name)].Holder); p != nil && p.up {
+		w.Kill(p)
+		w.at(time.Second, func() { w.Start(p) })
+	}
+}
+
+var signOffScene = &Scene{Name: "signed-off", Text: "backends sign off, serve on and end, their last beats still on their way; control processes are killed meanwhile", config: onRoads, play: func(w *World, r *Result, gen *uint64) {
+	w.named()
+	for i := 0; i < 8; i++ {
+		w.Run(contact + time.Second)
+		b := w.Backends[w.Rand.Intn(len(w.Backends))]
+		if !b.up || b.state != cell.Ready {
+			continue
+		}
+		w.signedOff(b)
+		w.Run(drainTime + time.Duration(w.Rand.Intn(5000))*ms)
+		b.crash()
+		w.at(time.Second, b.start)
+	}
+}}
