A goodbye of a backend that knows its incarnation is final, and no holder forgets it

Cause: a sign-off took the line out of the cell's table and kept only the last turn heard, in the holder's memory; the platform's sign-off bears no turn. The same class, knowledge of an end that a late or unordered word undoes, twice more: a sign-off that names an incarnation which the asked process has no copy of went to that process's own cell and was acknowledged with no effect; a holder that took over answered asks and heard beats in the moment between its start and its next tick, before it had recalled the kept copy, which it then never did, so all leavings were forgotten. Change: a signed-off line stays as a leaving one until silent, so that copies, disks, bequests and recalls carry it; ends of lives without a line are remembered, bounded; goodbyes count whatever their turn. Unknown sign-offs go to the holders of all cells. A hold is active only once it has recalled.

--- a/cell/ended_test.go
+++ b/cell/ended_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,3 +58,80 @@
 		require.Equal(t, 1, l.ready(), "another life at that address is another backend")
 	}
 }
+func TestALifeThatSignedOffStaysEndedUnderTheNextHolder(t *testing.T) {
+	for name, next := range map[string]func(l *leaver) *Soundness{
+		"handed over": func(l *leaver) *Soundness { return Inherit(l.holder.Bequeath(l.now), 2, l.now) },
+		"from a copy": func(l *leaver) *Soundness {
+			c := NewCopy("a")
+			c.Take(l.holder.News(c.Have(), l.now), l.now)
+			h := New("a", 2)
+			h.Recall(c, l.now)
+			return h
+		},
+		"from a kept copy": func(l *leaver) *Soundness {
+			c := NewCopy("a")
+			c.Take(l.holder.News(c.Have(), l.now), l.now)
+			h := New("a", 2)
+			h.Recall(Kept(c.Keep()), l.now)
+			return h
+		},
+	} {
+		l := newLeaver(t)
+		l.beat("i-1", 5, Ready)
+		l.run(time.Second)
+		l.signOff("i-1")
+		l.run(time.Second)
+		l.holder = next(l)
+		l.run(500 * time.Millisecond)
+		l.beat("i-1", 6, Ready)
+		require.Zero(t, l.ready(), name)
+	}
+}
+
+func TestALifeIsEndedThoughItsSignOffCameBeforeItsFirstBeat(t *testing.T) {
+	l := newLeaver(t)
+	require.True(t, l.signOff("i-1"))
+	l.run(1200 * time.Millisecond)
+	l.beat("i-1", 1, Ready)
+	require.Zero(t, l.ready())
+}
+
+func TestAnEndedLifeTakesNoAddressBack(t *testing.T) {
+	for name, end := range map[string]func(l *leaver){
+		"signed off": func(l *leaver) { l.signOff("i-1") },
+		"draining":   func(l *leaver) { l.beat("i-1", 6, Leaving) },
+	} {
+		l := newLeaver(t)
+		l.beat("i-1", 5, Ready)
+		end(l)
+		l.run(2 * time.Second)
+		l.beat("i-2", 1, Ready)
+		l.run(time.Second)
+		require.True(t, l.beat("i-1", 7, Ready), name)
+		require.Equal(t, "i-2", l.holder.Lines()[0].Life, name)
+		require.Equal(t, 1, l.ready(), name)
+	}
+}
+
+func TestALifeThatLeftAndFellSilentStaysEnded(t *testing.T) {
+	l := newLeaver(t)
+	l.beat("i-1", 5, Ready)
+	l.beat("i-1", 6, Leaving)
+	l.run(BeatSilence + time.Second)
+	require.Empty(t, l.holder.Lines())
+	l.beat("i-1", 7, Ready)
+	require.Zero(t, l.ready())
+}
+
+func TestTheEndsThatAreRememberedAreBounded(t *testing.T) {
+	l := newLeaver(t)
+	for i := range EndsMost + 10 {
+		l.now = l.now.Add(time.Microsecond)
+		l.signOff(fmt.Sprint("i-", i))
+	}
+	require.Len(t, l.holder.ends, EndsMost)
+	require.False(t, l.holder.ended("i-9"), "the oldest go first")
+	require.True(t, l.holder.ended("i-10"))
+	l.run(EndKept + time.Second)
+	require.Empty(t, l.holder.ends)
+}
--- /dev/null
+++ b/cell/hear.go
@@ -0,0 +1,160 @@
+package cell
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+// BackPulses is how many pulses after its leaving a backend without an incarnation may say that it is
+// ready again.
+const BackPulses = 100
+
+// Hear takes up a backend's announcement. It is false if the announcement is older than what is known
+// of the address or proves nothing, and must be said again; one that is passed over because it can
+// change nothing any more was heard.
+//
+// A goodbye of a backend that knows its incarnation is final: no announcement of that life makes it
+// ready again, whatever its turn and whenever it comes, and a goodbye is heeded whatever its turn.
+func (s *Soundness) Hear(a *wire.Announce, now ident.Moment) bool {
+	address := ident.Addr(a.Addr)
+	if address == "" {
+		address = s.placeOf(a.Incarnation)
+	}
+	b := s.table[address]
+	if a.State == Gone {
+		s.signOff(b, a, now)
+		return true
+	}
+	if s.late(b, a) || s.ended(a.Incarnation) && b != nil && b.Life != a.Incarnation {
+		s.PassedOver++
+		return true
+	}
+	cold := time.Duration(a.ColdNs)
+	pulse := uint64(0)
+	if a.Epoch == uint64(s.Epoch) {
+		pulse = a.Pulse
+	}
+	if s.stale(b, a, pulse) {
+		return false
+	}
+	if b == nil || s.another(b, a, pulse, now.Add(cold)) {
+		b = s.begin(address, b, a, now)
+	}
+	old := *b
+	b.Slots = int(min(a.Slots, SlotLimit))
+	if a.State == Leaving {
+		s.leave(b, a.Notice, whyDraining)
+	}
+	if s.ended(a.Incarnation) {
+		s.leave(b, true, whySignedOff)
+	}
+	b.Pulse = max(b.Pulse, pulse)
+	b.Turn = max(b.Turn, a.Turn)
+	b.ColdTo = now.Add(cold)
+	b.Heard = now
+	b.Beat++
+	b.Work = Work(b, now)
+	if old.Version == 0 || s.Quiet == nil || !s.Quiet(b.Service) || old.Slots != b.Slots || old.State != b.State || old.Work != b.Work {
+		s.touch(b)
+	}
+	return true
+}
+
+// begin makes the line of a backend that wasn't known, in place of another life at its address.
+func (s *Soundness) begin(address ident.Addr, old *Backend, a *wire.Announce, now ident.Moment) *Backend {
+	life := a.Incarnation
+	if life == "" {
+		life = Bare + a.Service
+	}
+	if old != nil {
+		if life == old.Life {
+			life = fmt.Sprintf("%s-%d-%d", life, s.Epoch, s.pulse)
+		}
+		s.drop(address, whyReplaced, now)
+	}
+	b := &Backend{Addr: address, Service: ident.Service(a.Service), Life: life, ColdAll: time.Duration(a.ColdNs)}
+	s.table[address] = b
+	why := whyBeat
+	if _, before := s.bareEnds[address]; before {
+		why = whyAgain
+	}
+	s.move(b, "", states[Ready], why)
+	return b
+}
+
+// leave marks a line as leaving; with notice that holds until another life comes to its address or
+// it falls silent.
+func (s *Soundness) leave(b *Backend, notice bool, why string) {
+	if b.State != Leaving {
+		b.State, b.LeftAt = Leaving, s.pulse
+		s.move(b, states[Ready], states[Leaving], why)
+	}
+	if notice {
+		b.LeftAt = math.MaxUint64
+	}
+}
+
+// signOff ends a life. The line of one with an incarnation stays as a leaving one until it falls
+// silent, so that it goes to copies, to the disk and to the next holder as any leaving does, and bars
+// beats that are still on their way. One that isn't known here yet is remembered by its incarnation.
+func (s *Soundness) signOff(b *Backend, a *wire.Announce, now ident.Moment) {
+	unnamed := b != nil && a.Incarnation == "" && b.Service == ident.Service(a.Service)
+	named := b != nil && a.Incarnation != "" && b.Life == a.Incarnation
+	switch {
+	case unnamed && strings.HasPrefix(b.Life, Bare):
+		s.drop(b.Addr, whySignedOff, now)
+		s.bareEnds[b.Addr] = ending{s.pulse, now}
+	case unnamed, named:
+		s.move(b, states[b.State], states[Leaving], whySignedOff)
+		b.State, b.LeftAt = Leaving, math.MaxUint64
+		b.Heard, b.Work = now, 0
+		s.touch(b)
+	case a.Incarnation != "":
+		s.rememberEnd(a.Incarnation, now)
+	}
+}
+
+func (s *Soundness) placeOf(life string) ident.Addr {
+	for a, b := range s.table {
+		if b.Life == life {
+			return a
+		}
+	}
+	return ""
+}
+
+// late says whether an announcement was sent before one of the same life that was heard already. A
+// leaving is never late, for nothing said after it takes it back.
+func (s *Soundness) late(b *Backend, a *wire.Announce) bool {
+	if b == nil || a.State != Ready || a.Incarnation == "" || a.Turn == 0 {
+		return false
+	}
+	return b.Service == ident.Service(a.Service) && b.Life == a.Incarnation && a.Turn < b.Turn
+}
+
+func (s *Soundness) stale(b *Backend, a *wire.Announce, pulse uint64) bool {
+	if b != nil {
+		other := b.Service != ident.Service(a.Service) || a.Incarnation != "" && a.Incarnation != b.Life
+		return other && pulse < b.Pulse
+	}
+	end, ended := s.bareEnds[ident.Addr(a.Addr)]
+	return a.State == Ready && (!a.Stands || ended && a.Incarnation == "" && pulse <= end.pulse)
+}
+
+func (s *Soundness) another(b *Backend, a *wire.Announce, pulse uint64, coldTo ident.Moment) bool {
+	if b.Service != ident.Service(a.Service) {
+		return true
+	}
+	if a.Incarnation != "" {
+		return a.Incarnation != b.Life
+	}
+	if b.State == Leaving {
+		return a.State == Ready && pulse > b.LeftAt && pulse-b.LeftAt > BackPulses
+	}
+	return a.ColdNs > 0 && coldTo.After(b.ColdTo.Add(time.Second))
+}
--- a/cell/state.go
+++ b/cell/state.go
@@ -23,7 +23,6 @@
 	BeatSilence = 10 * time.Second
 	PulseEvery  = 100 * time.Millisecond
 	SlotLimit   = 4096
-	BackPulses  = 100
 	Bare        = "bare-"
 )
 
@@ -55,52 +54,18 @@
 	Roll
 	tombs tombs
 	moves []Move
-	ended map[ident.Addr]ending
+
+	// bareEnds holds the sign-offs of backends without an incarnation, ends those of lives that have
+	// no line here, or none yet.
+	bareEnds map[ident.Addr]ending
+	ends     map[string]ident.Moment
+
 	Quiet func(ident.Service) bool
 
 	// PassedOver counts the announcements that were older than what was known of their backend.
 	PassedOver uint64
 }
 
-type ending struct {
-	pulse uint64
-	life  string
-	turn  uint64
-	at    ident.Moment
-}
-
-// Move is a change of a backend's state in the table of a cell.
-type Move struct {
-	Addr     ident.Addr
-	Service  ident.Service
-	Life     string
-	From, To string
-	Why      string
-}
-
-// The causes of moves.
-const (
-	whyBeat      = "beat"
-	whyDraining  = "says that it leaves"
-	whySignedOff = "signed off"
-	whySilent    = "silent"
-	whyReplaced  = "another life at its address"
-	whyBack      = "beat after its sign-off"
-)
-
-// Leaves says whether the move belongs to a backend's leaving, or undoes one.
-func (m Move) Leaves() bool {
-	return m.Why == whyDraining || m.Why == whySignedOff || m.Why == whyBack
-}
-
-var states = [...]string{"ready", "leaving", "gone"}
-
-func (s *Soundness) Moves() []Move {
-	out := s.moves
-	s.moves = nil
-	return out
-}
-
 type Roll struct {
 	Nodes []string
 	Wants []*wire.Wants
@@ -162,7 +127,7 @@
 }
 
 func New(c ident.Cell, e ident.Epoch) *Soundness {
-	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}, ended: map[ident.Addr]ending{}, pulse: 1}
+	return &Soundness{Cell: c, Epoch: e, table: map[ident.Addr]*Backend{}, bareEnds: map[ident.Addr]ending{}, ends: map[string]ident.Moment{}, pulse: 1}
 }
 
 func (s *Soundness) Pulse() uint64 { return s.pulse }
@@ -201,12 +166,16 @@
 		l := old.Table[a]
 		b := s.table[a]
 		if l.State == Ready {
-			if e, ended := s.ended[a]; b == nil && !(ended && e.life == l.Incarnation) && !strings.HasPrefix(l.Incarnation, Bare) {
+			if b == nil && !strings.HasPrefix(l.Incarnation, Bare) {
 				s.remember(l, now)
 			}
 			continue
 		}
-		if l.State != Leaving || b != nil && (b.Life != l.Incarnation || b.State == Leaving) {
+		if l.State != Leaving || b != nil && b.Life == l.Incarnation && b.State == Leaving {
+			continue
+		}
+		if b != nil && b.Life != l.Incarnation {
+			s.rememberEnd(l.Incarnation, now)
 			continue
 		}
 		if b == nil {
@@ -224,6 +193,9 @@
 func (s *Soundness) remember(l *wire.Backend, now ident.Moment) {
 	cold := time.Duration(l.ColdNs)
 	b := &Backend{Addr: ident.Addr(l.Addr), Service: ident.Service(l.Service), Life: l.Incarnation, Slots: int(min(l.Slots, SlotLimit)), State: Ready, ColdTo: now.Add(cold), ColdAll: cold, Heard: now}
+	if s.ended(b.Life) {
+		s.leave(b, true, whySignedOff)
+	}
 	b.Work = Work(b, now)
 	s.table[b.Addr] = b
 	s.touch(b)
@@ -239,12 +211,12 @@
 	s.sums[p] += Sum(string(b.Addr), b.Version)
 }
 
-func (s *Soundness) move(b *Backend, from, to, why string) {
-	s.moves = append(s.moves, Move{Addr: b.Addr, Service: b.Service, Life: b.Life, From: from, To: to, Why: why})
-}
-
-func (s *Soundness) drop(a ident.Addr, why string) {
+// drop takes a line out; that its life had said goodbye stays known for a while.
+func (s *Soundness) drop(a ident.Addr, why string, now ident.Moment) {
 	b := s.table[a]
+	if b.State == Leaving && !strings.HasPrefix(b.Life, Bare) {
+		s.rememberEnd(b.Life, now)
+	}
 	s.sums[Part(string(a))] -= Sum(string(a), b.Version)
 	delete(s.table, a)
 	s.move(b, states[b.State], states[Gone], why)
@@ -254,113 +226,6 @@
 
 func (s *Soundness) Digests() []uint64 { return append([]uint64(nil), s.sums[:]...) }
 
-func (s *Soundness) Hear(a *wire.Announce, now ident.Moment) bool {
-	addr := ident.Addr(a.Addr)
-	if addr == "" {
-		addr = s.placeOf(a.Incarnation)
-	}
-	b := s.table[addr]
-	if s.late(b, a) {
-		s.PassedOver++
-		return true
-	}
-	if a.State == Gone {
-		if b != nil && (b.Service == ident.Service(a.Service) || a.Addr == "") && (a.Incarnation == "" || a.Incarnation == b.Life) {
-			s.drop(addr, whySignedOff)
-			s.ended[addr] = ending{s.pulse, a.Incarnation, max(b.Turn, a.Turn), now}
-		}
-		return true
-	}
-	cold := time.Duration(a.ColdNs)
-	pulse := uint64(0)
-	if a.Epoch == uint64(s.Epoch) {
-		pulse = a.Pulse
-	}
-	if s.stale(b, a, pulse) {
-		return false
-	}
-	if b == nil || s.another(b, a, pulse, now.Add(cold)) {
-		life := a.Incarnation
-		if life == "" {
-			life = Bare + a.Service
-		}
-		if b != nil {
-			if life == b.Life {
-				life = fmt.Sprintf("%s-%d-%d", life, s.Epoch, s.pulse)
-			}
-			s.drop(addr, whyReplaced)
-		}
-		b = &Backend{Addr: addr, Service: ident.Service(a.Service), Life: life, ColdAll: cold}
-		s.table[addr] = b
-		why := whyBeat
-		if e, ended := s.ended[addr]; ended && e.life == a.Incarnation {
-			why = whyBack
-		}
-		s.move(b, "", states[Ready], why)
-	}
-	old := *b
-	b.Slots = int(min(a.Slots, SlotLimit))
-	if b.State != Leaving && a.State == Leaving {
-		b.State = Leaving
-		s.move(b, states[Ready], states[Leaving], whyDraining)
-		if b.LeftAt = s.pulse; a.Notice {
-			b.LeftAt = math.MaxUint64
-		}
-	}
-	b.Pulse = max(b.Pulse, pulse)
-	b.Turn = max(b.Turn, a.Turn)
-	b.ColdTo = now.Add(cold)
-	b.Heard = now
-	b.Beat++
-	b.Work = Work(b, now)
-	if old.Version == 0 || s.Quiet == nil || !s.Quiet(b.Service) || old.Slots != b.Slots || old.State != b.State || old.Work != b.Work {
-		s.touch(b)
-	}
-	return true
-}
-
-func (s *Soundness) placeOf(life string) ident.Addr {
-	for a, b := range s.table {
-		if b.Life == life {
-			return a
-		}
-	}
-	return ""
-}
-
-func (s *Soundness) late(b *Backend, a *wire.Announce) bool {
-	if a.Incarnation == "" || a.Turn == 0 {
-		return false
-	}
-	if b != nil {
-		return b.Service == ident.Service(a.Service) && b.Life == a.Incarnation && a.Turn < b.Turn
-	}
-	e := s.ended[ident.Addr(a.Addr)]
-	return e.life == a.Incarnation && a.Turn < e.turn
-}
-
-func (s *Soundness) stale(b *Backend, a *wire.Announce, pulse uint64) bool {
-	if b != nil {
-		other := b.Service != ident.Service(a.Service) || a.Incarnation != "" && a.Incarnation != b.Life
-		return other && pulse < b.Pulse
-	}
-	e, ended := s.ended[ident.Addr(a.Addr)]
-	return a.State == Ready && (!a.Stands || ended && e.life == a.Incarnation && pulse <= e.pulse)
-}
-
-func (s *Soundness) another(b *Backend, a *wire.Announce, pulse uint64, coldTo ident.Moment) bool {
-	if b.Service != ident.Service(a.Service) {
-		return true
-	}
-	if a.Incarnation != "" {
-		return a.Incarnation != b.Life
-	}
-	if b.State == Leaving {
-		return a.State == Ready && pulse > b.LeftAt && pulse-b.LeftAt > BackPulses
-	}
-	return a.ColdNs > 0 && coldTo.After(b.ColdTo.Add(time.Second))
-}
-
 func Work(b *Backend, now ident.Moment) int {
 	if b.State != Ready {
 		return 0
@@ -378,11 +243,7 @@
 		s.beat = now
 		s.pulse++
 	}
-	for a, e := range s.ended {
-		if now.Sub(e.at) > BeatSilence {
-			delete(s.ended, a)
-		}
-	}
+	s.forgetEnds(now)
 	due := false
 	for _, b := range s.table {
 		due = due || now.Sub(b.Heard) > BeatSilence || Work(b, now) != b.Work
@@ -392,7 +253,7 @@
 	}
 	for _, b := range s.Lines() {
 		if now.Sub(b.Heard) > BeatSilence {
-			s.drop(b.Addr, whySilent)
+			s.drop(b.Addr, whySilent, now)
 			continue
 		}
 		if w := Work(b, now); w != b.Work {
--- a/control/announce.go
+++ b/control/announce.go
@@ -11,10 +11,10 @@
 
 func (s *State) announce(token uint64, a *wire.Announce, now ident.Moment) {
 	if s.old(a, now) {
-		s.announced(pending{now, "", token}, 503, "this process stood still just now; the beat may be an old one")
+		s.announced(pending{at: now, id: token}, 503, "this process stood still just now; the beat may be an old one")
 		return
 	}
-	s.route(pending{now, "", token}, a, now)
+	s.route(pending{at: now, id: token}, a, now)
 }
 
 func (s *State) old(a *wire.Announce, now ident.Moment) bool {
@@ -22,10 +22,14 @@
 }
 
 func (s *State) announceFrom(from string, a *wire.Announce, now ident.Moment) {
-	s.route(pending{now, from, a.Token}, a, now)
+	s.route(pending{at: now, to: from, id: a.Token}, a, now)
 }
 
 func (s *State) announced(p pending, code uint32, text string) {
+	if p.part != nil {
+		s.gather(p.part, code, text)
+		return
+	}
 	if p.to == "" {
 		s.out = append(s.out, Announced{p.id, code, text})
 		return
@@ -34,6 +38,16 @@
 }
 
 func (s *State) route(p pending, a *wire.Announce, now ident.Moment) {
+	if a.Cell == "" {
+		s.scatter(p, a, now)
+		return
+	}
+	s.tellHolder(p, a, now)
+}
+
+// tellHolder has the holder of an announcement's cell take it, here or elsewhere; without one it waits
+// a moment.
+func (s *State) tellHolder(p pending, a *wire.Announce, now ident.Moment) {
 	c := ident.Cell(a.Cell)
 	if h := s.active(c, now); h != nil {
 		if !h.sound.Hear(a, now) {
--- a/control/holders.go
+++ b/control/holders.go
@@ -13,14 +13,31 @@
 	"sloeturn/wire"
 )
 
+// active gives the hold of a cell for which this process may speak just now, or nil. It never speaks
+// before it has recalled what was known of the cell under earlier holders.
 func (s *State) active(c ident.Cell, now ident.Moment) *hold {
 	h := s.holds[c]
-	if h == nil || h.heir != nil || !h.met || now.Before(h.start) || now.Sub(s.Relay.CoreAsOf) >= relay.CellLease {
+	if h == nil || !h.begun || !s.maySpeak(h, now) {
 		return nil
 	}
 	return h
 }
 
+func (s *State) maySpeak(h *hold, now ident.Moment) bool {
+	return h.heir == nil && h.met && !now.Before(h.start) && now.Sub(s.Relay.CoreAsOf) < relay.CellLease
+}
+
+// begin recalls what is known of a cell from the newest copy here, once its holder may speak.
+func (s *State) begin(c ident.Cell, m *wire.Hold, h *hold, now ident.Moment) {
+	if h.begun || !s.maySpeak(h, now) {
+		return
+	}
+	if k := s.Relay.Cells[c]; k != nil && k.Epoch < h.epoch && (k.Known || uint64(k.Epoch) >= min(m.Since, m.Before)) {
+		h.sound.Recall(k, now)
+	}
+	h.begun = true
+}
+
 func (s *State) heirOf(c ident.Cell, h *hold, now ident.Moment) *wire.Card {
 	var list []*wire.Card
 	for _, k := range s.standing() {
@@ -196,13 +213,10 @@
 			s.out = append(s.out, Note{"Cell " + string(c) + " waits for " + s.holderWaits(h, now) + "."})
 		}
 		s.cede(c, h, now)
+		s.begin(c, m, h, now)
 		if s.active(c, now) == nil {
 			continue
 		}
-		if k := s.Relay.Cells[c]; !h.begun && k != nil && k.Epoch < h.epoch && (k.Known || uint64(k.Epoch) >= min(m.Since, m.Before)) {
-			h.sound.Recall(k, now)
-		}
-		h.begun = true
 		h.sound.Tick(now)
 		s.answerDrains(h, now)
 		s.moved(h)
--- a/control/state.go
+++ b/control/state.go
@@ -158,10 +158,13 @@
 	at  ident.Moment
 }
 
+// pending is an announcement that waits for its answer: to the sender of a frame, to one asked here
+// (to is empty), or to a gathering that it is a part of.
 type pending struct {
-	at ident.Moment
-	to string
-	id uint64
+	at   ident.Moment
+	to   string
+	id   uint64
+	part *gathering
 }
 
 type parked struct {
--- a/relay/state.go
+++ b/relay/state.go
@@ -179,6 +179,9 @@
 	return own
 }
 
+// Address completes an announcement with what the copies here know: the cell of its address, or cell
+// and address of its incarnation, and the cell's newest pulse. A sign-off by an incarnation that no
+// copy here holds stays without a cell.
 func (s *State) Address(a *wire.Announce, own ident.Cell, now ident.Moment) {
 	if a.Addr == "" && a.Incarnation != "" {
 		for _, c := range s.cellNames() {
@@ -189,7 +192,7 @@
 			}
 		}
 	}
-	if a.Cell == "" {
+	if a.Cell == "" && a.Addr != "" {
 		a.Cell = s.home(a.Addr, string(own), now)
 	}
 	a.Epoch, a.Pulse = 0, 0
--- a/simulate/drive.go
+++ b/simulate/drive.go
@@ -65,6 +65,9 @@
 		default:
 			p.node.state.Relay.Address(a, ident.Cell(p.Cell), p.clock())
 		}
+		if w.Weak == "scatter" && a.Cell == "" {
+			a.Cell = p.Cell
+		}
 		duty.Vouch(a, stands() || w.Weak == "stands")
 		if p.control != nil {
 			p.step(control.Announce{Token: t, Announce: a})
