--- a/simulate/routes.go
+++ b/simulate/routes.go
@@ -409,7 +409,7 @@
 	return func() { on = false }
 }
 
-func init() { Scenes = append(append(Scenes, roadScenes...), signOffScene) }
+func init() { Scenes = append(append(Scenes, roadScenes...), signOffScene, lateNewsScene) }
 
 // cutDrain cuts a cell's holder off with as many others as leave a majority of the voters, and drains a backend of that cell at both.
 func (w *World) cutDrain() {
--- a/simulate/seeds_test.go
+++ b/simulate/seeds_test.go
@@ -73,7 +73,7 @@
 }
 
 func TestScenesThatOnceBrokeAPromise(t *testing.T) {
-	for name, seeds := range map[string][]int64{"drains": {24}, "swap": {22}, "cell-gone": {18}, "cut-leader": {5, 9}, "second-loss": {118}, "founding": {118}, "hundreds": {2}} {
+	for name, seeds := range map[string][]int64{"drains": {24}, "swap": {22}, "cell-gone": {18}, "cut-leader": {5, 9}, "second-loss": {118}, "founding": {118}, "hundreds": {2}, "late-news": {13, 16, 41}} {
 		for _, seed := range seeds {
 			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
 				t.Parallel()
