A node with late news asks the core itself, and old news of a cell isn't used while its holder answers

Cause: a node waits for one parent after the other in its tree; with most nodes of a cell lost at once its news became 2.5 s old while it was in touch. Nothing refused: CellStale is staleMs. Change: over 0.8 s a node sounds the holders of the late cells and two more control processes and asks one that answers; asks under way are given up for that. Over 1.5 s a cell counts as fresh, up to staleMs, only while its holder is silent. The courier has a file of its own. Ruled out: refusing all news over 1.5 s, for a cell has no news for up to 2.6 s when its holder dies, and serving on harms no promise then.

--- /dev/null
+++ b/relay/courier.go
@@ -0,0 +1,109 @@
+package relay
+
+import (
+	"time"
+
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+type post struct {
+	change *wire.Change
+	to     string
+	sent   ident.Moment
+	until  ident.Moment
+	tag    any
+	turn   int
+}
+
+type Courier struct {
+	ResendEvery time.Duration
+	posts       map[uint64]*post
+	order       []uint64
+	token       uint64
+	out         []wire.Send
+	hint        string
+}
+
+type Expired struct{ Tag any }
+
+func NewCourier(seed uint64) *Courier {
+	return &Courier{ResendEvery: 100 * time.Millisecond, posts: map[uint64]*post{}, token: seed}
+}
+
+func (c *Courier) Len() int { return len(c.posts) }
+
+func (c *Courier) Post(ch *wire.Change, until ident.Moment, tag any, heads []string, now ident.Moment) uint64 {
+	c.token++
+	p := &post{change: ch, until: until, tag: tag}
+	c.posts[c.token] = p
+	c.order = append(c.order, c.token)
+	c.push(c.token, p, heads, now)
+	return c.token
+}
+
+func (c *Courier) Hint(addr string) {
+	if addr != "" {
+		c.hint = addr
+	}
+}
+
+func (c *Courier) push(t uint64, p *post, heads []string, now ident.Moment) {
+	p.sent = now
+	p.to = c.hint
+	if p.turn > 1 || p.to == "" {
+		if len(heads) == 0 {
+			return
+		}
+		p.to = heads[(t+uint64(p.turn))%uint64(len(heads))]
+	}
+	p.turn++
+	c.out = append(c.out, wire.Send{To: p.to, Frame: &wire.Frame{Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: t, Change: p.change}}}})
+}
+
+func (c *Courier) Reply(r *wire.ProposeReply, heads []string, now ident.Moment) (any, bool) {
+	p := c.posts[r.Token]
+	if p == nil {
+		return nil, false
+	}
+	if r.Code == 1 {
+		if r.LeaderAddr != "" && r.LeaderAddr != p.to {
+			c.hint = r.LeaderAddr
+			p.turn = 0
+			c.push(r.Token, p, heads, now)
+		}
+		return nil, false
+	}
+	delete(c.posts, r.Token)
+	return p.tag, true
+}
+
+func (c *Courier) Drop(t uint64) { delete(c.posts, t) }
+
+func (c *Courier) Tick(heads []string, now ident.Moment) []any {
+	var gone []any
+	keep := c.order[:0]
+	for _, t := range c.order {
+		p := c.posts[t]
+		if p == nil {
+			continue
+		}
+		if now.After(p.until) {
+			delete(c.posts, t)
+			gone = append(gone, p.tag)
+			continue
+		}
+		keep = append(keep, t)
+		if now.Sub(p.sent) >= c.ResendEvery {
+			c.push(t, p, heads, now)
+		}
+	}
+	c.order = keep
+	return gone
+}
+
+func (c *Courier) Flush() []wire.Send {
+	out := c.out
+	c.out = nil
+	return out
+}
--- a/relay/start.go
+++ b/relay/start.go
@@ -47,7 +47,7 @@
 func (s *State) askOne(list []string, now ident.Moment) {
 	asked := map[string]bool{}
 	for _, a := range s.asks {
-		if !a.bare && now.Sub(a.at) < SourceWait {
+		if !a.bare && !a.late && now.Sub(a.at) < SourceWait {
 			return
 		}
 		asked[a.to] = asked[a.to] || !a.bare
--- a/relay/state.go
+++ b/relay/state.go
@@ -56,6 +56,8 @@
 
 	sources    []string
 	sourceTurn int
+	falling    bool
+	heardFrom  map[string]ident.Moment
 	diff       diff
 	whole      bool
 	confirms   map[string]*wire.Confirm
@@ -119,7 +121,7 @@
 }
 
 func New(self ident.Member, control bool) *State {
-	return &State{Self: self, Control: control, LeaseFor: CoreLease, Stale: CoreLease, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, took: FirstTook}
+	return &State{Self: self, Control: control, LeaseFor: CoreLease, Stale: CoreLease, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, heardFrom: map[string]ident.Moment{}, took: FirstTook}
 }
 
 func (s *State) Revision() uint64 {
@@ -165,9 +167,16 @@
 	return CellFresh
 }
 
+// CellFresh says whether this process may act on what it knows of a cell: on news younger than
+// CellFresh, and on older news, up to CellStale, only while the cell's holder is silent. A holder that
+// answers could have told newer, and may have acknowledged that a backend leaves.
 func (s *State) CellFresh(c ident.Cell, now ident.Moment) bool {
 	k := s.Cells[c]
-	return k != nil && k.Known && now.Sub(k.AsOf) < s.CellStale()
+	if k == nil || !k.Known {
+		return false
+	}
+	age := now.Sub(k.AsOf)
+	return age < CellFresh || age < s.CellStale() && !s.holderAnswers(k, now)
 }
 
 func (s *State) home(addr, own string, now ident.Moment) string {
@@ -349,6 +358,7 @@
 		return nil
 	}
 	delete(s.asks, n.Token)
+	s.heardFrom[from] = max(s.heardFrom[from], a.at)
 	r := &Reading{Only: a.only, Cells: a.have}
 	if a.bare && !n.HasCore {
 		s.sounded(n, from)
@@ -464,7 +474,7 @@
 func (s *State) Tick(ring []*wire.Card, rev uint64, targets []string, now ident.Moment) {
 	s.overdue(now)
 	every := AskEvery
-	if s.Eager {
+	if s.Eager || s.fallsBack(now) {
 		every = EagerEvery
 	}
 	if now.Sub(s.askAt) < every {
@@ -487,6 +497,11 @@
 		s.start(targets, now)
 		return
 	}
+	if s.fallsBack(now) && len(targets) > 0 {
+		s.fallBack(targets, now)
+		return
+	}
+	s.falling = false
 	path := Path(ring, s.Self)
 	if rev != s.ringRev || now.Sub(s.climbAt) > ClimbFor {
 		s.ringRev = rev
@@ -510,6 +525,11 @@
 }
 
 func (s *State) overdue(now ident.Moment) {
+	for address, at := range s.heardFrom {
+		if now.Sub(at) > AskKept {
+			delete(s.heardFrom, address)
+		}
+	}
 	wait := min(max(AskWait, 4*s.took), AskPatience)
 	for t, a := range s.asks {
 		switch {
@@ -547,104 +567,3 @@
 	s.out = nil
 	return out
 }
-
-type post struct {
-	change *wire.Change
-	to     string
-	sent   ident.Moment
-	until  ident.Moment
-	tag    any
-	turn   int
-}
-
-type Courier struct {
-	ResendEvery time.Duration
-	posts       map[uint64]*post
-	order       []uint64
-	token       uint64
-	out         []wire.Send
-	hint        string
-}
-
-type Expired struct{ Tag any }
-
-func NewCourier(seed uint64) *Courier {
-	return &Courier{ResendEvery: 100 * time.Millisecond, posts: map[uint64]*post{}, token: seed}
-}
-
-func (c *Courier) Len() int { return len(c.posts) }
-
-func (c *Courier) Post(ch *wire.Change, until ident.Moment, tag any, heads []string, now ident.Moment) uint64 {
-	c.token++
-	p := &post{change: ch, until: until, tag: tag}
-	c.posts[c.token] = p
-	c.order = append(c.order, c.token)
-	c.push(c.token, p, heads, now)
-	return c.token
-}
-
-func (c *Courier) Hint(addr string) {
-	if addr != "" {
-		c.hint = addr
-	}
-}
-
-func (c *Courier) push(t uint64, p *post, heads []string, now ident.Moment) {
-	p.sent = now
-	p.to = c.hint
-	if p.turn > 1 || p.to == "" {
-		if len(heads) == 0 {
-			return
-		}
-		p.to = heads[(t+uint64(p.turn))%uint64(len(heads))]
-	}
-	p.turn++
-	c.out = append(c.out, wire.Send{To: p.to, Frame: &wire.Frame{Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: t, Change: p.change}}}})
-}
-
-func (c *Courier) Reply(r *wire.ProposeReply, heads []string, now ident.Moment) (any, bool) {
-	p := c.posts[r.Token]
-	if p == nil {
-		return nil, false
-	}
-	if r.Code == 1 {
-		if r.LeaderAddr != "" && r.LeaderAddr != p.to {
-			c.hint = r.LeaderAddr
-			p.turn = 0
-			c.push(r.Token, p, heads, now)
-		}
-		return nil, false
-	}
-	delete(c.posts, r.Token)
-	return p.tag, true
-}
-
-func (c *Courier) Drop(t uint64) { delete(c.posts, t) }
-
-func (c *Courier) Tick(heads []string, now ident.Moment) []any {
-	var gone []any
-	keep := c.order[:0]
-	for _, t := range c.order {
-		p := c.posts[t]
-		if p == nil {
-			continue
-		}
-		if now.After(p.until) {
-			delete(c.posts, t)
-			gone = append(gone, p.tag)
-			continue
-		}
-		keep = append(keep, t)
-		if now.Sub(p.sent) >= c.ResendEvery {
-			c.push(t, p, heads, now)
-		}
-	}
-	c.order = keep
-	return gone
-}
-
-func (c *Courier) Flush() []wire.Send {
-	out := c.out
-	c.out = nil
-	return out
-}
