A repeated SIGTERM cuts no planned stop short

Supervisors repeat SIGTERM; SIGKILL is there for those who can't wait. Change: only a SIGINT during the stop ends it at once.

--- a/duty/loop.go
+++ b/duty/loop.go
@@ -147,6 +147,29 @@
 	return nil, merry.Wrap(ErrServe, merry.WithCause(err))
 }
 
+// heed acts on signals. The first SIGTERM or SIGINT begins the planned stop. A further SIGTERM changes
+// nothing, for supervisors repeat it and requests are still at work; the stop is bounded, and SIGKILL
+// is there for those who can't wait. A SIGINT during the stop, a person's second Ctrl-C, ends it.
+func (a *App) heed(signals <-chan os.Signal, exit func(code int)) {
+	stopping := false
+	for s := range signals {
+		switch {
+		case s == syscall.SIGHUP:
+			a.Reload()
+		case !stopping:
+			stopping = true
+			a.Drain()
+		case s == syscall.SIGINT:
+			level.Warn(a.Log).Log("part", "main", "msg", "Stopped at the second signal.")
+			exit(1)
+		default:
+			level.Info(a.Log).Log("part", "main", "msg", "Stopping already.")
+		}
+	}
+}
+
+// Run serves until the program has ended as planned. It fails with ErrServe where an address can't be
+// listened at or served.
 func (a *App) Run() error {
 	klog.SetLogger(bridge{a.Log})
 	opts := []kratos.Option{kratos.Name(a.Name), kratos.Version(a.Build), kratos.Logger(bridge{a.Log}), kratos.Signal(syscall.SIGUSR2), kratos.StopTimeout(2 * time.Second)}
@@ -168,21 +191,7 @@
 	app := kratos.New(opts...)
 	sigs := make(chan os.Signal, 4)
 	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go func() {
-		asked := false
-		for s := range sigs {
-			if s == syscall.SIGHUP {
-				a.Reload()
-				continue
-			}
-			if asked {
-				level.Warn(a.Log).Log("part", "main", "msg", "Stopped at the second signal.")
-				os.Exit(1)
-			}
-			asked = true
-			a.Drain()
-		}
-	}()
+	go a.heed(sigs, os.Exit)
 	go func() {
 		<-a.Ended
 		app.Stop()
