A beat whose sender has hung up takes no address from a life that a holder recalled

Cause: recalled and inherited lines have no pulse, so a beat of another life without a pulse, one whose connection no longer stands, counted as not older and took the address over. Change: such a beat never counts against another life at its address, as it never made an unknown address known.

--- a/cell/ended_test.go
+++ b/cell/ended_test.go
@@ -135,3 +135,12 @@
 	l.run(EndKept + time.Second)
 	require.Empty(t, l.holder.ends)
 }
+
+func TestABeatOfADeadLifeTakesNoAddressFromARecalledOne(t *testing.T) {
+	l := newLeaver(t)
+	l.beat("i-2", 1, Ready)
+	l.holder = Inherit(l.holder.Bequeath(l.now), 2, l.now)
+	heard := l.holder.Hear(&wire.Announce{Addr: "b", Service: "x", Incarnation: "i-1", Turn: 9, Slots: 4}, l.now)
+	require.False(t, heard, "its sender has hung up, so it proves nothing")
+	require.Equal(t, "i-2", l.holder.Lines()[0].Life)
+}
--- a/cell/hear.go
+++ b/cell/hear.go
@@ -137,13 +137,16 @@
 	return b.Service == ident.Service(a.Service) && b.Life == a.Incarnation && a.Turn < b.Turn
 }
 
+// stale says whether an announcement doesn't prove that its life has the address now: it is older than
+// what another life said there, or its sender's connection didn't stand any more.
 func (s *Soundness) stale(b *Backend, a *wire.Announce, pulse uint64) bool {
+	unproved := a.State == Ready && !a.Stands
 	if b != nil {
 		other := b.Service != ident.Service(a.Service) || a.Incarnation != "" && a.Incarnation != b.Life
-		return other && pulse < b.Pulse
+		return other && (unproved || pulse < b.Pulse)
 	}
 	end, ended := s.bareEnds[ident.Addr(a.Addr)]
-	return a.State == Ready && (!a.Stands || ended && a.Incarnation == "" && pulse <= end.pulse)
+	return unproved || a.State == Ready && ended && a.Incarnation == "" && pulse <= end.pulse
 }
 
 func (s *Soundness) another(b *Backend, a *wire.Announce, pulse uint64, coldTo ident.Moment) bool {
