A sign-off that is said again needs no new majority

Change: a repeat changes nothing, so it is acknowledged once a majority has the first. Measured: TestASignOffSaidAgainNeedsNoNewMajority fails without the change; cell, control: ok.

--- a/cell/ended_test.go
+++ b/cell/ended_test.go
@@ -144,3 +144,17 @@
 	require.False(t, heard, "its sender has hung up, so it proves nothing")
 	require.Equal(t, "i-2", l.holder.Lines()[0].Life)
 }
+
+func TestASignOffSaidAgainNeedsNoNewMajority(t *testing.T) {
+	l := newLeaver(t)
+	l.beat("i-1", 5, Ready)
+	l.signOff("i-1")
+	version := l.holder.Upto()
+	l.run(time.Second)
+	l.signOff("i-1")
+	require.Equal(t, version, l.holder.Upto(), "those that have heard the first have heard this one")
+	l.beat("i-2", 1, Ready)
+	l.beat("i-2", 2, Leaving)
+	l.signOff("i-2")
+	require.Equal(t, Leaving, l.holder.Lines()[0].State)
+}
--- a/cell/hear.go
+++ b/cell/hear.go
@@ -101,7 +101,9 @@
 
 // signOff ends a life. The line of one with an incarnation stays as a leaving one until it falls
 // silent, so that it goes to copies, to the disk and to the next holder as any leaving does, and bars
-// beats that are still on their way. One that isn't known here yet is remembered by its incarnation.
+// beats that are still on their way. Said again it changes nothing, so that one said over and over is
+// acknowledged as soon as a majority has heard the first. One that isn't known here yet is remembered
+// by its incarnation.
 func (s *Soundness) signOff(b *Backend, a *wire.Announce, now ident.Moment) {
 	unnamed := b != nil && a.Incarnation == "" && b.Service == ident.Service(a.Service)
 	named := b != nil && a.Incarnation != "" && b.Life == a.Incarnation
@@ -110,9 +112,12 @@
 		s.drop(b.Addr, whySignedOff, now)
 		s.bareEnds[b.Addr] = ending{s.pulse, now}
 	case unnamed, named:
+		b.Heard = now
+		if b.State == Leaving && b.LeftAt == math.MaxUint64 {
+			return
+		}
 		s.move(b, states[b.State], states[Leaving], whySignedOff)
-		b.State, b.LeftAt = Leaving, math.MaxUint64
-		b.Heard, b.Work = now, 0
+		b.State, b.LeftAt, b.Work = Leaving, math.MaxUint64, 0
 		s.touch(b)
 	case a.Incarnation != "":
 		s.rememberEnd(a.Incarnation, now)
