--- a/simulate/routes.go
+++ b/simulate/routes.go
@@ -409,7 +409,9 @@
 	return func() { on = false }
 }
 
-func init() { Scenes = append(append(Scenes, roadScenes...), signOffScene, lateNewsScene) }
+func init() {
+	Scenes = append(append(Scenes, roadScenes...), signOffScene, lateNewsScene, coreCutScene)
+}
 
 // cutDrain cuts a cell's holder off with as many others as leave a majority of the voters, and drains a backend of that cell at both.
 func (w *World) cutDrain() {
