--- a/relay/fallback.go
+++ b/relay/fallback.go
@@ -6,7 +6,6 @@
 
 	"sloeturn/cell"
 	"sloeturn/ident"
-	"sloeturn/wire"
 )
 
 const (
@@ -22,62 +21,58 @@
 	if s.Control || !s.CoreKnown {
 		return false
 	}
-	return now.Sub(s.CoreAsOf) > LateNews || len(s.lateHolders(now)) > 0
+	return s.coreLate(now) || len(s.lateCells(now)) > 0
 }
 
-// lateHolders lists the holders of the cells whose news is late.
-func (s *State) lateHolders(now ident.Moment) (holders []string) {
+func (s *State) coreLate(now ident.Moment) bool { return now.Sub(s.CoreAsOf) > LateNews }
+
+// lateCells lists the held cells whose news is late.
+func (s *State) lateCells(now ident.Moment) (late []*cell.Copy) {
+	for _, h := range s.Core.GetHolds() {
+		if k := s.Cells[ident.Cell(h.Cell)]; k != nil && k.Known && now.Sub(k.AsOf) > LateNews {
+			late = append(late, k)
+		}
+	}
+	return late
+}
+
+// holdersOf lists where the holders of cells are.
+func (s *State) holdersOf(cells []*cell.Copy) (addresses []string) {
 	for _, h := range s.Core.GetHolds() {
-		k := s.Cells[ident.Cell(h.Cell)]
-		if late := k != nil && k.Known && now.Sub(k.AsOf) > LateNews; late && h.Addr != "" && !slices.Contains(holders, h.Addr) {
-			holders = append(holders, h.Addr)
+		held := slices.ContainsFunc(cells, func(k *cell.Copy) bool { return string(k.Cell) == h.Cell })
+		if held && h.Addr != "" {
+			addresses = append(addresses, h.Addr)
 		}
 	}
-	return holders
+	return addresses
 }
 
-// fallBack sounds some control processes, those first that hold the cells whose news is late, and asks
-// one of those that answered. A sounding is a few bytes, so a lost one costs a slow link nothing.
+// fallBack sounds some control processes, the holders of late cells among them, and asks one of those
+// whose answers told of something newer. A sounding is a few bytes, so a lost one costs a slow link
+// nothing.
 func (s *State) fallBack(targets []string, now ident.Moment) {
-	if !s.falling {
-		s.falling, s.sources = true, nil
-		s.giveUpAsks()
+	if now.Sub(s.soundAt) < EagerEvery {
+		return
 	}
-	holders := s.lateHolders(now)
-	list := slices.Clone(holders)
+	s.soundAt = now
+	late := s.lateCells(now)
+	list := s.holdersOf(late)
 	for range SoundedAtOnce {
 		s.turn++
 		list = append(list, targets[s.turn%len(targets)])
 	}
 	slices.Sort(list)
 	for _, to := range slices.Compact(list) {
-		if s.waits(to) == 0 {
+		if s.dueForSounding(to, now) {
 			s.sound(to, now)
 		}
 	}
-	answering := slices.DeleteFunc(holders, func(h string) bool { return !slices.Contains(s.sources, h) })
-	if known := append(answering, s.sources...); len(known) > 0 {
-		s.askOne(known, now)
+	if newer := s.worthAsking(late, now); len(newer) > 0 {
+		s.askOne(newer, now)
 	}
 }
 
-// giveUpAsks has nothing wait any more for the asks that are under way; a late answer counts still.
-func (s *State) giveUpAsks() {
-	for token, a := range s.asks {
-		a.late = true
-		s.asks[token] = a
-	}
-}
-
-// holderAnswers says whether the holder that a copy came from has answered an ask of this process that
-// was sent after the copy's moment, and not long ago.
-func (s *State) holderAnswers(k *cell.Copy, now ident.Moment) bool {
-	i := slices.IndexFunc(s.Core.GetHolds(), func(h *wire.Hold) bool {
-		return h.Cell == string(k.Cell) && h.Epoch == uint64(k.Epoch)
-	})
-	if i < 0 {
-		return false
-	}
-	at, ok := s.heardFrom[s.Core.Holds[i].Addr]
-	return ok && at.After(k.AsOf) && now.Sub(at) < CellFresh
+func (s *State) dueForSounding(address string, now ident.Moment) bool {
+	from := s.sourceAt(address)
+	return s.waits(address) == 0 && (from == nil || now.Sub(from.heardAt) >= AskEvery)
 }
--- a/relay/fallback_test.go
+++ b/relay/fallback_test.go
@@ -22,15 +22,20 @@
 type follower struct {
 	*State
 	now     ident.Moment
+	ring    []*wire.Card
 	answers map[string]bool
-	sounded []string
-	asked   []string
+	// versions and freshness are what places answer of their news; without them it is as old as can be told.
+	versions  map[string]uint64
+	freshness map[string]*wire.Freshness
+	sounded   []string
+	asked     []string
 }
 
 func newFollower() *follower {
 	s := New("n3", false)
 	s.Terms(3*time.Second, 20*time.Second)
-	f := &follower{State: s, now: ident.Moment(1e12), answers: map[string]bool{}}
+	ring := []*wire.Card{{Id: "n1", Cell: "x", Role: 1, Addr: parent}, {Id: "n2", Cell: "x", Role: 1, Addr: "n:2"}, {Id: "n3", Cell: "x", Role: 1, Addr: "n:3"}}
+	f := &follower{State: s, now: ident.Moment(1e12), ring: ring, answers: map[string]bool{}}
 	f.TakeCore(&wire.Core{Version: 4, LeaderAddr: leader, Holds: []*wire.Hold{{Cell: "x", Addr: holder, Epoch: 2}}}, nil, 0, f.now)
 	f.Cells["x"] = cell.NewCopy("x")
 	f.Cells["x"].Take(table(), f.now)
@@ -46,10 +51,9 @@
 }
 
 func (f *follower) run(d time.Duration) {
-	ring := []*wire.Card{{Id: "n1", Cell: "x", Role: 1, Addr: parent}, {Id: "n2", Cell: "x", Role: 1, Addr: "n:2"}, {Id: "n3", Cell: "x", Role: 1, Addr: "n:3"}}
 	for end := f.now.Add(d); f.now < end; {
 		f.now = f.now.Add(EagerEvery)
-		f.Tick(ring, 1, []string{leader, holder, "c:1"}, f.now)
+		f.Tick(f.ring, 1, []string{leader, holder, "c:1"}, f.now)
 		for _, m := range f.Flush() {
 			f.take(m.To, m.Frame.GetAsk())
 		}
@@ -65,9 +69,18 @@
 	if !f.answers[to] {
 		return
 	}
-	n := &wire.News{Token: a.Token, Newest: 4}
-	if !a.Sounding {
+	n := &wire.News{Token: a.Token, Newest: max(4, f.versions[to])}
+	if a.Sounding {
+		n.Freshness = f.freshness[to]
+	} else {
 		n.HasCore, n.Cells = true, []*wire.CellNews{table()}
+		n.CoreAgeNs = f.freshness[to].GetCoreAgeNs()
+		for _, m := range f.freshness[to].GetCells() {
+			n.Cells[0].Epoch, n.Cells[0].Upto, n.Cells[0].AgeNs = m.Epoch, m.Upto, m.AgeNs
+		}
+		if n.Newest > f.Core.Version {
+			n.Core = &wire.Core{Version: n.Newest, LeaderAddr: f.Core.LeaderAddr, Holds: f.Core.Holds}
+		}
 	}
 	f.News(n, to, f.now)
 }
--- a/relay/start.go
+++ b/relay/start.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"slices"
 
 	"sloeturn/ident"
@@ -17,7 +18,7 @@
 			}
 		}
 		if len(s.sources) > 0 {
-			s.askOne(s.sources, now)
+			s.askOne(s.sourceAddresses(), now)
 		}
 		return
 	}
@@ -26,7 +27,7 @@
 		to = targets[s.turn/2%len(targets):][:1]
 	}
 	if lacks := s.lacks(); len(lacks) > 0 {
-		s.askOne(append(append(lacks, to...), s.sources...), now)
+		s.askOne(append(append(lacks, to...), s.sourceAddresses()...), now)
 	} else if s.waits(to[0]) < s.most() {
 		s.AskTo(to[0], "", now)
 	}
@@ -44,22 +45,31 @@
 	return holders
 }
 
+// askOne asks one process of a list, one at a time: of those that owe no answer, the one that was asked
+// so longest ago. So a process that answers at once and has nothing newer doesn't keep the others from
+// being asked.
 func (s *State) askOne(list []string, now ident.Moment) {
-	asked := map[string]bool{}
+	owing := map[string]bool{}
 	for _, a := range s.asks {
-		if !a.bare && !a.late && now.Sub(a.at) < SourceWait {
+		if a.direct && !a.late && now.Sub(a.at) < SourceWait {
 			return
 		}
-		asked[a.to] = asked[a.to] || !a.bare
+		owing[a.to] = owing[a.to] || !a.bare
 	}
-	for _, t := range list {
-		if !asked[t] {
-			s.AskTo(t, "", now)
-			return
-		}
+	free := slices.DeleteFunc(slices.Clone(list), func(address string) bool { return owing[address] })
+	if len(free) == 0 {
+		free = list
 	}
-	s.sourceTurn++
-	s.AskTo(list[s.sourceTurn%len(list)], "", now)
+	to := slices.MinFunc(free, func(a, b string) int { return cmp.Compare(s.directAt[a], s.directAt[b]) })
+	s.directAt[to] = now
+	s.askDirectly(to, now)
+}
+
+func (s *State) askDirectly(to string, now ident.Moment) {
+	s.AskTo(to, "", now)
+	a := s.asks[s.token]
+	a.direct = true
+	s.asks[s.token] = a
 }
 
 func (s *State) sound(to string, now ident.Moment) {
@@ -67,9 +77,3 @@
 	s.asks[s.token] = ask{at: now, to: to, only: true, bare: true}
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: &wire.Ask{Token: s.token, Only: true, Sounding: true}}}})
 }
-
-func (s *State) sounded(n *wire.News, from string) {
-	if n.Newest > 0 && !slices.Contains(s.sources, from) {
-		s.sources = append(s.sources, from)
-	}
-}
--- a/relay/state.go
+++ b/relay/state.go
@@ -54,30 +54,29 @@
 	Unread    []desired.Fault
 	Cells     map[ident.Cell]*cell.Copy
 
-	sources    []string
-	sourceTurn int
-	falling    bool
-	heardFrom  map[string]ident.Moment
-	diff       diff
-	whole      bool
-	confirms   map[string]*wire.Confirm
-	changes    uint64
-	changed    map[string]uint64
-	told       map[string]*told
-	asks       map[uint64]ask
-	token      uint64
-	took       time.Duration
-	askAt      ident.Moment
-	turn       int
-	climb      int
-	climbAt    ident.Moment
-	ringRev    uint64
-	parent     string
-	poor       bool
-	lastAt     ident.Moment
-	wokeAt     ident.Moment
-	rev        uint64
-	out        []wire.Send
+	sources  []*source
+	directAt map[string]ident.Moment
+	soundAt  ident.Moment
+	diff     diff
+	whole    bool
+	confirms map[string]*wire.Confirm
+	changes  uint64
+	changed  map[string]uint64
+	told     map[string]*told
+	asks     map[uint64]ask
+	token    uint64
+	took     time.Duration
+	askAt    ident.Moment
+	turn     int
+	climb    int
+	climbAt  ident.Moment
+	ringRev  uint64
+	parent   string
+	poor     bool
+	lastAt   ident.Moment
+	wokeAt   ident.Moment
+	rev      uint64
+	out      []wire.Send
 }
 
 type ask struct {
@@ -91,6 +90,8 @@
 	only bool
 	have []*wire.CellHave
 	bare bool
+	// direct asks are made one at a time, beside those that go up the tree.
+	direct bool
 }
 
 // Reading says what an answer to an ask of one's own covers: the newest core that the other knew, and whether only some cells were asked for.
@@ -121,7 +122,7 @@
 }
 
 func New(self ident.Member, control bool) *State {
-	return &State{Self: self, Control: control, LeaseFor: CoreLease, Stale: CoreLease, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, heardFrom: map[string]ident.Moment{}, took: FirstTook}
+	return &State{Self: self, Control: control, LeaseFor: CoreLease, Stale: CoreLease, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, directAt: map[string]ident.Moment{}, took: FirstTook}
 }
 
 func (s *State) Revision() uint64 {
@@ -168,15 +169,15 @@
 }
 
 // CellFresh says whether this process may act on what it knows of a cell: on news younger than
-// CellFresh, and on older news, up to CellStale, only while the cell's holder is silent. A holder that
-// answers could have told newer, and may have acknowledged that a backend leaves.
+// CellFresh, and on older news, up to CellStale, only while no process that answers knows a newer
+// table. One that does may have acknowledged that a backend leaves.
 func (s *State) CellFresh(c ident.Cell, now ident.Moment) bool {
 	k := s.Cells[c]
 	if k == nil || !k.Known {
 		return false
 	}
 	age := now.Sub(k.AsOf)
-	return age < CellFresh || age < s.CellStale() && !s.holderAnswers(k, now)
+	return age < CellFresh || age < s.CellStale() && !s.cellBehind(k, now)
 }
 
 func (s *State) home(addr, own string, now ident.Moment) string {
@@ -358,10 +359,9 @@
 		return nil
 	}
 	delete(s.asks, n.Token)
-	s.heardFrom[from] = max(s.heardFrom[from], a.at)
 	r := &Reading{Only: a.only, Cells: a.have}
 	if a.bare && !n.HasCore {
-		s.sounded(n, from)
+		s.sounded(n, from, a.at)
 		return r
 	}
 	s.took += (now.Sub(a.at) - s.took) / 4
@@ -373,9 +373,11 @@
 			t.upto = 0
 		}
 	}
-	s.poor = true
+	at := past(a.at, n.CoreAgeNs)
+	if from == s.parent {
+		s.poor = !n.HasCore || now.Sub(at) > PoorAge
+	}
 	if n.HasCore {
-		at := a.at.Add(-time.Duration(max(0, n.CoreAgeNs)))
 		if r.Core = a.core; n.Core != nil {
 			r.Core = n.Core.Version
 		}
@@ -384,7 +386,6 @@
 			core = s.Core
 		}
 		s.TakeCore(core, n.Doc, ident.Generation(n.DocGeneration), at)
-		s.poor = now.Sub(s.CoreAsOf) > PoorAge
 	}
 	for _, c := range n.Cells {
 		k := s.Cells[ident.Cell(c.Cell)]
@@ -396,14 +397,23 @@
 			k.Remember(c)
 			continue
 		}
-		k.Take(c, a.at.Add(-time.Duration(max(0, c.AgeNs))))
+		k.Take(c, past(a.at, c.AgeNs))
 	}
 	return r
 }
 
+// past is the moment of news that was of an age, in nanoseconds, when an ask was answered: at the
+// latest that age before the ask was sent.
+func past(asked ident.Moment, ageNs int64) ident.Moment {
+	return asked.Add(-time.Duration(max(0, ageNs)))
+}
+
 func (s *State) Answer(a *wire.Ask, now ident.Moment) *wire.News {
 	n := &wire.News{Token: a.Token, Heard: uint32(len(s.confirms)), Newest: s.Core.GetVersion()}
 	if a.Sounding {
+		if s.CoreKnown {
+			n.Freshness = s.freshness(now)
+		}
 		return n
 	}
 	if s.CoreKnown {
@@ -473,8 +483,15 @@
 
 func (s *State) Tick(ring []*wire.Card, rev uint64, targets []string, now ident.Moment) {
 	s.overdue(now)
+	s.forgetSources(now)
+	if !s.Eager && len(targets) > 0 && s.fallsBack(now) {
+		s.fallBack(targets, now)
+		if s.coreLate(now) {
+			return
+		}
+	}
 	every := AskEvery
-	if s.Eager || s.fallsBack(now) {
+	if s.Eager {
 		every = EagerEvery
 	}
 	if now.Sub(s.askAt) < every {
@@ -497,11 +514,11 @@
 		s.start(targets, now)
 		return
 	}
-	if s.fallsBack(now) && len(targets) > 0 {
-		s.fallBack(targets, now)
-		return
-	}
-	s.falling = false
+	s.askParent(ring, rev, targets, now)
+}
+
+// askParent asks the next process up the tree, and climbs past one whose news is old or that is late.
+func (s *State) askParent(ring []*wire.Card, rev uint64, targets []string, now ident.Moment) {
 	path := Path(ring, s.Self)
 	if rev != s.ringRev || now.Sub(s.climbAt) > ClimbFor {
 		s.ringRev = rev
@@ -525,11 +542,6 @@
 }
 
 func (s *State) overdue(now ident.Moment) {
-	for address, at := range s.heardFrom {
-		if now.Sub(at) > AskKept {
-			delete(s.heardFrom, address)
-		}
-	}
 	wait := min(max(AskWait, 4*s.took), AskPatience)
 	for t, a := range s.asks {
 		switch {
--- a/simulate/corecut.go
+++ b/simulate/corecut.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// configApply is how long after a yes a node in contact may still decide by an older generation.
-	configApply = 2 * time.Second
+	// inForceWithin is how long after its yes a node in contact may still decide by an older generation.
+	inForceWithin = 2 * time.Second
 	lookEvery   = 20 * ms
 	// unreadyMost is the part, one in so many, of the time in contact for which nodes may be unready.
 	unreadyMost = 8
@@ -48,10 +48,10 @@
 	return reached > len(all)/2
 }
 
-// due is the newest generation that was acknowledged at least configApply ago.
+// due is the newest generation that was acknowledged at least inForceWithin ago.
 func (f *forceWatch) due(now ident.Moment) (generation uint64) {
 	for _, m := range f.acked {
-		if now.Sub(m.at) > configApply {
+		if now.Sub(m.at) > inForceWithin {
 			generation = max(generation, m.gen)
 		}
 	}
@@ -89,7 +89,7 @@
 	at := uint64(p.node.state.Relay.DocGen)
 	behind := at < due && p.node.denies()
 	if behind && !f.behind[p.Name] {
-		w.Break("a route denied by an older generation in contact", "%s decides under %d, %d was acknowledged over %v ago; %s", p.Name, at, due, configApply, why)
+		w.Break("a route denied by an older generation in contact", "%s decides under %d, %d was acknowledged over %v ago; %s", p.Name, at, due, inForceWithin, why)
 	}
 	f.behind[p.Name] = behind
 }
