--- a/data/front.go
+++ b/data/front.go
@@ -99,7 +99,7 @@
 	start := ident.Now()
 	view := n.view.Load()
 	no := func(status int, why string, back time.Duration) {
-		n.decline(w, forward.Answer{Status: status, Ran: forward.RanNo, Reason: why, RetryAfter: back})
+		n.decline(w, n.refusal(status, why, back))
 	}
 	if view.desired == nil {
 		no(503, "no desired state read yet", n.early(start))
--- a/data/front_test.go
+++ b/data/front_test.go
@@ -468,6 +468,27 @@
 	return k
 }
 
+// Guards against CONFIG inc1: a node past its lease denied a route that a newer state has.
+func TestANodePastItsLeaseDeniesNothing(t *testing.T) {
+	g := newGateway(t, "s").up()
+	denied := map[string]int{"GET /none/x HTTP/1.1\r\nHost: h.example\r\n\r\n": 404, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nVisit-Name: v\r\nContent-Length: 5000\r\n\r\n": 413}
+	for words, status := range denied {
+		g.beat()
+		resp, _ := g.raw(words)
+		require.Equal(t, status, resp.StatusCode, words)
+	}
+	g.query(func(s *State, now ident.Moment) any {
+		s.Relay.Leased = now.Add(-s.Relay.LeaseFor)
+		return nil
+	})
+	for words := range denied {
+		resp, body := g.raw(words)
+		require.Equal(t, 503, resp.StatusCode, words)
+		require.NotEmpty(t, resp.Header.Get("Retry-After"), words)
+		require.Contains(t, body, "out of touch")
+	}
+}
+
 func TestKeptConnectionsAreClosedWhileNotReady(t *testing.T) {
 	g := newGateway(t, "s")
 	resp, _ := g.raw("GET /a/x HTTP/1.1\r\nHost: h.example\r\n\r\n")
--- a/data/http.go
+++ b/data/http.go
@@ -191,7 +191,7 @@
 	view := n.view.Load()
 	id := ident.RequestID(fmt.Sprintf("%s-%x-%d", n.State.Member, uint64(n.State.Incarnation)&0xffffffff, n.count.Add(1)))
 	no := func(status int, why string, back time.Duration) {
-		n.refuse(w, view.gen, id, forward.Answer{Status: status, Ran: forward.RanNo, Reason: why, RetryAfter: back})
+		n.refuse(w, view.gen, id, n.refusal(status, why, back))
 	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), lanePath), "/")
 	if view.desired == nil {
--- a/data/lease_test.go
+++ b/data/lease_test.go
@@ -8,6 +8,7 @@
 
 	"sloeturn/ident"
 	"sloeturn/ledger"
+	"sloeturn/member"
 	"sloeturn/wire"
 )
 
@@ -70,3 +71,36 @@
 		}
 	}
 }
+
+// Guards against CONFIG inc1: a node past its lease decided by its old state although a process that it
+// heard knew a newer one.
+func TestANodePastItsLeaseDecidesNothingOnceANewerStateIsKnownElsewhere(t *testing.T) {
+	now := ident.Moment(1e12)
+	const lease = 3 * time.Second
+	s := New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: 7, Seeds: []ident.Addr{"10.0.0.2:1", "10.0.0.3:1"}, LeaseFor: lease, Stale: 20 * time.Second}, now)
+	doc := []byte(`{"fleet":{"nodes":1},"services":{},"tenants":{},"lanes":{}}`)
+	s.Relay.TakeCore(&wire.Core{Version: 1, Generation: 1, SeatCount: 1, LeaderAddr: "10.0.0.2:1", Seats: []*wire.Seat{{Member: "n", Addr: "10.0.0.1:1", Incarnation: 7}}}, doc, 1, now)
+	others := map[string]uint64{"10.0.0.2:1": 1, "10.0.0.3:1": 1}
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(10 * time.Millisecond)
+			s.Step(now, Tick{})
+			for _, e := range s.Take() {
+				m, ok := e.(wire.Send)
+				if ask := m.Frame.GetAsk(); ok && ask.GetSounding() {
+					n := &wire.News{Token: ask.Token, Newest: others[m.To], Freshness: &wire.Freshness{CoreAgeNs: int64(time.Minute)}}
+					s.Step(now, Got{&wire.Frame{Addr: m.To, Body: &wire.Frame_News{News: n}}})
+				}
+			}
+		}
+	}
+	for _, id := range []string{"10.0.0.2:1", "10.0.0.3:1"} {
+		s.Members.Heartbeat(&wire.Heartbeat{Card: &wire.Card{Id: id, Addr: id, Cell: "a", Role: member.Control, Incarnation: 1, Version: 1}}, id, id, now)
+	}
+	run(EagerFor + time.Second)
+	require.Empty(t, s.Unready(now), "nobody knows a newer state")
+	require.False(t, s.Relay.InTouch(now))
+	others["10.0.0.3:1"] = 2
+	run(time.Second)
+	require.Equal(t, "a newer desired state is known elsewhere", s.Unready(now))
+}
--- a/data/node.go
+++ b/data/node.go
@@ -104,8 +104,10 @@
 	count  atomic.Uint64
 	view   atomic.Pointer[view]
 	ready  atomic.Pointer[string]
-	ended  chan struct{}
-	over   sync.Once
+	// leaseEnd is the moment until which the desired state is known to be in force.
+	leaseEnd atomic.Int64
+	ended    chan struct{}
+	over     sync.Once
 }
 
 func NewNode(b Boot, l log.Logger) *Node {
@@ -193,6 +195,7 @@
 			n.over.Do(func() { close(n.ended) })
 		}
 	}
+	n.leaseEnd.Store(int64(n.State.Relay.LeaseEnd()))
 	why := n.State.Why(now)
 	if *n.ready.Load() != why {
 		n.ready.Store(&why)
--- a/data/readiness.go
+++ b/data/readiness.go
@@ -21,6 +21,8 @@
 		return "seat's lease revoked"
 	case !s.Relay.CoreFresh(now):
 		return "desired state stale"
+	case !s.Relay.InTouch(now) && s.Relay.CoreBehind():
+		return "a newer desired state is known elsewhere"
 	case s.Relay.DocGen == 0:
 		return "no desired state set"
 	case s.Relay.Desired == nil:
--- a/relay/state.go
+++ b/relay/state.go
@@ -139,11 +139,17 @@
 	return s.CoreKnown && now.Sub(s.Leased) < s.Stale
 }
 
-// InTouch says that this process's own lease is within its lease.
-func (s *State) InTouch(now ident.Moment) bool {
-	return s.CoreKnown && now.Sub(s.Leased) < s.LeaseFor
+// LeaseEnd is the moment until which no newer desired state can be in force; 0 before any is known.
+func (s *State) LeaseEnd() ident.Moment {
+	if !s.CoreKnown {
+		return 0
+	}
+	return s.Leased.Add(s.LeaseFor)
 }
 
+// InTouch says that this process is within its lease.
+func (s *State) InTouch(now ident.Moment) bool { return now.Before(s.LeaseEnd()) }
+
 // Revoked is the revocation of this process's own seat in the newest core it knows, or nil.
 func (s *State) Revoked() *wire.Revoked {
 	for _, r := range s.Core.GetRevoked() {
--- a/simulate/corecut.go
+++ b/simulate/corecut.go
@@ -10,7 +10,7 @@
 const (
 	// inForceWithin is how long after its yes a node in contact may still decide by an older generation.
 	inForceWithin = 2 * time.Second
-	lookEvery   = 20 * ms
+	lookEvery     = 20 * ms
 	// unreadyMost is the part, one in so many, of the time in contact for which nodes may be unready.
 	unreadyMost = 8
 )
@@ -95,7 +95,7 @@
 }
 
 // denies says whether a request for a route that the node doesn't know gets 404 just now.
-func (n *nodeSim) denies() bool { return true }
+func (n *nodeSim) denies() bool { return n.state.Relay.InTouch(n.p.clock()) }
 
 // cutFromCore cuts a control machine off from the other control machines alone.
 func (w *World) cutFromCore(p *Proc) {
--- a/simulate/routes.go
+++ b/simulate/routes.go
@@ -145,6 +145,10 @@
 		w.Break("older routes after a yes", "%s decides under %d %v after %d was acknowledged", n.p.Name, g, w.Now.Sub(w.ackAt), w.acked)
 	}
 	r := d.Find("h", path)
+	if r == nil && !n.denies() {
+		done(forward.Answer{Status: 503, Ran: forward.RanNo, Reason: "out of touch"}, false)
+		return ""
+	}
 	if r == nil {
 		if path[2]-'0' < firm {
 			w.Break("refused though allowed", "%s by %s", path, n.p.Name)
