--- a/control/state.go
+++ b/control/state.go
@@ -373,7 +373,7 @@
 	case *wire.Frame_Propose:
 		s.propose(asker{b.Propose.Token, f.Addr}, b.Propose.Change, now)
 	case *wire.Frame_ProposeReply:
-		if tag, ok := s.Mail.Reply(b.ProposeReply, s.heads(), now); ok {
+		if tag, ok := s.Mail.Reply(b.ProposeReply, now); ok {
 			if t, ok := tag.(uint64); ok {
 				delete(s.orders, t)
 				s.out = append(s.out, Changed{t, b.ProposeReply})
--- a/data/state.go
+++ b/data/state.go
@@ -188,7 +188,7 @@
 		s.Relay.News(b.News, f.Addr, now)
 		s.refresh(now)
 	case *wire.Frame_ProposeReply:
-		if tag, ok := s.Mail.Reply(b.ProposeReply, s.heads(), now); ok {
+		if tag, ok := s.Mail.Reply(b.ProposeReply, now); ok {
 			s.replied(tag, b.ProposeReply, now)
 		}
 	case *wire.Frame_AnnounceReply:
--- a/relay/courier.go
+++ b/relay/courier.go
@@ -7,13 +7,18 @@
 	"sloeturn/wire"
 )
 
+// redirectsMost is how many times a change follows who its receivers name as the leader before it is
+// sent to the next control process: two may name each other.
+const redirectsMost = 2
+
 type post struct {
-	change *wire.Change
-	to     string
-	sent   ident.Moment
-	until  ident.Moment
-	tag    any
-	turn   int
+	change    *wire.Change
+	to        string
+	sent      ident.Moment
+	until     ident.Moment
+	tag       any
+	turn      int
+	redirects int
 }
 
 type Courier struct {
@@ -48,29 +53,36 @@
 	}
 }
 
+// push sends a change to the one that is thought to lead, later to each control process in turn.
 func (c *Courier) push(t uint64, p *post, heads []string, now ident.Moment) {
-	p.sent = now
-	p.to = c.hint
-	if p.turn > 1 || p.to == "" {
+	to := c.hint
+	if p.turn > 1 || to == "" {
 		if len(heads) == 0 {
+			p.sent = now
 			return
 		}
-		p.to = heads[(t+uint64(p.turn))%uint64(len(heads))]
+		to = heads[(t+uint64(p.turn))%uint64(len(heads))]
 	}
 	p.turn++
-	c.out = append(c.out, wire.Send{To: p.to, Frame: &wire.Frame{Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: t, Change: p.change}}}})
+	p.redirects = 0
+	c.send(t, p, to, now)
+}
+
+func (c *Courier) send(t uint64, p *post, to string, now ident.Moment) {
+	p.to, p.sent = to, now
+	c.out = append(c.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Propose{Propose: &wire.Propose{Token: t, Change: p.change}}}})
 }
 
-func (c *Courier) Reply(r *wire.ProposeReply, heads []string, now ident.Moment) (any, bool) {
+func (c *Courier) Reply(r *wire.ProposeReply, now ident.Moment) (any, bool) {
 	p := c.posts[r.Token]
 	if p == nil {
 		return nil, false
 	}
 	if r.Code == 1 {
-		if r.LeaderAddr != "" && r.LeaderAddr != p.to {
+		if r.LeaderAddr != "" && r.LeaderAddr != p.to && p.redirects < redirectsMost {
+			p.redirects++
 			c.hint = r.LeaderAddr
-			p.turn = 0
-			c.push(r.Token, p, heads, now)
+			c.send(r.Token, p, r.LeaderAddr, now)
 		}
 		return nil, false
 	}
--- /dev/null
+++ b/relay/courier_test.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/wire"
+)
+
+// Guards against a change that two processes pass to and fro, each naming the other as the leader,
+// while a third one leads.
+func TestAChangeReachesTheLeaderThoughTwoOthersNameEachOther(t *testing.T) {
+	heads := []string{"a:1", "b:1", "c:1"}
+	names := map[string]string{"a:1": "b:1", "b:1": "a:1"}
+	for first := range heads {
+		c, now := NewCourier(uint64(first)), ident.Moment(1e12)
+		c.Hint("a:1")
+		token := c.Post(&wire.Change{}, now.Add(5*time.Second), "tag", heads, now)
+		sent, taken := 0, false
+		for range 200 {
+			now = now.Add(10 * time.Millisecond)
+			c.Tick(heads, now)
+			for _, m := range c.Flush() {
+				sent++
+				if m.To == "c:1" {
+					_, taken = c.Reply(&wire.ProposeReply{Token: token, Code: uint32(ledger.Done)}, now)
+				} else {
+					c.Reply(&wire.ProposeReply{Token: token, Code: uint32(ledger.NotLeader), LeaderAddr: names[m.To]}, now)
+				}
+			}
+			if taken {
+				break
+			}
+		}
+		require.True(t, taken)
+		require.LessOrEqual(t, sent, 5*(1+redirectsMost))
+		require.Zero(t, c.Len())
+	}
+}
+
+func TestAChangeFollowsTheLeaderThatAnotherNames(t *testing.T) {
+	c, now := NewCourier(1), ident.Moment(1e12)
+	c.Hint("a:1")
+	token := c.Post(&wire.Change{}, now.Add(time.Second), nil, []string{"a:1", "b:1"}, now)
+	require.Equal(t, "a:1", c.Flush()[0].To)
+	c.Reply(&wire.ProposeReply{Token: token, Code: uint32(ledger.NotLeader), LeaderAddr: "b:1"}, now)
+	require.Equal(t, "b:1", c.Flush()[0].To)
+}
