--- a/simulate/run.go
+++ b/simulate/run.go
@@ -36,6 +36,7 @@
 	w := New(c)
 	r := &Result{Seed: c.Seed, Broken: w.Broken, Count: w.Count, Faults: map[string]int{}}
 	w.Watch()
+	w.watchBackends()
 	if c.scene != nil && c.scene.early != nil {
 		c.scene.early(w)
 	}
@@ -88,6 +89,21 @@
 	return r
 }
 
+// watchBackends notes for how much of the time fewer than half of the backends may be sent to.
+func (w *World) watchBackends() {
+	usable := 0
+	for _, b := range w.Backends {
+		if b.up && b.state == cell.Ready && b.mode == "" {
+			usable++
+		}
+	}
+	w.Count["looks at backends"]++
+	if 2*usable < len(w.Backends) {
+		w.Count["few backends usable"]++
+	}
+	w.at(100*ms, w.watchBackends)
+}
+
 func (w *World) restore() {
 	w.Say("all is mended")
 	w.mended = true
