--- a/control/holders.go
+++ b/control/holders.go
@@ -42,7 +42,7 @@
 	var list []*wire.Card
 	for _, k := range s.standing() {
 		switch {
-		case k.Id == string(s.Member):
+		case k.Id == string(s.Member) || !s.reached(k, now):
 		case k.Cell == string(c) && (s.draining || s.Cell != c && now.Sub(h.start) > HomeStable && now.Sub(s.liveFrom[k.Id].at) > HomeStable):
 			return k
 		default:
@@ -297,11 +297,7 @@
 				continue
 			}
 		}
-		list := s.keepers(all)
-		pick := list[int(ident.Hash(name)%uint64(len(list)))]
-		if l := homes[name]; len(l) > 0 {
-			pick = s.keepers(l)[0]
-		}
+		pick := s.nextHolder(name, homes[name], all, now)
 		basis := uint64(0)
 		if h != nil {
 			basis = h.Epoch
@@ -311,6 +307,23 @@
 	}
 }
 
+// nextHolder picks who is to hold a cell: one of its home before others, but before all one that this
+// process reaches.
+func (s *State) nextHolder(cell string, home, all []*wire.Card, now ident.Moment) *wire.Card {
+	far := func(c *wire.Card) bool { return !s.reached(c, now) }
+	home, all = s.keepers(home), s.keepers(all)
+	if near := slices.DeleteFunc(slices.Clone(home), far); len(near) > 0 {
+		return near[0]
+	}
+	if others := slices.DeleteFunc(slices.Clone(all), far); len(others) > 0 {
+		return others[int(ident.Hash(cell)%uint64(len(others)))]
+	}
+	if len(home) > 0 {
+		return home[0]
+	}
+	return all[int(ident.Hash(cell)%uint64(len(all)))]
+}
+
 func (s *State) nodes() []string {
 	var out []string
 	seated := map[string]bool{}
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"time"
 
@@ -10,6 +11,13 @@
 	"sloeturn/wire"
 )
 
+const (
+	// VoterSilent is how long after its last frame a control process counts as silent.
+	VoterSilent = time.Second
+	// silentKept is for how long it is remembered when a control process was last heard.
+	silentKept = time.Minute
+)
+
 type quorum struct {
 	lost   bool
 	lostAt ident.Moment
@@ -17,19 +25,21 @@
 	heard  map[string]ident.Moment
 }
 
-// hear notes when a voter or learner was last heard, by any frame.
-func (q *quorum) hear(addr string, now ident.Moment) {
-	if _, ok := q.heard[addr]; ok {
+// hear notes when a control process was last heard, by any frame; voters count before their role is
+// known.
+func (q *quorum) hear(addr string, control bool, now ident.Moment) {
+	if _, known := q.heard[addr]; known || control {
 		q.heard[addr] = now
 	}
 }
 
+// follow takes up a new roster: its members count as heard from now on, and who is in it no more and
+// has long been silent is forgotten.
 func (q *quorum) follow(r *wire.Roster, now ident.Moment) {
-	old := q.heard
-	q.heard = map[string]ident.Moment{}
+	maps.DeleteFunc(q.heard, func(_ string, at ident.Moment) bool { return now.Sub(at) > silentKept })
 	for _, v := range r.GetVoters() {
-		if q.heard[v.Addr] = now; old[v.Addr] != 0 {
-			q.heard[v.Addr] = old[v.Addr]
+		if q.heard[v.Addr] == 0 {
+			q.heard[v.Addr] = now
 		}
 	}
 }
@@ -77,13 +87,19 @@
 func (s *State) silentVoters(now ident.Moment) []string {
 	var out []string
 	for _, v := range agreement.Voters(s.Agree.Roster()) {
-		if v.Member != string(s.Member) && now.Sub(s.quorum.heard[v.Addr]) > time.Second {
+		if v.Member != string(s.Member) && now.Sub(s.quorum.heard[v.Addr]) > VoterSilent {
 			out = append(out, v.Member)
 		}
 	}
 	return out
 }
 
+// reached says whether this process itself hears another control process: one that is live for its
+// watchers may be cut off from here.
+func (s *State) reached(c *wire.Card, now ident.Moment) bool {
+	return c.Addr == string(s.Addr) || now.Sub(s.quorum.heard[c.Addr]) <= VoterSilent
+}
+
 func (s *State) quorumFor(now ident.Moment) time.Duration {
 	if s.Agree == nil || !s.quorum.lost {
 		return 0
--- a/control/state.go
+++ b/control/state.go
@@ -224,7 +224,7 @@
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
+	s := &State{Boot: b, quorum: quorum{heard: map[string]ident.Moment{}}, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
@@ -344,7 +344,7 @@
 }
 
 func (s *State) got(f *wire.Frame, now ident.Moment) {
-	s.quorum.hear(f.Addr, now)
+	s.quorum.hear(f.Addr, s.Members.Card(ident.Member(f.From)).GetRole() == member.Control, now)
 	s.Relay.Met(f.Addr, f.Incarnation)
 	switch b := f.Body.(type) {
 	case *wire.Frame_Heartbeat:
--- a/simulate/corecut.go
+++ b/simulate/corecut.go
@@ -145,3 +145,31 @@
 	}
 	w.Run(w.Contact)
 }}
+
+// heldAgain is how soon a cell has a holder that speaks once its last one is cut off from the core: the
+// contact time and the time to catch up.
+func (w *World) heldAgain() time.Duration { return w.Contact + w.CatchUp }
+
+var holderCutScene = &Scene{Name: "holder-cut", Text: "the holder of a cell is cut off from the other control machines for long, not from the nodes; then it is back", config: func(c *Config) {
+	onSite(c)
+	c.Controls, c.Nodes, c.Backends = 3+int(c.Seed%3), 9, 9
+}, play: func(w *World, r *Result, gen *uint64) {
+	w.named()
+	for i := range w.Cells {
+		c := ident.Cell(w.cellName(i))
+		l := w.Leader()
+		if l == nil || l.control.Book.Holds[c] == nil {
+			w.Break("a cell without a holder in calm times", "%s", c)
+			return
+		}
+		stop := w.unheld(r, c)
+		w.cutFromCore(w.byName(l.control.Book.Holds[c].Holder))
+		w.Run(15 * time.Second)
+		w.Heal()
+		w.Run(2 * w.heldAgain())
+		stop()
+	}
+	if r.Blind > w.heldAgain() {
+		w.Break("a cell stood without a holder for long", "a node's news of it was %v old", r.Blind)
+	}
+}}
--- a/simulate/routes.go
+++ b/simulate/routes.go
@@ -414,7 +414,7 @@
 }
 
 func init() {
-	Scenes = append(append(Scenes, roadScenes...), signOffScene, lateNewsScene, coreCutScene)
+	Scenes = append(append(Scenes, roadScenes...), signOffScene, lateNewsScene, coreCutScene, holderCutScene)
 }
 
 // cutDrain cuts a cell's holder off with as many others as leave a majority of the voters, and drains a backend of that cell at both.
