--- a/control/serve.go
+++ b/control/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -37,21 +36,11 @@
 	level.Info(log).Log("part", "main", "msg", "Started.", "build", boot.Build, "address", set.Address, "http", set.HTTP, "operators", set.Operators)
 	app := &duty.App{
 		Log: log, Name: set.Name, Build: boot.Build, Ended: n.Ended(),
-		HTTP: map[string]http.Handler{set.HTTP: n.Registry(), set.Operators: n.Operators()},
-		Drain: func() {
-			n.Put(Drain{})
-			time.AfterFunc(set.Drain(), func() {
-				level.Warn(log).Log("part", "main", "msg", "The drain took too long; stopped.")
-				os.Exit(1)
-			})
-		},
+		HTTP:   map[string]http.Handler{set.HTTP: n.Registry(), set.Operators: n.Operators()},
 		Reload: reload,
 	}
-	if set.Metrics != "" {
-		figures := http.NewServeMux()
-		figures.HandleFunc("GET /metrics", n.Metrics)
-		app.HTTP[set.Metrics] = figures
-	}
+	app.Drain = func() { app.BoundDrain(func() { n.Put(Drain{}) }, set.Drain()) }
+	app.ServeMetrics(set.Metrics, n.Metrics)
 	for _, d := range doors {
 		app.HTTP[d.Addr] = d.Open(n)
 	}
--- a/duty/loop.go
+++ b/duty/loop.go
@@ -124,6 +124,7 @@
 	return level.Warn(b.Logger).Log(append([]any{"part", "http"}, kv...)...)
 }
 
+// App is a daemon: what it serves where, and what signals do to it.
 type App struct {
 	Log    log.Logger
 	Name   string
@@ -135,6 +136,25 @@
 	Ended  <-chan struct{}
 }
 
+// BoundDrain begins a planned stop, and ends the process if that takes longer than it may.
+func (a *App) BoundDrain(begin func(), most time.Duration) {
+	begin()
+	time.AfterFunc(most, func() {
+		level.Warn(a.Log).Log("part", "main", "msg", "The drain took too long; stopped.")
+		os.Exit(1)
+	})
+}
+
+// ServeMetrics serves the daemon's figures at an address of their own; none without one.
+func (a *App) ServeMetrics(address string, figures http.HandlerFunc) {
+	if address == "" {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", figures)
+	a.HTTP[address] = mux
+}
+
 func listen(addr string) (net.Listener, error) {
 	var ear net.Listener
 	var err error
--- a/relay/core.go
+++ b/relay/core.go
@@ -65,13 +65,19 @@
 	return n
 }
 
+// withoutTables is a core without its seats and floors, of which an answer may bring the changes alone.
+func withoutTables(c *wire.Core) *wire.Core {
+	return &wire.Core{Version: c.Version, Generation: c.Generation, InForce: c.InForce, Grown: c.Grown, Holds: c.Holds, Leader: c.Leader, LeaderAddr: c.LeaderAddr, SeatCount: c.SeatCount, Roster: c.Roster, Term: c.Term, Trial: c.Trial, Revoked: c.Revoked}
+}
+
 // coreFor is the core for an ask that names an older one: what changed since, if the asker can lay it on and that is known here, else the whole.
 func (s *State) coreFor(a *wire.Ask) *wire.Core {
 	if _, seen := slices.BinarySearch(s.diff.seen, a.Core); !a.Deltas || !seen {
 		return s.Core
 	}
 	c := s.Core
-	d := &wire.Core{Version: c.Version, Generation: c.Generation, InForce: c.InForce, Grown: c.Grown, Holds: c.Holds, Leader: c.Leader, LeaderAddr: c.LeaderAddr, SeatCount: c.SeatCount, Roster: c.Roster, Term: c.Term, Trial: c.Trial, Revoked: c.Revoked, Base: a.Core, SeatsSum: seatsSum(c)}
+	d := withoutTables(c)
+	d.Base, d.SeatsSum = a.Core, seatsSum(c)
 	held := make(map[uint32]bool, len(c.Seats))
 	for _, v := range c.Seats {
 		held[v.Seat] = true
@@ -103,7 +109,8 @@
 	if d.Version < s.Core.Version {
 		return nil
 	}
-	c := &wire.Core{Version: d.Version, Generation: d.Generation, InForce: d.InForce, Grown: d.Grown, Holds: d.Holds, Leader: d.Leader, LeaderAddr: d.LeaderAddr, SeatCount: d.SeatCount, Roster: d.Roster, Term: d.Term, Trial: d.Trial, Revoked: d.Revoked, Floors: d.Floors}
+	c := withoutTables(d)
+	c.Floors = d.Floors
 	if d.FloorsSame {
 		c.Floors = s.Core.Floors
 	}
--- a/relay/sources.go
+++ b/relay/sources.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"sloeturn/cell"
@@ -71,8 +72,9 @@
 	return nil
 }
 
-// forgetSources drops what was said too long ago.
+// forgetSources drops what was said, and whom was asked directly, too long ago.
 func (s *State) forgetSources(now ident.Moment) {
+	maps.DeleteFunc(s.directAt, func(_ string, at ident.Moment) bool { return now.Sub(at) > AskKept })
 	s.sources = slices.DeleteFunc(s.sources, func(k *source) bool { return now.Sub(k.heardAt) > AskKept })
 }
 
--- a/relay/start.go
+++ b/relay/start.go
@@ -54,7 +54,7 @@
 		if a.direct && !a.late && now.Sub(a.at) < SourceWait {
 			return
 		}
-		owing[a.to] = owing[a.to] || !a.bare
+		owing[a.to] = owing[a.to] || !a.sounding
 	}
 	free := slices.DeleteFunc(slices.Clone(list), func(address string) bool { return owing[address] })
 	if len(free) == 0 {
@@ -74,6 +74,6 @@
 
 func (s *State) sound(to string, now ident.Moment) {
 	s.token++
-	s.asks[s.token] = ask{at: now, to: to, only: true, bare: true}
+	s.asks[s.token] = ask{at: now, to: to, only: true, sounding: true}
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: &wire.Ask{Token: s.token, Only: true, Sounding: true}}}})
 }
