--- a/control/holders.go
+++ b/control/holders.go
@@ -324,6 +324,8 @@
 	return all[int(ident.Hash(cell)%uint64(len(all)))]
 }
 
+// nodes lists those that backends are dealt to: the ready ones, and those that drain, for requests come
+// to them until they have left.
 func (s *State) nodes() []string {
 	var out []string
 	seated := map[string]bool{}
@@ -331,7 +333,7 @@
 		seated[v.Member] = true
 	}
 	for _, c := range s.Members.Ring() {
-		if c.Role == member.Data && c.Ready && !c.Leaving && seated[c.Id] {
+		if c.Role == member.Data && (c.Ready || c.Leaving) && seated[c.Id] {
 			out = append(out, c.Id)
 		}
 	}
