control: decisions tell who answered a goodbye that was passed on

Three explanations fit what callers see: an answer for another question, another process that took the cell for a moment, and a sign-off scattered to all cells. Neither log nor metrics told them apart.

Change: a control process that passed a drain or sign-off on writes a decision with the process that answered, its code and reason.

--- a/control/state.go
+++ b/control/state.go
@@ -368,6 +368,9 @@
 		r := b.AnnounceReply
 		if p, ok := s.passes[r.Token]; ok {
 			delete(s.passes, r.Token)
+			if p.what.State != cell.Ready {
+				s.decide(duty.Decision{Decision: "goodbye answered", Backend: p.what.Addr, Service: p.what.Service, Cell: p.what.Cell, Member: f.From, Note: fmt.Sprintf("%d %s", r.Code, r.Text)})
+			}
 			s.announced(p.pending, r.Code, r.Text)
 		}
 	case *wire.Frame_Propose:
