control: an answer to an earlier life acknowledges no goodbye

What callers saw: two of three control processes were killed at one moment.

Cause: an announcement that is passed on to its cell's holder was numbered from 0 in each life of a process, and the answer was matched by that number alone. Answers of the leader to drains that the earlier life had passed on reached the new life at the same address and were taken for answers to its own sign-offs of the same numbers. These were then no longer repeated.

Change: ident.Tokens counts up from the incarnation, a random 64-bit number, so no two lives share a token; the answer must also come from a process that was asked (any of them, where the holder changed meanwhile). A peer of an older build only echoes the token, so mixed fleets are safe too. The code moved to control/forward.go.

--- a/control/announce.go
+++ b/control/announce.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"google.golang.org/protobuf/proto"
-
 	"sloeturn/cell"
 	"sloeturn/ident"
 	"sloeturn/relay"
@@ -65,7 +63,7 @@
 		return
 	}
 	if h := s.holds[c]; h != nil && h.heir != nil {
-		s.onward(p, a, h.heir.Addr, now)
+		s.forwardToHolder(p, a, h.heir.Addr, now)
 		return
 	}
 	if h := s.holds[c]; h != nil && now.Sub(s.Relay.CoreAsOf) < relay.CellLease {
@@ -77,7 +75,7 @@
 		return
 	}
 	if to := s.holderAddr(a); to != "" {
-		s.onward(p, a, to, now)
+		s.forwardToHolder(p, a, to, now)
 		return
 	}
 	s.park(p, a, "cell "+a.Cell+" has no holder just now", now)
@@ -119,17 +117,7 @@
 			s.route(k.pending, k.what, now)
 		}
 	}
-	for _, id := range ident.Keys(s.passes) {
-		p := s.passes[id]
-		if now.Sub(p.sent) < OnwardEvery || now.Sub(p.at) > ParkMost || s.old(p.what, now) {
-			continue
-		}
-		p.sent = now
-		s.passes[id] = p
-		if to := s.holderAddr(p.what); to != "" {
-			s.forward(id, p.what, to)
-		}
-	}
+	s.repeatForwards(now)
 }
 
 func (s *State) witness(from string, a *wire.Ask, now ident.Moment) {
@@ -166,15 +154,3 @@
 	}
 	h.drains = keep
 }
-
-func (s *State) onward(p pending, a *wire.Announce, to string, now ident.Moment) {
-	s.passID++
-	s.passes[s.passID] = errand{parked{p, a}, now}
-	s.forward(s.passID, a, to)
-}
-
-func (s *State) forward(id uint64, a *wire.Announce, to string) {
-	n := proto.Clone(a).(*wire.Announce)
-	n.Token, n.Hops = id, a.Hops+1
-	s.send(to, &wire.Frame{Body: &wire.Frame_Announce{Announce: n}})
-}
--- /dev/null
+++ b/control/forward.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"sloeturn/cell"
+	"sloeturn/duty"
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+// forwarded is an announcement that waits for the answer of its cell's holder.
+type forwarded struct {
+	parked
+	sent  ident.Moment
+	asked []string // the addresses it was sent to; the holder may change meanwhile
+}
+
+// forwardToHolder passes an announcement on to the process that holds its cell.
+func (s *State) forwardToHolder(p pending, a *wire.Announce, holder string, now ident.Moment) {
+	token := s.tokens.Next()
+	s.forwards[token] = &forwarded{parked: parked{p, a}}
+	s.sendForward(token, holder, now)
+}
+
+func (s *State) sendForward(token uint64, holder string, now ident.Moment) {
+	f := s.forwards[token]
+	f.sent = now
+	if !slices.Contains(f.asked, holder) {
+		f.asked = append(f.asked, holder)
+	}
+	a := proto.Clone(f.what).(*wire.Announce)
+	a.Token, a.Hops = token, f.what.Hops+1
+	s.send(holder, &wire.Frame{Body: &wire.Frame_Announce{Announce: a}})
+}
+
+// repeatForwards sends announcements that have waited for OnwardEvery again, to whom holds the cell now.
+func (s *State) repeatForwards(now ident.Moment) {
+	for _, token := range ident.Keys(s.forwards) {
+		f := s.forwards[token]
+		if now.Sub(f.sent) < OnwardEvery || now.Sub(f.at) > ParkMost || s.old(f.what, now) {
+			continue
+		}
+		f.sent = now
+		if holder := s.holderAddr(f.what); holder != "" {
+			s.sendForward(token, holder, now)
+		}
+	}
+}
+
+// expireForwards refuses announcements whose holder has not answered within AnnounceWait.
+func (s *State) expireForwards(now ident.Moment) {
+	for _, token := range ident.Keys(s.forwards) {
+		f := s.forwards[token]
+		if now.Sub(f.at) > AnnounceWait {
+			delete(s.forwards, token)
+			s.announced(f.pending, 503, "the cell's holder did not answer")
+		}
+	}
+}
+
+// forwardAnswered takes a holder's answer to a forwarded announcement. Any other answer, to an earlier
+// life of this process or from a process that was not asked, is counted and acknowledges nothing.
+func (s *State) forwardAnswered(from *wire.Frame, r *wire.AnnounceReply) {
+	f := s.forwards[r.Token]
+	if f == nil || !slices.Contains(f.asked, from.Addr) {
+		s.StrayAnswers++
+		return
+	}
+	delete(s.forwards, r.Token)
+	if f.what.State != cell.Ready {
+		s.decide(duty.Decision{Decision: "goodbye answered", Backend: f.what.Addr, Service: f.what.Service, Cell: f.what.Cell, Member: from.From, Note: fmt.Sprintf("%d %s", r.Code, r.Text)})
+	}
+	s.announced(f.pending, r.Code, r.Text)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -172,11 +172,6 @@
 	what *wire.Announce
 }
 
-type errand struct {
-	parked
-	sent ident.Moment
-}
-
 type pendingDrain struct {
 	pending
 	upto uint64
@@ -207,24 +202,26 @@
 	markAt   ident.Moment
 	takenAt  map[ident.Generation]ident.Moment
 	leases
-	passes    map[uint64]errand
+	forwards  map[uint64]*forwarded
 	told      map[string]bool
 	parked    []parked
-	passID    uint64
+	tokens    ident.Tokens
 	draining  bool
 	drainAt   ident.Moment
 	signedOff bool
 	bound
-	used   float64
-	role   agreement.Role
-	born   ident.Moment
-	shelf  shelf
-	quorum quorum
-	out    []any
+	// StrayAnswers counts answers to no request under way, or from a process that was not asked.
+	StrayAnswers uint64
+	used         float64
+	role         agreement.Role
+	born         ident.Moment
+	shelf        shelf
+	quorum       quorum
+	out          []any
 }
 
 func New(b Boot, got *agreement.Recovered, now ident.Moment) (*State, error) {
-	s := &State{Boot: b, quorum: quorum{heard: map[string]ident.Moment{}}, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, passes: map[uint64]errand{}, told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
+	s := &State{Boot: b, quorum: quorum{heard: map[string]ident.Moment{}}, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, forwards: map[uint64]*forwarded{}, tokens: ident.NewTokens(b.Incarnation), told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
 	s.Relay = relay.New(b.Member, true)
@@ -365,14 +362,7 @@
 	case *wire.Frame_Bequest:
 		s.bequest(b.Bequest, now)
 	case *wire.Frame_AnnounceReply:
-		r := b.AnnounceReply
-		if p, ok := s.passes[r.Token]; ok {
-			delete(s.passes, r.Token)
-			if p.what.State != cell.Ready {
-				s.decide(duty.Decision{Decision: "goodbye answered", Backend: p.what.Addr, Service: p.what.Service, Cell: p.what.Cell, Member: f.From, Note: fmt.Sprintf("%d %s", r.Code, r.Text)})
-			}
-			s.announced(p.pending, r.Code, r.Text)
-		}
+		s.forwardAnswered(f, b.AnnounceReply)
 	case *wire.Frame_Propose:
 		s.propose(asker{b.Propose.Token, f.Addr}, b.Propose.Change, now)
 	case *wire.Frame_ProposeReply:
@@ -551,13 +541,7 @@
 		}
 	}
 	s.overdue(now)
-	for _, id := range ident.Keys(s.passes) {
-		p := s.passes[id]
-		if now.Sub(p.at) > AnnounceWait {
-			delete(s.passes, id)
-			s.announced(p.pending, 503, "the cell's holder did not answer")
-		}
-	}
+	s.expireForwards(now)
 	s.unpark(now)
 	if s.Agree != nil {
 		s.Agree.Tick(now)
--- a/control/witness_test.go
+++ b/control/witness_test.go
@@ -27,8 +27,11 @@
 
 func door(i int) string { return fmt.Sprint("127.0.0.1:1", i) }
 
-func newHall(t *testing.T) *hall {
-	s, err := New(Boot{Member: "h", Addr: "127.0.0.1:1", Cell: "a", Incarnation: 3, Seeds: []ident.Addr{"127.0.0.1:11"}}, nil, ident.Moment(1e12))
+func newHall(t *testing.T) *hall { return newHallOf(t, 3) }
+
+// newHallOf is newHall in a life of one's own choice.
+func newHallOf(t *testing.T, life ident.Incarnation) *hall {
+	s, err := New(Boot{Member: "h", Addr: "127.0.0.1:1", Cell: "a", Incarnation: life, Seeds: []ident.Addr{"127.0.0.1:11"}}, nil, ident.Moment(1e12))
 	require.NoError(t, err)
 	h := &hall{State: s, t: t, now: ident.Moment(1e12), says: map[string]func(*wire.Ask) *wire.News{}, said: map[uint64]uint32{}, announces: map[string][]*wire.Announce{}}
 	h.core = &wire.Core{Version: 5, Roster: &wire.Roster{}, LeaderAddr: door(1), Holds: []*wire.Hold{{Cell: "a", Holder: "h", Incarnation: 3, Epoch: 9, Before: 8, Since: 8, Addr: "127.0.0.1:1"}}}
