data: an answer to an earlier life of a node acknowledges no goodbye

What callers would see: a backend that says draining, or signs off, at the product's own door of a node that was just restarted gets 200 though the holder of its cell has heard nothing.

A node numbered what it passed on by its HTTP door's counter, which begins at 0 in each life, and matched the answer by that number alone.

The HTTP door's token stays inside the process. The code moved from data/state.go to data/announce.go, and the decision 'goodbye answered' is made in one place, duty.GoodbyeAnswered.

--- a/control/forward.go
+++ b/control/forward.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"fmt"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -72,7 +71,7 @@
 	}
 	delete(s.forwards, r.Token)
 	if f.what.State != cell.Ready {
-		s.decide(duty.Decision{Decision: "goodbye answered", Backend: f.what.Addr, Service: f.what.Service, Cell: f.what.Cell, Member: from.From, Note: fmt.Sprintf("%d %s", r.Code, r.Text)})
+		s.decide(duty.GoodbyeAnswered(f.what, from.From, r))
 	}
 	s.announced(f.pending, r.Code, r.Text)
 }
--- /dev/null
+++ b/data/announce.go
@@ -0,0 +1,71 @@
+package data
+
+import (
+	"sloeturn/cell"
+	"sloeturn/duty"
+	"sloeturn/ident"
+	"sloeturn/wire"
+)
+
+// forwarded is an announcement that waits for the answer of its cell's holder.
+type forwarded struct {
+	at     ident.Moment
+	caller uint64 // the token of who announced it here
+	holder string // the address that was asked
+	what   *wire.Announce
+}
+
+// announce passes a backend's announcement on to the process that holds its cell.
+func (s *State) announce(caller uint64, a *wire.Announce, now ident.Moment) {
+	if a.State == cell.Ready && s.Relay.Dazed(now) {
+		s.out = append(s.out, Announced{caller, 503, "this node stood still just now; the beat may be an old one"})
+		return
+	}
+	holder := s.holderAddr(a.Cell)
+	if holder == "" {
+		s.out = append(s.out, Announced{caller, 503, "no holder is known for cell " + a.Cell})
+		return
+	}
+	a.Token = s.tokens.Next()
+	s.forwards[a.Token] = forwarded{now, caller, holder, a}
+	s.send(holder, &wire.Frame{Body: &wire.Frame_Announce{Announce: a}})
+}
+
+// holderAddr is the address of the process that holds a cell; empty for none.
+func (s *State) holderAddr(cellName string) string {
+	for _, h := range s.Relay.Core.GetHolds() {
+		if h.Cell != cellName {
+			continue
+		}
+		if c := s.Members.Card(ident.Member(h.Holder)); c != nil {
+			return c.Addr
+		}
+	}
+	return ""
+}
+
+// forwardAnswered takes a holder's answer to a forwarded announcement. Any other answer, to an earlier
+// life of this node or from a process that was not asked, is counted and acknowledges nothing.
+func (s *State) forwardAnswered(from *wire.Frame, r *wire.AnnounceReply) {
+	f, ok := s.forwards[r.Token]
+	if !ok || f.holder != from.Addr {
+		s.StrayAnswers++
+		return
+	}
+	delete(s.forwards, r.Token)
+	if f.what.State != cell.Ready {
+		s.decide(duty.GoodbyeAnswered(f.what, from.From, r))
+	}
+	s.out = append(s.out, Announced{f.caller, r.Code, r.Text})
+}
+
+// expireForwards refuses announcements whose holder has not answered within AnnounceWait.
+func (s *State) expireForwards(now ident.Moment) {
+	for _, token := range ident.Keys(s.forwards) {
+		f := s.forwards[token]
+		if now.Sub(f.at) > AnnounceWait {
+			delete(s.forwards, token)
+			s.out = append(s.out, Announced{f.caller, 503, "the cell's holder did not answer"})
+		}
+	}
+}
--- /dev/null
+++ b/data/announce_test.go
@@ -0,0 +1,81 @@
+package data
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/cell"
+	"sloeturn/ident"
+	"sloeturn/member"
+	"sloeturn/wire"
+)
+
+// announcer is one life of a node that knows who holds cells b and c; it collects what the node
+// passed on to each and what it told those that announced.
+type announcer struct {
+	*State
+	now    ident.Moment
+	passed map[string][]*wire.Announce
+	told   map[uint64]uint32
+}
+
+func newAnnouncer(life ident.Incarnation) *announcer {
+	now := ident.Moment(1e12)
+	n := &announcer{New(Boot{Member: "n", Addr: "10.0.0.1:1", Cell: "a", Incarnation: life, Seeds: []ident.Addr{"10.0.0.2:1"}}, now), now, map[string][]*wire.Announce{}, map[uint64]uint32{}}
+	core := &wire.Core{Version: 1}
+	for i, name := range []string{"b", "c"} {
+		id, addr := "holder-"+name, fmt.Sprintf("10.0.1.%d:1", i+1)
+		n.Members.Heartbeat(&wire.Heartbeat{Card: &wire.Card{Id: id, Addr: addr, Cell: name, Role: member.Control, Rank: 1, Version: 1, Incarnation: 7}}, id, addr, now)
+		core.Holds = append(core.Holds, &wire.Hold{Cell: name, Holder: id, Incarnation: 7, Epoch: 3, Addr: addr})
+	}
+	n.Relay.TakeCore(core, nil, 0, now)
+	return n
+}
+
+func (n *announcer) step(e any) {
+	n.Step(n.now, e)
+	for _, e := range n.Take() {
+		switch e := e.(type) {
+		case wire.Send:
+			if a := e.Frame.GetAnnounce(); a != nil {
+				n.passed[e.To] = append(n.passed[e.To], a)
+			}
+		case Announced:
+			n.told[e.Token] = e.Code
+		}
+	}
+}
+
+func (n *announcer) saysGoodbye(token uint64, cellName string) {
+	n.step(Announce{token, &wire.Announce{Cell: cellName, Addr: fmt.Sprint("backend-", token), State: cell.Gone}})
+}
+
+func (n *announcer) answer(from string, token uint64) {
+	n.step(Got{&wire.Frame{Addr: from, Body: &wire.Frame_AnnounceReply{AnnounceReply: &wire.AnnounceReply{Token: token, Code: 200}}}})
+}
+
+// Guards against a goodbye that a restarted node acknowledges by an answer to its earlier life.
+func TestAnAnswerToAnEarlierLifeAcknowledgesNoGoodbye(t *testing.T) {
+	before, after := newAnnouncer(3), newAnnouncer(99)
+	for i := uint64(1); i <= 4; i++ {
+		before.saysGoodbye(i, "b")
+		after.saysGoodbye(i, "c")
+	}
+	late := before.passed["10.0.1.1:1"]
+	require.Len(t, late, 4)
+	for _, a := range late {
+		after.answer("10.0.1.1:1", a.Token)
+		after.answer("10.0.1.2:1", a.Token)
+	}
+	require.Empty(t, after.told)
+	for _, a := range after.passed["10.0.1.2:1"] {
+		after.answer("10.0.1.1:1", a.Token)
+	}
+	require.Empty(t, after.told, "the holder of another cell was not asked")
+	for _, a := range after.passed["10.0.1.2:1"] {
+		after.answer("10.0.1.2:1", a.Token)
+	}
+	require.Len(t, after.told, 4)
+}
--- a/data/state.go
+++ b/data/state.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"sloeturn/cell"
 	"sloeturn/desired"
 	"sloeturn/duty"
 	"sloeturn/forward"
@@ -50,11 +49,6 @@
 	Stale       time.Duration
 }
 
-type pending struct {
-	at   ident.Moment
-	what *wire.Announce
-}
-
 type State struct {
 	Boot
 	*forward.State
@@ -63,25 +57,28 @@
 	Relay   *relay.State
 	Mail    *relay.Courier
 
-	seat      *wire.Seat
-	asking    bool
-	seatAt    ident.Moment
-	bars      map[ident.Addr]bar
-	strikes   map[ident.Addr]strike
-	guards    map[ident.Addr]*guard
-	lives     map[ident.Addr]string
-	announces map[uint64]pending
-	rev       uint64
-	fresh     fresh
-	adopted   ident.Generation
-	ready     bool
-	wanted    map[ident.Service]float64
-	wants     []*wire.Want
-	wantAt    ident.Moment
-	turn      uint64
-	floor     map[ledger.Lot]int
-	trial     *desired.State
-	trialID   string
+	seat     *wire.Seat
+	asking   bool
+	seatAt   ident.Moment
+	bars     map[ident.Addr]bar
+	strikes  map[ident.Addr]strike
+	guards   map[ident.Addr]*guard
+	lives    map[ident.Addr]string
+	forwards map[uint64]forwarded
+	tokens   ident.Tokens
+	// StrayAnswers counts answers to no request under way, or from a process that was not asked.
+	StrayAnswers uint64
+	rev          uint64
+	fresh        fresh
+	adopted      ident.Generation
+	ready        bool
+	wanted       map[ident.Service]float64
+	wants        []*wire.Want
+	wantAt       ident.Moment
+	turn         uint64
+	floor        map[ledger.Lot]int
+	trial        *desired.State
+	trialID      string
 
 	adoptedTrial string
 	warm         bool
@@ -99,7 +96,7 @@
 }
 
 func New(b Boot, now ident.Moment) *State {
-	s := &State{Boot: b, bars: map[ident.Addr]bar{}, strikes: map[ident.Addr]strike{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, announces: map[uint64]pending{}, wanted: map[ident.Service]float64{}, oldNews: map[ident.Cell]time.Duration{}, born: now}
+	s := &State{Boot: b, bars: map[ident.Addr]bar{}, strikes: map[ident.Addr]strike{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, forwards: map[uint64]forwarded{}, tokens: ident.NewTokens(b.Incarnation), wanted: map[ident.Service]float64{}, oldNews: map[ident.Cell]time.Duration{}, born: now}
 	s.Pass = pass.New()
 	s.Pass.Salt = string(b.Member)
 	s.State = forward.New(s.Pass, s.gate)
@@ -192,11 +189,7 @@
 			s.replied(tag, b.ProposeReply, now)
 		}
 	case *wire.Frame_AnnounceReply:
-		r := b.AnnounceReply
-		if _, ok := s.announces[r.Token]; ok {
-			delete(s.announces, r.Token)
-			s.out = append(s.out, Announced{r.Token, r.Code, r.Text})
-		}
+		s.forwardAnswered(f, b.AnnounceReply)
 	}
 }
 
@@ -223,24 +216,6 @@
 	s.out = append(s.out, wire.Send{To: to, Frame: f})
 }
 
-func (s *State) announce(token uint64, a *wire.Announce, now ident.Moment) {
-	a.Token = token
-	if a.State == cell.Ready && s.Relay.Dazed(now) {
-		s.out = append(s.out, Announced{token, 503, "this node stood still just now; the beat may be an old one"})
-		return
-	}
-	for _, h := range s.Relay.Core.GetHolds() {
-		if h.Cell == a.Cell {
-			if c := s.Members.Card(ident.Member(h.Holder)); c != nil {
-				s.announces[token] = pending{at: now, what: a}
-				s.send(c.Addr, &wire.Frame{Body: &wire.Frame_Announce{Announce: a}})
-				return
-			}
-		}
-	}
-	s.out = append(s.out, Announced{token, 503, "no holder is known for cell " + a.Cell})
-}
-
 func (s *State) tick(now ident.Moment) {
 	heads := s.heads()
 	s.unbar(now)
@@ -255,13 +230,7 @@
 			s.freeing = false
 		}
 	}
-	for _, t := range ident.Keys(s.announces) {
-		a := s.announces[t]
-		if now.Sub(a.at) > AnnounceWait {
-			delete(s.announces, t)
-			s.out = append(s.out, Announced{t, 503, "the cell's holder did not answer"})
-		}
-	}
+	s.expireForwards(now)
 	targets := heads
 	if len(targets) == 0 || !s.Relay.CoreKnown {
 		for _, a := range s.Seeds {
--- a/duty/stream.go
+++ b/duty/stream.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
 
 	"sloeturn/ident"
+	"sloeturn/wire"
 )
 
 type Decision struct {
@@ -28,6 +30,12 @@
 	Note       string `json:"note,omitempty"`
 }
 
+// GoodbyeAnswered is the decision that tells which process answered a drain or a sign-off that was
+// passed on to the holder of its cell.
+func GoodbyeAnswered(a *wire.Announce, by string, r *wire.AnnounceReply) Decision {
+	return Decision{Decision: "goodbye answered", Backend: a.Addr, Service: a.Service, Cell: a.Cell, Member: by, Note: fmt.Sprintf("%d %s", r.Code, r.Text)}
+}
+
 type Stream struct {
 	life  string
 	lock  sync.Mutex
