relay: news for an earlier life renews no lease

What callers would see: a process that is killed and started again while a link holds answers back takes an answer to an ask of its earlier life for one to its own. It counts that news as fresh as its own ask, so it may serve an older configuration for as long as the answer was held back.

Change: asks and soundings take their tokens from ident.Tokens, like forwarded announcements; so does the courier of changes, which began at the incarnation already. relay.New and NewCourier take the life. News for no ask under way is counted in stray_answers_total{to="ask"}.

Result: with tokens from 0 TestNewsForAnEarlierLifeDoesNotRenewTheLease (an answer held back for 4 s renewed the lease) and TestASoundingOfAnEarlierLifeTellsNothing fail; with tokens of the life they pass. TestAnAnswerToAnEarlierLifeEndsNoChange held before and holds. go test ./relay ./control ./data ./simulate ./hollow ./wire passes.

--- a/control/http.go
+++ b/control/http.go
@@ -494,6 +494,7 @@
 		p("claims_kept", len(s.Book.Claims))
 		p("cells_held", len(s.holds))
 		p("stray_answers_total{to=\"announcement\"}", s.StrayAnswers)
+		p("stray_answers_total{to=\"ask\"}", s.Relay.StrayAnswers)
 		p("blackout_periods_open", len(s.Book.OpenRegions()))
 		p("changes_held", len(s.Book.Held))
 		p("changes_held_bytes", s.Book.HeldBytes())
--- a/control/state.go
+++ b/control/state.go
@@ -224,10 +224,10 @@
 	s := &State{Boot: b, quorum: quorum{heard: map[string]ident.Moment{}}, waits: map[uint64]asker{}, asked: map[asker]bool{}, holds: map[ident.Cell]*hold{}, holdAt: map[ident.Cell]ident.Moment{}, liveFrom: map[string]seen{}, leftFrom: map[string]ident.Moment{}, wills: map[ident.Cell]*wire.Bequest{}, forwards: map[uint64]*forwarded{}, tokens: ident.NewTokens(b.Incarnation), told: map[string]bool{}, takenAt: map[ident.Generation]ident.Moment{}, leases: newLeases(), orders: map[uint64]ident.Moment{}, born: now}
 	s.Book = ledger.NewBook()
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Control, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build}, b.Seeds, now)
-	s.Relay = relay.New(b.Member, true)
+	s.Relay = relay.New(b.Member, b.Incarnation, true)
 	s.Relay.Voter = b.Voter
 	s.Relay.Terms(b.LeaseFor, b.Stale)
-	s.Mail = relay.NewCourier(uint64(b.Incarnation))
+	s.Mail = relay.NewCourier(b.Incarnation)
 	s.unshelve()
 	if b.Voter != "" {
 		s.Agree = agreement.New(agreement.Self{Voter: b.Voter, Member: b.Member, Addr: b.Addr}, b.Founders, got, b.Seed, now)
--- a/data/http.go
+++ b/data/http.go
@@ -445,6 +445,7 @@
 		p(fmt.Sprintf("cell_age_seconds{cell=%q}", c), now.Sub(s.Relay.Cells[c].AsOf).Seconds())
 	}
 	p("stray_answers_total{to=\"announcement\"}", s.StrayAnswers)
+	p("stray_answers_total{to=\"ask\"}", s.Relay.StrayAnswers)
 	p("wire_sent_total", n.Hub.Sent.Load())
 	p("wire_bytes_total", n.Hub.Bytes.Load())
 	p("wire_lost_total", n.Hub.Lost.Load())
--- a/data/state.go
+++ b/data/state.go
@@ -102,10 +102,9 @@
 	s.State = forward.New(s.Pass, s.gate)
 	s.Back = func(visit string) time.Duration { return s.back(visit, s.now) }
 	s.Members = member.New(&wire.Card{Id: string(b.Member), Addr: string(b.Addr), Cell: string(b.Cell), Role: member.Data, Incarnation: uint64(b.Incarnation), Http: b.HTTP, Build: b.Build, Heeds: true}, b.Seeds, now)
-	s.Relay = relay.New(b.Member, false)
-	s.Relay.Life = b.Incarnation
+	s.Relay = relay.New(b.Member, b.Incarnation, false)
 	s.Relay.Terms(b.LeaseFor, b.Stale)
-	s.Mail = relay.NewCourier(uint64(b.Incarnation))
+	s.Mail = relay.NewCourier(b.Incarnation)
 	return s
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -63,6 +63,7 @@
 func (s *State) News(n *wire.News, from string, now ident.Moment) *Reading {
 	a, ok := s.asks[n.Token]
 	if !ok || a.to != from {
+		s.StrayAnswers++
 		return nil
 	}
 	delete(s.asks, n.Token)
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -42,8 +42,9 @@
 	return list, only
 }
 
-func (s *State) AskTo(to string, of ident.Member, now ident.Moment) {
-	s.token++
+// AskTo asks the process at an address, which is the member of, for news; it returns the ask's token.
+func (s *State) AskTo(to string, of ident.Member, now ident.Moment) uint64 {
+	token := s.tokens.Next()
 	t := s.told[to]
 	if t == nil {
 		t = &told{}
@@ -53,13 +54,14 @@
 		t.upto = 0
 	}
 	confirms, all := s.list(t.upto)
-	a := &wire.Ask{Token: s.token, Have: uint64(s.DocGen), Confirms: confirms, Deltas: true, Voter: string(s.Voter)}
+	a := &wire.Ask{Token: token, Have: uint64(s.DocGen), Confirms: confirms, Deltas: true, Voter: string(s.Voter)}
 	if s.CoreKnown && !s.whole {
 		a.Core = s.Core.Version
 	}
 	a.Cells, a.Only = s.wanted(of, now)
-	s.asks[s.token] = ask{at: now, to: to, from: t.upto, upto: s.changes, all: all, core: a.Core, only: a.Only, have: a.Cells}
+	s.asks[token] = ask{at: now, to: to, from: t.upto, upto: s.changes, all: all, core: a.Core, only: a.Only, have: a.Cells}
 	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: a}}})
+	return token
 }
 
 func (s *State) Hasten() { s.askAt = 0 }
--- a/relay/core_test.go
+++ b/relay/core_test.go
@@ -59,7 +59,7 @@
 		cores := map[uint64]*wire.Core{1: c}
 		var all []*State
 		for i := range 5 {
-			all = append(all, New(ident.Member(fmt.Sprint("n", i)), i == 0))
+			all = append(all, New(ident.Member(fmt.Sprint("n", i)), 1, i == 0))
 		}
 		now := ident.Moment(1e9)
 		all[0].TakeCore(c, nil, 0, now)
@@ -101,7 +101,7 @@
 }
 
 func TestASeatThatChangesHandsCostsItselfNotTheWholeCore(t *testing.T) {
-	a, b := New("a", true), New("b", false)
+	a, b := New("a", 1, true), New("b", 1, false)
 	now := ident.Moment(1e9)
 	c := &wire.Core{Version: 1, Seats: seatsOf(92)}
 	for i, v := range c.Seats {
@@ -134,7 +134,7 @@
 }
 
 func TestAChangeThatDoesNotFitIsNoWordAndTheWholeIsAskedForNext(t *testing.T) {
-	a, b := New("a", true), New("b", false)
+	a, b := New("a", 1, true), New("b", 1, false)
 	now := ident.Moment(1e9)
 	a.TakeCore(&wire.Core{Version: 1, Seats: seatsOf(3)}, nil, 0, now)
 	ask := func() *wire.Ask {
@@ -164,7 +164,7 @@
 }
 
 func TestAChangeOfACoreThatIsNotKnownIsNoWord(t *testing.T) {
-	b := New("b", false)
+	b := New("b", 1, false)
 	now := ident.Moment(1e9)
 	b.AskTo("a:1", "", now)
 	q := b.Flush()[0].Frame.GetAsk()
@@ -173,7 +173,7 @@
 }
 
 func TestOneThatDoesNotSaySoIsGivenTheWholeCore(t *testing.T) {
-	a := New("a", true)
+	a := New("a", 1, true)
 	now := ident.Moment(1e9)
 	a.TakeCore(&wire.Core{Version: 1, Seats: seatsOf(3)}, nil, 0, now)
 	a.TakeCore(&wire.Core{Version: 2, Seats: seatsOf(4)}, nil, 0, now)
--- a/relay/courier.go
+++ b/relay/courier.go
@@ -25,26 +25,27 @@
 	ResendEvery time.Duration
 	posts       map[uint64]*post
 	order       []uint64
-	token       uint64
+	tokens      ident.Tokens
 	out         []wire.Send
 	hint        string
 }
 
 type Expired struct{ Tag any }
 
-func NewCourier(seed uint64) *Courier {
-	return &Courier{ResendEvery: 100 * time.Millisecond, posts: map[uint64]*post{}, token: seed}
+// NewCourier makes the courier of one life of a process.
+func NewCourier(life ident.Incarnation) *Courier {
+	return &Courier{ResendEvery: 100 * time.Millisecond, posts: map[uint64]*post{}, tokens: ident.NewTokens(life)}
 }
 
 func (c *Courier) Len() int { return len(c.posts) }
 
 func (c *Courier) Post(ch *wire.Change, until ident.Moment, tag any, heads []string, now ident.Moment) uint64 {
-	c.token++
+	token := c.tokens.Next()
 	p := &post{change: ch, until: until, tag: tag}
-	c.posts[c.token] = p
-	c.order = append(c.order, c.token)
-	c.push(c.token, p, heads, now)
-	return c.token
+	c.posts[token] = p
+	c.order = append(c.order, token)
+	c.push(token, p, heads, now)
+	return token
 }
 
 func (c *Courier) Hint(addr string) {
--- a/relay/courier_test.go
+++ b/relay/courier_test.go
@@ -17,7 +17,7 @@
 	heads := []string{"a:1", "b:1", "c:1"}
 	names := map[string]string{"a:1": "b:1", "b:1": "a:1"}
 	for first := range heads {
-		c, now := NewCourier(uint64(first)), ident.Moment(1e12)
+		c, now := NewCourier(ident.Incarnation(first)), ident.Moment(1e12)
 		c.Hint("a:1")
 		token := c.Post(&wire.Change{}, now.Add(5*time.Second), "tag", heads, now)
 		sent, taken := 0, false
--- a/relay/fallback_test.go
+++ b/relay/fallback_test.go
@@ -32,7 +32,7 @@
 }
 
 func newFollower() *follower {
-	s := New("n3", false)
+	s := New("n3", 1, false)
 	s.Terms(3*time.Second, 20*time.Second)
 	ring := []*wire.Card{{Id: "n1", Cell: "x", Role: 1, Addr: parent}, {Id: "n2", Cell: "x", Role: 1, Addr: "n:2"}, {Id: "n3", Cell: "x", Role: 1, Addr: "n:3"}}
 	f := &follower{State: s, now: ident.Moment(1e12), ring: ring, answers: map[string]bool{}}
--- a/relay/lease_test.go
+++ b/relay/lease_test.go
@@ -15,7 +15,7 @@
 }
 
 func TestAWordThatRevokesTheOwnSeatIsNewsButNoLease(t *testing.T) {
-	s := New("n", false)
+	s := New("n", 1, false)
 	s.Life = 7
 	s.Terms(3*time.Second, 3*time.Second)
 	at := func(n int) ident.Moment { return ident.Moment(1e12).Add(time.Duration(n) * time.Second) }
@@ -40,7 +40,7 @@
 }
 
 func TestTheFirstWordMayBeOneThatRevokes(t *testing.T) {
-	s := New("n", false)
+	s := New("n", 1, false)
 	s.Life = 7
 	require.True(t, s.TakeCore(word(3, &wire.Revoked{Member: "n", Incarnation: 7, Version: 3}), nil, 0, ident.Moment(1e12)))
 	require.False(t, s.CoreFresh(ident.Moment(1e12)))
--- a/relay/sources_test.go
+++ b/relay/sources_test.go
@@ -116,5 +116,5 @@
 	f.Cells["y"] = cell.NewCopy("y")
 	n := f.Answer(&wire.Ask{Token: 9, Sounding: true, Only: true}, f.now.Add(time.Second))
 	require.Equal(t, freshnessOf(time.Second, 2, 1, time.Second).String(), n.Freshness.String(), "cell y isn't known")
-	require.Nil(t, New("n", false).Answer(&wire.Ask{Sounding: true}, f.now).Freshness)
+	require.Nil(t, New("n", 1, false).Answer(&wire.Ask{Sounding: true}, f.now).Freshness)
 }
--- a/relay/start.go
+++ b/relay/start.go
@@ -66,14 +66,14 @@
 }
 
 func (s *State) askDirectly(to string, now ident.Moment) {
-	s.AskTo(to, "", now)
-	a := s.asks[s.token]
+	token := s.AskTo(to, "", now)
+	a := s.asks[token]
 	a.direct = true
-	s.asks[s.token] = a
+	s.asks[token] = a
 }
 
 func (s *State) sound(to string, now ident.Moment) {
-	s.token++
-	s.asks[s.token] = ask{at: now, to: to, only: true, sounding: true}
-	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: &wire.Ask{Token: s.token, Only: true, Sounding: true}}}})
+	token := s.tokens.Next()
+	s.asks[token] = ask{at: now, to: to, only: true, sounding: true}
+	s.out = append(s.out, wire.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Ask{Ask: &wire.Ask{Token: token, Only: true, Sounding: true}}}})
 }
--- a/relay/start_test.go
+++ b/relay/start_test.go
@@ -31,7 +31,7 @@
 }
 
 func newOpening() *opening {
-	s := New("n", false)
+	s := New("n", 1, false)
 	s.Eager = true
 	return &opening{s, ident.Moment(1e12), map[string]*wire.Ask{}}
 }
@@ -41,7 +41,7 @@
 	sounds, wholes := o.step()
 	require.Equal(t, []string{"a:1", "b:1", "c:1"}, sounds)
 	require.Empty(t, wholes)
-	other := New("b", true)
+	other := New("b", 1, true)
 	require.NotNil(t, o.News(other.Answer(o.asks["a:1"], o.now), "a:1", o.now))
 	other.TakeCore(&wire.Core{Version: 4, Seats: seatsOf(92), Holds: []*wire.Hold{{Cell: "x", Addr: "h:1"}}}, []byte("doc"), 0, o.now)
 	n := other.Answer(o.asks["b:1"], o.now)
--- a/relay/state.go
+++ b/relay/state.go
@@ -80,7 +80,7 @@
 	changed  map[string]uint64
 	told     map[string]*told
 	asks     map[uint64]ask
-	token    uint64
+	tokens   ident.Tokens
 	took     time.Duration
 	askAt    ident.Moment
 	turn     int
@@ -93,10 +93,13 @@
 	wokeAt   ident.Moment
 	rev      uint64
 	out      []wire.Send
+
+	// StrayAnswers counts news for no ask under way, or from another than was asked.
+	StrayAnswers uint64
 }
 
-func New(self ident.Member, control bool) *State {
-	return &State{Self: self, Control: control, LeaseFor: CoreLease, Stale: CoreLease, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, directAt: map[string]ident.Moment{}, took: FirstTook}
+func New(self ident.Member, life ident.Incarnation, control bool) *State {
+	return &State{Self: self, Life: life, Control: control, LeaseFor: CoreLease, Stale: CoreLease, Cells: map[ident.Cell]*cell.Copy{}, confirms: map[string]*wire.Confirm{}, changed: map[string]uint64{}, told: map[string]*told{}, asks: map[uint64]ask{}, tokens: ident.NewTokens(life), directAt: map[string]ident.Moment{}, took: FirstTook}
 }
 
 func (s *State) Revision() uint64 {
--- a/relay/state_test.go
+++ b/relay/state_test.go
@@ -55,7 +55,7 @@
 }
 
 func TestAnAskTellsOnlyWhatTheOtherHasNotHeard(t *testing.T) {
-	a, b := New("a", false), New("b", false)
+	a, b := New("a", 1, false), New("b", 1, false)
 	now := ident.Moment(1e9)
 	round := func(lost bool) []string {
 		now = now.Add(AskEvery)
@@ -82,7 +82,7 @@
 	require.Equal(t, []string{"c"}, round(true))
 	require.Equal(t, []string{"c"}, round(false))
 	require.EqualValues(t, 4, b.ConfirmOf("c").Staged)
-	b = New("b", false)
+	b = New("b", 1, false)
 	require.Empty(t, round(false))
 	require.Equal(t, []string{"a", "c"}, round(false), "the other began anew")
 	n := 0
@@ -97,7 +97,7 @@
 }
 
 func TestANewLifeAtAnAddressIsToldAllAgainHoweverMuchItHasFromOthers(t *testing.T) {
-	a, now := New("a", false), ident.Moment(1e9)
+	a, now := New("a", 1, false), ident.Moment(1e9)
 	a.Confirm(&wire.Confirm{Member: "a", Incarnation: 1, Staged: 4})
 	round := func(life uint64) int {
 		now = now.Add(AskEvery)
@@ -116,7 +116,7 @@
 
 func TestAControlProcessAsksEachForWhatItHolds(t *testing.T) {
 	now := ident.Moment(1e9)
-	s, other := New("h0", true), New("h1", true)
+	s, other := New("h0", 1, true), New("h1", 1, true)
 	ring := []*wire.Card{{Id: "h0", Addr: "h0:1"}, {Id: "h1", Addr: "h1:1"}, {Id: "h2", Addr: "h2:1"}}
 	asked := func() map[string][]string {
 		now = now.Add(AskEvery)
@@ -164,7 +164,7 @@
 
 func TestAnAskIsWaitedForAndItsSlowAnswerStillCounts(t *testing.T) {
 	now := ident.Moment(1e9)
-	s := New("n", false)
+	s := New("n", 1, false)
 	asked := func() (out []*wire.Ask) {
 		for _, m := range s.Flush() {
 			out = append(out, m.Frame.GetAsk())
--- /dev/null
+++ b/relay/tokens_test.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/ident"
+	"sloeturn/ledger"
+	"sloeturn/wire"
+)
+
+// Guards against a restarted process that takes old news, an answer to an ask of its earlier life that
+// was held back on its way, for as fresh as its own ask, and serves on an older configuration by it.
+func TestNewsForAnEarlierLifeDoesNotRenewTheLease(t *testing.T) {
+	asked := ident.Moment(1e12)
+	other := New("b", 5, true)
+	other.TakeCore(&wire.Core{Version: 1}, nil, 0, asked)
+	before := New("a", 3, false)
+	before.AskTo("b:1", "", asked)
+	late := other.Answer(before.Flush()[0].Frame.GetAsk(), asked)
+
+	restarted := asked.Add(4 * time.Second)
+	after := New("a", 99, false)
+	after.AskTo("b:1", "", restarted)
+	own := after.Flush()[0].Frame.GetAsk()
+	require.Nil(t, after.News(late, "b:1", restarted))
+	require.False(t, after.CoreKnown)
+	require.False(t, after.InTouch(restarted))
+	require.EqualValues(t, 1, after.StrayAnswers)
+
+	require.NotNil(t, after.News(other.Answer(own, restarted), "b:1", restarted))
+	require.True(t, after.CoreKnown)
+	require.Equal(t, asked.Add(CoreLease), after.LeaseEnd(), "the news is as old as the other says")
+}
+
+// Guards against a sounding of an earlier life whose answer tells how fresh the other was then.
+func TestASoundingOfAnEarlierLifeTellsNothing(t *testing.T) {
+	asked := ident.Moment(1e12)
+	before, after := New("a", 3, false), New("a", 99, false)
+	before.sound("b:1", asked)
+	after.sound("b:1", asked.Add(time.Second))
+	late := &wire.News{Token: before.Flush()[0].Frame.GetAsk().Token, Newest: 4, Freshness: &wire.Freshness{}}
+	require.Nil(t, after.News(late, "b:1", asked.Add(time.Second)))
+	require.Nil(t, after.sourceAt("b:1"))
+}
+
+// Guards against a change whose outcome a restarted process takes from an answer to its earlier life.
+func TestAnAnswerToAnEarlierLifeEndsNoChange(t *testing.T) {
+	now := ident.Moment(1e12)
+	before, after := NewCourier(3), NewCourier(99)
+	late := before.Post(&wire.Change{}, now.Add(time.Second), "before", []string{"a:1"}, now)
+	own := after.Post(&wire.Change{}, now.Add(time.Second), "after", []string{"a:1"}, now)
+	_, taken := after.Reply(&wire.ProposeReply{Token: late, Code: uint32(ledger.Done)}, now)
+	require.False(t, taken)
+	tag, taken := after.Reply(&wire.ProposeReply{Token: own, Code: uint32(ledger.Done)}, now)
+	require.True(t, taken)
+	require.Equal(t, "after", tag)
+}
