agreement: a blank founder starts from the founding roster, or votes blank

What operators would see: an acknowledged change lost to a half of the fleet, two leaders that commit different entries at one index. Found by the model.

Cause: a request for a vote bore the newest roster of the candidate's log, committed or not, and a founder that was still blank made it its roster at index 1. If the entry was overwritten the founder kept a base that was never committed; as leader it changed one voter of it, which is two of the committed one. TestModelHoldsAtRandom shows that a spare member takes such a base too.

A term kept while blank stays when it starts.

New invariant of the model: bases at one index have one roster. New worlds begin with a late founder, or with one that was asked for its vote.

--- a/agreement/election.go
+++ b/agreement/election.go
@@ -38,7 +38,7 @@
 		if v.Id == string(s.Self.Voter) {
 			continue
 		}
-		f := &wire.Frame{Body: &wire.Frame_Vote{Vote: &wire.Vote{Term: term, Candidate: string(s.Self.Voter), CandidateAddr: string(s.Self.Addr), LastIndex: s.last(), LastTerm: s.lastTerm(), Pre: pre, Handoff: hand, Target: v.Id, Roster: s.Roster()}}}
+		f := &wire.Frame{Body: &wire.Frame_Vote{Vote: &wire.Vote{Term: term, Candidate: string(s.Self.Voter), CandidateAddr: string(s.Self.Addr), LastIndex: s.last(), LastTerm: s.lastTerm(), Pre: pre, Handoff: hand, Target: v.Id, Roster: s.foundingRoster()}}}
 		if pre {
 			s.send(v.Addr, f)
 		} else {
@@ -48,14 +48,14 @@
 	s.tally(now)
 }
 
+// Vote answers a request for a vote. A blank voter starts from the founding roster, if the request
+// bears it. Without it, where the candidate has compacted, it votes all the same, as one with an empty
+// log, stays blank, and takes its first state from the leader's snapshot.
 func (s *State) Vote(v *wire.Vote, now ident.Moment) {
 	if v.Target != string(s.Self.Voter) {
 		return
 	}
-	if s.role == Blank {
-		if find(v.Roster, v.Target) == nil || find(v.Roster, v.Target).Learner {
-			return
-		}
+	if s.role == Blank && votes(v.Roster, v.Target) {
 		s.bootstrap(v.Roster, now)
 	}
 	fresh := s.role == Leader || now.Sub(s.heardLead) < ElectLeast
@@ -145,7 +145,9 @@
 func (s *State) toTerm(t uint64, now ident.Moment) {
 	s.term, s.voted, s.leader, s.leaderAddr, s.released = t, "", "", "", 0
 	s.saveHardState()
-	s.becomeFollower(now)
+	if s.role != Blank {
+		s.becomeFollower(now)
+	}
 }
 
 func (s *State) enter(r Role) {
--- a/agreement/found.go
+++ b/agreement/found.go
@@ -55,6 +55,9 @@
 	s.foundByMajority(now)
 }
 
+// foundingIndex is the index of the snapshot that a fleet is founded with.
+const foundingIndex = 1
+
 func foundingFrame(f *wire.Founding) *wire.Frame {
 	return &wire.Frame{Body: &wire.Frame_Founding{Founding: f}}
 }
@@ -123,6 +126,16 @@
 	}
 }
 
+// foundingRoster is the roster that the fleet was founded with, as long as this member's snapshot is still
+// that of the founding; nil after. It is the only roster that a blank founder may start from: a later
+// one may stand in this log alone and never be committed.
+func (s *State) foundingRoster() *wire.Roster {
+	if s.snapshot == nil || s.snapshot.LastIndex != foundingIndex {
+		return nil
+	}
+	return s.snapshot.Roster
+}
+
 func (s *State) mine(answer bool) *wire.Founding {
 	f := &wire.Founding{Voter: string(s.Self.Voter), Member: string(s.Self.Member), Addr: string(s.Self.Addr), Blank: s.role == Blank, Answer: answer, Term: s.term, First: s.FreshFleet}
 	if s.role == Blank {
--- a/agreement/model_guard_test.go
+++ b/agreement/model_guard_test.go
@@ -32,6 +32,8 @@
 	{"an acknowledgement counts in its term alone", weak{ackTerm: true}},
 	{"a follower commits what the leader confirmed alone", weak{commitAhead: true}},
 	{"a wiped disk is another voter", weak{sameId: true}},
+	{"a blank founder starts from the founding roster alone", weak{logRoster: true}},
+	{"a blank founder starts from the founding roster alone, told by what comes of it", weak{logRoster: true, blind: true}},
 }
 
 // figure8 is the way of figure 8 of the Raft paper, with three voters: the entry of term 2 stands at two of them, and yet is not safe.
@@ -45,10 +47,10 @@
 	require.Contains(t, w.run(figure8), "without entry 2 of term 2")
 }
 
-func someMoves(r *rand.Rand, n int) []move {
+func someMoves(kinds []kind, r *rand.Rand, n int) []move {
 	var out []move
 	for i := 0; i < n; i++ {
-		out = append(out, move{dealt[r.Intn(len(dealt))], r.Intn(256), r.Intn(256)})
+		out = append(out, move{kinds[r.Intn(len(kinds))], r.Intn(256), r.Intn(256)})
 	}
 	return out
 }
@@ -60,8 +62,11 @@
 			steps := 0
 			for seed := int64(1); steps < guardSteps; seed++ {
 				n := []int{3, 5, 4, 2}[seed%4]
-				w := newWorld(n, true, int(seed/4)%3, g.out)
-				bad := w.run(someMoves(rand.New(rand.NewSource(seed)), 400))
+				w, kinds := newWorld(n, true, int(seed/4)%3, g.out), dealt
+				if g.out.logRoster {
+					w, kinds = newAskedWorld(int(seed/12), n, int(seed/4)%3, g.out), lateDealt
+				}
+				bad := w.run(someMoves(kinds, rand.New(rand.NewSource(seed)), 400))
 				steps += w.n
 				if bad != "" {
 					t.Logf("seen after %d worlds, %d steps, with %d members: %s", seed, steps, n, bad)
--- a/agreement/state.go
+++ b/agreement/state.go
@@ -254,9 +254,12 @@
 func New(self Self, founders []ident.Addr, got *Recovered, seed int64, now ident.Moment) *State {
 	s := &State{Self: self, Founders: founders, Want: 3, VoterReplace: VoterReplace, rand: rand.New(rand.NewSource(seed)), found: map[string]founderClaim{}, born: now, out: &Out{}, Doors: func() []ident.Addr { return nil }, Wall: func(ident.Moment) int64 { return 0 }}
 	s.asOf, s.heardLead = now, now
+	if got != nil {
+		s.term, s.voted = got.Term, got.Voted
+	}
 	if got != nil && got.Snapshot != nil {
 		s.role = Follower
-		s.term, s.voted, s.snapshot = got.Term, got.Voted, got.Snapshot
+		s.snapshot = got.Snapshot
 		if s.snapshot.LastTerm > s.term {
 			s.term = s.snapshot.LastTerm
 		}
@@ -351,9 +354,10 @@
 	s.record(&wire.Record{Body: &wire.Record_HardState{HardState: &wire.HardState{Term: s.term, Voted: s.voted}}})
 }
 
+// bootstrap starts from the founding roster. A term in which this voter has voted while blank stays.
 func (s *State) bootstrap(r *wire.Roster, now ident.Moment) {
-	s.adopt(&wire.Snapshot{LastIndex: 1, LastTerm: 1, Roster: r})
-	s.term = 1
+	s.adopt(&wire.Snapshot{LastIndex: foundingIndex, LastTerm: 1, Roster: r})
+	s.term = max(s.term, 1)
 	s.saveHardState()
 	s.enter(Follower)
 	s.setElect(now)
--- a/agreement/world_checks_test.go
+++ b/agreement/world_checks_test.go
@@ -90,9 +90,36 @@
 	if sum != o.sum {
 		w.fail(m, "the image at %d is not what was committed up to there", p.LastIndex)
 	}
+	if w.weak.blind {
+		return
+	}
 	if p.LastIndex > 1 && w.sum(p.Roster) != w.sum(o.roster) {
 		w.fail(m, "the roster of the snapshot at %d is not the committed one", p.LastIndex)
 	}
+	w.lookBase(m)
+}
+
+// base is the snapshot that a member's log stands on, or the one on the disk of a member that is down.
+func (m *seat) base() *wire.Snapshot {
+	if m.s != nil {
+		return m.s.snapshot
+	}
+	return m.disk.got.Snapshot
+}
+
+// lookBase sees that members whose bases are of one index have one roster in them, from the founding on.
+func (w *world) lookBase(m *seat) {
+	p := m.s.snapshot
+	if m.based == p {
+		return
+	}
+	m.based = p
+	for _, o := range w.seats {
+		q := o.base()
+		if q != nil && q.LastIndex == p.LastIndex && w.sum(q.Roster) != w.sum(p.Roster) {
+			w.fail(m, "its roster at %d is not that of %s", p.LastIndex, o.id())
+		}
+	}
 }
 
 func (w *world) lookLog(m *seat) {
--- a/agreement/world_test.go
+++ b/agreement/world_test.go
@@ -57,14 +57,17 @@
 
 var often = map[kind]int{deliver: 30, again: 10, pump: 14, lose: 3, tick: 12, timeout: 6, sync: 14, kill: 5, start: 3, wipe: 1, cutOff: 3, heal: 3, propose: 8, compact: 4, resign: 1, refuse: 1, spare: 1, leave: 1, regroup: 3, wallStep: 1, calm: 3, elect: 10, talk: 12}
 
-var dealt = func() (out []kind) {
+// dealt has each kind of move as many times as it is to come.
+var dealt = deal(often)
+
+func deal(often map[kind]int) (out []kind) {
 	for k := kind(0); k < kinds; k++ {
 		for i := 0; i < often[k]; i++ {
 			out = append(out, k)
 		}
 	}
 	return
-}()
+}
 
 // weak names the guards that a world takes out.
 type weak struct {
@@ -77,6 +80,7 @@
 	votedLost, termLost                    bool
 	anyTarget, sameId, halfVotes           bool
 	commitAhead, snapshotOverLonger        bool
+	logRoster                              bool
 	blind                                  bool
 }
 
@@ -115,6 +119,7 @@
 	top           uint64
 	led           uint64
 	steps         map[ident.Moment]int
+	based         *wire.Snapshot // the base that was last compared with the others'
 }
 
 func addrOf(i int) string  { return fmt.Sprint("a", i) }
@@ -167,6 +172,16 @@
 
 // newWorld gives n members that found (or have founded) a fleet, and two blank ones behind them.
 func newWorld(n int, founded bool, batch int, w weak) *world {
+	return newWorldWithout(-1, n, founded, batch, w)
+}
+
+// newLateWorld gives n founders of which all but one have founded the fleet: the late one has agreed to
+// the founding roster and is still blank.
+func newLateWorld(late, n, batch int, w weak) *world {
+	return newWorldWithout(late%n, n, true, batch, w)
+}
+
+func newWorldWithout(late, n int, founded bool, batch int, w weak) *world {
 	out := &world{size: n, founded: founded, batch: batch, weak: w, cut: map[[2]int]bool{}, known: map[spot][2]uint64{}, leaders: map[uint64]string{}, elected: map[uint64]int{}, votes: map[ballot]int{}, wiped: map[string]bool{}, sums: map[any]uint64{}, count: map[string]int{}}
 	r := &wire.Roster{}
 	for i := 0; i < n+2; i++ {
@@ -176,7 +191,7 @@
 		}
 	}
 	for i := 0; i < n; i++ {
-		if founded {
+		if founded && i != late {
 			out.seats[i].disk.got = Recovered{Term: 1, Snapshot: &wire.Snapshot{LastIndex: 1, LastTerm: 1, Roster: r}}
 		}
 		out.boot(out.seats[i], int64(i))
@@ -308,6 +323,9 @@
 	}
 	switch b := x.Frame.Body.(type) {
 	case *wire.Frame_Vote:
+		if w.weak.logRoster {
+			b.Vote.Roster = m.s.Roster()
+		}
 		if !b.Vote.Pre {
 			cast(b.Vote.Candidate, b.Vote.Term, m.at)
 		}
