agreement: a removed leader reads nothing beside another sole voter

What operators would see: a leader that was removed, with one voter left that is another, answers reads of the configuration as of now though that voter leads a later term.

Cause, by its trace: v0 of two appends the removal of v1 and is killed before its disk has it; v1 had the entry and leads term 3 by it, with v0 as the only voter. v0 takes the entry, needs no vote but its own and leads term 4. Flush took any roster of one voter for this member's own majority and moved v1's moment of reads to now, without a contact.

Change: that holds only if the one voter is this member.

--- a/agreement/roster.go
+++ b/agreement/roster.go
@@ -59,6 +59,10 @@
 
 func (s *State) voting() bool { return votes(s.Roster(), string(s.Self.Voter)) }
 
+// votesAlone says that this member is the only voter, whose word needs nobody else's. A leader that was
+// removed may lead on beside a single voter that is another.
+func (s *State) votesAlone() bool { return s.voting() && len(Voters(s.Roster())) == 1 }
+
 func votes(r *wire.Roster, id string) bool {
 	v := find(r, id)
 	return v != nil && !v.Learner
--- a/agreement/state.go
+++ b/agreement/state.go
@@ -502,7 +502,7 @@
 
 func (s *State) Flush(now ident.Moment) *Out {
 	if s.role == Leader {
-		if len(Voters(s.Roster())) == 1 {
+		if s.votesAlone() {
 			s.asOf = now
 		}
 		for _, id := range ident.Keys(s.progress) {
