data: a request is open until its answer is written

Cause: the reducer counted a request as ended when its answer was handed to the client's goroutine. With none open it signed off 2.5 s after SIGTERM, and the servers got a fixed 2 s more.

Change: a delivered answer is open until the executor tells that its last byte was written, flushed, or that the client has gone (event Written). The planned stop waits for it; its bound is the drain time, as before.

--- a/data/events.go
+++ b/data/events.go
@@ -54,6 +54,8 @@
 	}
 	// ClientLeft tells that a client closed its connection before it was answered.
 	ClientLeft struct{ Request ident.RequestID }
+	// Written tells that a delivered answer was written to its end, or that its client has gone.
+	Written struct{ Request ident.RequestID }
 	// GuardMade, GuardSound and GuardLost tell of the probe's connection to a backend.
 	GuardMade struct {
 		Addr  ident.Addr
--- a/data/front_test.go
+++ b/data/front_test.go
@@ -27,7 +27,7 @@
 )
 
 const frontDoc = `{"fleet":{"nodes":1},"services":{"s":{"maxConnections":40,"named":true,"furtherShots":100},"u":{"maxConnections":40,"named":true}},"tenants":{"t":{}},
-"lanes":{"s":{"tenant":"t","service":"s","slots":4,"waiters":4,"answerBytes":4096,"bodyBytes":4096},"u":{"tenant":"t","service":"u","slots":4,"waiters":4}},
+"lanes":{"s":{"tenant":"t","service":"s","slots":4,"waiters":4,"answerBytes":4096,"bodyBytes":4096},"u":{"tenant":"t","service":"u","slots":4,"waiters":4,"answerBytes":33554432}},
 "routes":{"a":{"host":"h.example","prefix":"/a/","wholeMs":900,"shots":3,"lanes":{"s":1}},
 "ab":{"host":"h.example","prefix":"/a/b/","wholeMs":900,"shots":3,"lanes":{"u":1}},
 "r":{"host":"h.example","prefix":"/r/","repeatable":true,"wholeMs":900,"shots":3,"lanes":{"s":1}},
--- a/data/http.go
+++ b/data/http.go
@@ -252,7 +252,11 @@
 	defer func() {
 		n.lock.Lock()
 		k.end = ident.Now()
+		delivered := k.delivered
 		n.lock.Unlock()
+		for _, d := range delivered {
+			n.Put(Written{d})
+		}
 		n.forget(id)
 		n.forget(k.hedge)
 	}()
@@ -321,6 +325,7 @@
 	}
 	w.WriteHeader(a.resp.StatusCode)
 	w.Write(a.body)
+	http.NewResponseController(w).Flush()
 }
 
 // build makes the request for a backend, which is told how long it has until answerBy.
--- a/data/node.go
+++ b/data/node.go
@@ -65,6 +65,9 @@
 	// Both are guarded by Node.lock.
 	started  bool
 	canceled bool
+	// delivered are the requests whose answer this client's goroutine was given to write. Guarded by
+	// Node.lock.
+	delivered []ident.RequestID
 }
 
 // The fate of a request: whether it may still be refused as not run.
@@ -217,13 +220,33 @@
 	}
 }
 
+// deliver gives an answer to its client's goroutine, which tells once it is written; if the client
+// has gone, that is told here.
 func (n *Node) deliver(e forward.Deliver) {
+	if !n.expectWritten(e.Request) {
+		go n.Put(Written{e.Request})
+	}
 	if c := n.find(e.Request); c != nil {
 		got := c.answers[e.Attempt]
 		n.answer(e.Request, answer{Answer: forward.Answer{Request: e.Request, Ran: forward.RanYes}, resp: got.resp, body: got.body})
 	}
 }
 
+// expectWritten notes that a client's goroutine is to write an answer; false if it has ended.
+func (n *Node) expectWritten(id ident.RequestID) bool {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	k := n.calls[id]
+	if k == nil || k.over() {
+		return false
+	}
+	if k.primary != nil {
+		k = k.primary
+	}
+	k.delivered = append(k.delivered, id)
+	return true
+}
+
 func (n *Node) dial(e forward.Dial) {
 	var c *conn
 	if e.Reuse {
--- a/data/state.go
+++ b/data/state.go
@@ -57,15 +57,16 @@
 	Relay   *relay.State
 	Mail    *relay.Courier
 
-	seat     *wire.Seat
-	asking   bool
-	seatAt   ident.Moment
-	bars     map[ident.Addr]bar
-	strikes  map[ident.Addr]strike
-	guards   map[ident.Addr]*guard
-	lives    map[ident.Addr]string
-	forwards map[uint64]forwarded
-	tokens   ident.Tokens
+	seat      *wire.Seat
+	asking    bool
+	seatAt    ident.Moment
+	bars      map[ident.Addr]bar
+	strikes   map[ident.Addr]strike
+	guards    map[ident.Addr]*guard
+	lives     map[ident.Addr]string
+	forwards  map[uint64]forwarded
+	unwritten map[ident.RequestID]bool // delivered answers that are still being written
+	tokens    ident.Tokens
 	// StrayAnswers counts answers to no request under way, or from a process that was not asked.
 	StrayAnswers uint64
 	rev          uint64
@@ -96,7 +97,7 @@
 }
 
 func New(b Boot, now ident.Moment) *State {
-	s := &State{Boot: b, bars: map[ident.Addr]bar{}, strikes: map[ident.Addr]strike{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, forwards: map[uint64]forwarded{}, tokens: ident.NewTokens(b.Incarnation), wanted: map[ident.Service]float64{}, oldNews: map[ident.Cell]time.Duration{}, born: now}
+	s := &State{Boot: b, bars: map[ident.Addr]bar{}, strikes: map[ident.Addr]strike{}, guards: map[ident.Addr]*guard{}, lives: map[ident.Addr]string{}, forwards: map[uint64]forwarded{}, unwritten: map[ident.RequestID]bool{}, tokens: ident.NewTokens(b.Incarnation), wanted: map[ident.Service]float64{}, oldNews: map[ident.Cell]time.Duration{}, born: now}
 	s.Pass = pass.New()
 	s.Pass.Salt = string(b.Member)
 	s.State = forward.New(s.Pass, s.gate)
@@ -110,6 +111,10 @@
 
 func (s *State) heads() []string { return s.Members.Heads() }
 
+// Open is how many requests have not ended: those under way, and those whose answer is still being
+// written to a client.
+func (s *State) Open() int { return s.State.Open() + len(s.unwritten) }
+
 func (s *State) Draining() bool { return s.draining }
 func (s *State) Seat() int {
 	if s.seat == nil {
@@ -144,6 +149,8 @@
 		s.IdleBroke(e.Key, e.Bar, now)
 	case ClientLeft:
 		s.ClientLeft(e.Request, now)
+	case Written:
+		delete(s.unwritten, e.Request)
 	case GuardMade:
 		if g := s.guards[e.Addr]; g != nil && g.life == e.Life && !g.ended {
 			if g.made, g.up = now, e.Named; g.up {
@@ -353,6 +360,9 @@
 			}
 			s.bar(e.Addr, e.Ask)
 			s.rev = 0
+		case forward.Deliver:
+			s.unwritten[e.Request] = true
+			s.out = append(s.out, e)
 		default:
 			s.out = append(s.out, e)
 		}
--- a/hollow/member.go
+++ b/hollow/member.go
@@ -255,6 +255,7 @@
 			m.wait(1, data.Freed{Key: m.trips[e.Request], Keep: false})
 			delete(m.trips, e.Request)
 		case forward.Deliver:
+			m.wait(1, data.Written{Request: e.Request})
 			m.w.served.Add(1)
 		case forward.Answer:
 			m.w.refused.Add(1)
--- a/simulate/node.go
+++ b/simulate/node.go
@@ -200,6 +200,7 @@
 		case forward.Answer:
 			n.answer(e)
 		case forward.Deliver:
+			n.later(0, func() { n.p.step(data.Written{Request: e.Request}) })
 			if t := n.trips[e.Request]; t != nil && t.done != nil {
 				d := t.done
 				t.done = nil
