daemon: each service address has memory of its own

Callers saw: 300 connections at a node's /metrics that read nothing, and its readiness answered with a reset each time (the field, 284 and 64 MB), so that the platform takes the node for gone.

Cause: readiness, metrics and the operators' address drew on one memory; whoever filled one of them kept the others' connections out. Class: callers of different kinds that share a claim.

Each address for monitoring now has a sixteenth of the clients' memory for itself, the operators' an eighth. TestEachServiceAddressHasMemoryOfItsOwn failed before (connection reset by peer) and holds. The crowds at /metrics of real processes did not show it on this machine, neither before nor now.

--- a/control/serve.go
+++ b/control/serve.go
@@ -48,7 +48,7 @@
 		Log: log, Name: set.Name, Build: boot.Build, Ended: n.Ended(), FlushLog: log.Flush,
 		HTTP: map[string]http.Handler{set.HTTP: n.Registry(), set.Operators: n.Operators()},
 		Listeners: map[string]daemon.ListenerOptions{
-			set.HTTP: limits.Clients(), set.Operators: limits.Service(), set.Metrics: limits.Service(),
+			set.HTTP: limits.Clients(), set.Operators: limits.Operators(), set.Metrics: limits.Monitoring(),
 		},
 		Reload: reload,
 	}
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -15,11 +15,13 @@
 	// so many.
 	clientDescriptorShare  = 2
 	serviceDescriptorShare = 16
-	// serviceMemoryShare is the part of the clients' memory that is set apart for the addresses of
-	// operators and monitoring: one in so many.
-	serviceMemoryShare = 8
-	// connectionMemoryShare is the part of the clients' memory that their connections alone may take: one
-	// in so many.
+	// operatorMemoryShare and monitoringMemoryShare are the parts of the clients' memory that are set apart
+	// for the operators' address, and for each address that monitoring asks: one in so many.
+	operatorMemoryShare   = 8
+	monitoringMemoryShare = 16
+	monitoringAddresses   = 2
+	// connectionMemoryShare is the part of the memory of an address, or of all clients, that connections
+	// alone may take: one in so many.
 	connectionMemoryShare = 2
 	// backlogMemoryShare is the part of the clients' memory that connections may take before they are
 	// accepted: one in so many.
@@ -36,30 +38,40 @@
 	backlog int
 	// clients are shared by all addresses that clients and backends call.
 	clients ClientLimits
-	// serviceMemory is shared by the addresses of operators and monitoring, so that they answer while
-	// clients take all they may.
-	serviceMemory *quota.Memory
+	// operatorMemory and monitoringMemory are the sizes in bytes of the memories of such addresses; 0 for no
+	// limit. Each address has its own, so that it answers while others are full.
+	operatorMemory   int64
+	monitoringMemory int64
 }
 
 // NewProcessLimits returns the limits that follow from the settings.
 func NewProcessLimits(settings *boot.Settings) *ProcessLimits {
 	l := &ProcessLimits{descriptors: descriptorLimit(settings.Descriptors), writeTimeout: settings.ClientWriteTimeout()}
 	connections := l.descriptors / clientDescriptorShare
-	if total := settings.ClientMemoryBytes(); total > 0 {
-		l.serviceMemory = quota.NewMemory(total / serviceMemoryShare)
-		clientMemory := total - total/serviceMemoryShare - total/backlogMemoryShare
-		l.backlog = int(min(max(minBacklog, total/backlogMemoryShare/initialWindowBytes), maxBacklog))
-		l.clients.Memory = quota.NewMemory(clientMemory)
-		connections = min(connections, int(clientMemory/connectionMemoryShare/connectionBytes))
-	}
 	if settings.ClientConnections > 0 {
 		connections = settings.ClientConnections
 	}
-	l.clients.Connections = quota.NewConnections(max(1, connections))
-	l.clients.WriteTimeout = l.writeTimeout
+	memory := int64(0)
+	if total := settings.ClientMemoryBytes(); total > 0 {
+		l.operatorMemory, l.monitoringMemory = total/operatorMemoryShare, total/monitoringMemoryShare
+		l.backlog = int(min(max(minBacklog, total/backlogMemoryShare/initialWindowBytes), maxBacklog))
+		memory = total - l.operatorMemory - monitoringAddresses*l.monitoringMemory - total/backlogMemoryShare
+	}
+	l.clients = l.limitsOf(memory, connections)
 	return l
 }
 
+// limitsOf returns the limits of a memory, 0 for one without a limit.
+func (l *ProcessLimits) limitsOf(memory int64, connections int) ClientLimits {
+	limits := ClientLimits{WriteTimeout: l.writeTimeout}
+	if memory > 0 {
+		connections = min(connections, int(memory/connectionMemoryShare/connectionBytes))
+		limits.Memory = quota.NewMemory(memory)
+	}
+	limits.Connections = quota.NewConnections(max(1, connections))
+	return limits
+}
+
 // descriptorLimit returns the smaller of the setting and the process's own limit; a setting of 0 is none.
 func descriptorLimit(setting int) int {
 	limit := math.MaxInt32
@@ -78,13 +90,14 @@
 	return ListenerOptions{ClientLimits: l.clients, Backlog: l.backlog}
 }
 
-// Service returns the options of a listener for operators or monitoring.
-func (l *ProcessLimits) Service() ListenerOptions {
-	return ListenerOptions{Backlog: l.backlog, ClientLimits: ClientLimits{
-		Memory:       l.serviceMemory,
-		Connections:  quota.NewConnections(max(1, l.descriptors/serviceDescriptorShare)),
-		WriteTimeout: l.writeTimeout,
-	}}
+// Operators returns the options of a listener for operators.
+func (l *ProcessLimits) Operators() ListenerOptions { return l.service(l.operatorMemory) }
+
+// Monitoring returns the options of a listener for monitoring: metrics, or readiness.
+func (l *ProcessLimits) Monitoring() ListenerOptions { return l.service(l.monitoringMemory) }
+
+func (l *ProcessLimits) service(memory int64) ListenerOptions {
+	return ListenerOptions{ClientLimits: l.limitsOf(memory, l.descriptors/serviceDescriptorShare), Backlog: l.backlog}
 }
 
 // ClientMemory returns the memory that all clients share.
--- /dev/null
+++ b/daemon/limits_test.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sloeturn/boot"
+)
+
+// smallSettings are those of a process with little memory.
+func smallSettings() *boot.Settings { return settingsOf(64, 500) }
+
+func settingsOf(memoryMB, descriptors int) *boot.Settings {
+	settings := &boot.Settings{MemoryMB: memoryMB}
+	settings.Descriptors = descriptors
+	return settings
+}
+
+// serveWith serves a handler at an address with the options of its listener.
+func serveWith(t *testing.T, options ListenerOptions, handler http.HandlerFunc) *httptest.Server {
+	server := httptest.NewUnstartedServer(handler)
+	server.Listener = LimitClients(server.Listener, options)
+	TrackClients(server.Config)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+// Guards against callers of one service address that take all memory of another.
+func TestEachServiceAddressHasMemoryOfItsOwn(t *testing.T) {
+	limits := NewProcessLimits(smallSettings())
+	answer := func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusNoContent) }
+	metrics := serveWith(t, limits.Monitoring(), answer)
+	others := []*httptest.Server{serveWith(t, limits.Monitoring(), answer), serveWith(t, limits.Operators(), answer), serveWith(t, limits.Clients(), answer)}
+	for range 300 {
+		c, err := net.Dial("tcp", metrics.Listener.Addr().String())
+		if err != nil {
+			continue
+		}
+		defer c.Close()
+		io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\nX: "+strings.Repeat("x", 3000))
+	}
+	for _, other := range others {
+		resp, err := http.Get(other.URL)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, http.StatusNoContent, resp.StatusCode)
+	}
+}
+
+// Guards against a sum of all parts above what clients may take.
+func TestThePartsOfTheClientsMemoryAddUp(t *testing.T) {
+	for _, memoryMB := range []int{16, 64, 284, 4096} {
+		settings := settingsOf(memoryMB, 3000)
+		limits := NewProcessLimits(settings)
+		sum := int64(limits.backlog) * initialWindowBytes
+		for _, options := range []ListenerOptions{limits.Clients(), limits.Operators(), limits.Monitoring(), limits.Monitoring()} {
+			sum += options.Memory.Usage().Limit
+		}
+		require.LessOrEqual(t, sum, settings.ClientMemoryBytes()+minBacklog*initialWindowBytes, "%d MB", memoryMB)
+	}
+}
--- a/data/serve.go
+++ b/data/serve.go
@@ -37,7 +37,7 @@
 		Log: log, Name: settings.Name, Build: boot.Build, Ended: n.Ended(), FlushLog: log.Flush,
 		HTTP: map[string]http.Handler{settings.HTTP: n.LaneHandler(), settings.Operators: n.OperatorHandler()},
 		Listeners: map[string]daemon.ListenerOptions{
-			settings.HTTP: limits.Clients(), settings.Operators: limits.Service(), settings.Metrics: limits.Service(),
+			settings.HTTP: limits.Clients(), settings.Operators: limits.Operators(), settings.Metrics: limits.Monitoring(),
 		},
 		Reload: reload,
 	}
@@ -45,7 +45,7 @@
 	app.MetricsAddr, app.Metrics = settings.Metrics, n.Metrics
 	for _, listener := range listeners {
 		app.HTTP[listener.Addr] = listener.Handler(n)
-		app.Listeners[listener.Addr] = limits.Service()
+		app.Listeners[listener.Addr] = limits.Monitoring()
 		if listener.ClientFacing {
 			options := limits.Clients()
 			options.ReadTimeouts, options.HeadBytes = n.readTimeouts, n.headBytes
