data: long bodies and answers pass through, and who holds them up gives way

Beside clients that ask for long answers and go, 0 to 9 of 30 ordinary requests were served: answers that nobody waited for were read and claimed whole, their slots held meanwhile, up to a second for memory.

Cause: a request and its answer were held whole before a byte went on, so that what one costs grew with its length, and so did what a crowd of them takes. Claims made refusals of that; they didn't make it cost less. Same class: a canceled attempt's answer; a refused body whose rest was left to a reset.

A long body is sent once only; an answer that nobody waits for is dropped, and its connection reset if a canceled one goes on for 256 KiB; what follows a refusal is dropped for up to 10 s. As slots are then held by whoever reads or sends slowly, such clients are cut off for requests that wait for a slot of their lane, and for new connections. A lane that states the longest body there is leaves it to the fleet's limits: no change of stored configurations.

--- a/admission/state.go
+++ b/admission/state.go
@@ -617,3 +617,11 @@
 	pool.Busy--
 	s.closeExcessIdle(key, pool)
 }
+
+// Waiting returns the number of queued requests of a lane.
+func (s *State) Waiting(lane ident.Lane) int {
+	if state := s.lanes[lane]; state != nil {
+		return state.queue.Len()
+	}
+	return 0
+}
--- a/daemon/buffers.go
+++ b/daemon/buffers.go
@@ -28,7 +28,7 @@
 		return func() {}
 	}
 	size, charge := RaisedBuffer(bytes, receiveBufferBytes)
-	if charge == 0 || !c.ownClaim.Grow(charge, 0) {
+	if charge == 0 || !c.ownClaim.GrowSpare(charge) {
 		return func() {}
 	}
 	SetBuffers(c.Conn, size, 0)
@@ -51,7 +51,7 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	size, charge := RaisedBuffer(bytes, sendBufferBytes)
-	if charge -= c.raisedSend; charge <= 0 || !c.ownClaim.Grow(charge, 0) {
+	if charge -= c.raisedSend; charge <= 0 || !c.ownClaim.GrowSpare(charge) {
 		return
 	}
 	c.raisedSend += charge
--- a/daemon/connection.go
+++ b/daemon/connection.go
@@ -402,6 +402,14 @@
 	return c.options.Memory.NewClaim()
 }
 
+// SetSlow records whether a request's client holds up the sending of its body or the reading of its answer,
+// so that its connection may be closed for another one.
+func SetSlow(r *http.Request, slow bool) {
+	if c := connectionOf(r); c != nil {
+		c.slot.SetSlow(slow)
+	}
+}
+
 // ResetClient closes the connection of a request's client at once. It does not block.
 func ResetClient(r *http.Request) {
 	if c := connectionOf(r); c != nil {
--- a/daemon/connection_test.go
+++ b/daemon/connection_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -243,3 +244,36 @@
 	})
 	require.Positive(t, limits.Memory.Usage().Revoked)
 }
+
+// Guards against a connection that is closed as idle while a pipelined request is served on it: net/http
+// reports no activity for a request that it has read ahead.
+func TestAPipelinedRequestIsNoIdleConnection(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	server, limits := limitedServer(t, 8<<20, 1, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/second" {
+			close(started)
+			<-finish
+		}
+	})
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	io.WriteString(c, "GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-started
+	other, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer other.Close()
+	eventually(t, "another connection is not judged", func() bool {
+		usage := limits.Connections.Usage()
+		return usage.Refused+usage.ClosedIdle > 0
+	})
+	require.Zero(t, limits.Connections.Usage().ClosedIdle)
+	close(finish)
+	answers := bufio.NewReader(c)
+	for range 2 {
+		resp, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		resp.Body.Close()
+	}
+}
--- a/daemon/limits_test.go
+++ b/daemon/limits_test.go
@@ -1,12 +1,14 @@
 package daemon
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -84,3 +86,25 @@
 		require.LessOrEqual(t, sum, settings.ClientMemoryBytes()+minBacklog*initialWindowBytes, "%d MB", memoryMB)
 	}
 }
+
+// Guards against a client that sends all of a long body before it reads, and never sees the refusal.
+func TestARefusalBeforeTheBodyWasReadIsHeard(t *testing.T) {
+	const length = 8 << 20
+	server, limits := limitedServer(t, 8<<20, 4, func(w http.ResponseWriter, r *http.Request) {
+		PrepareEarlyAnswer(w)
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		DrainBody(w, r)
+	})
+	before := BodiesDrained.Load()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", length))
+	require.NoError(t, err)
+	answer, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.True(t, strings.HasPrefix(string(answer), "HTTP/1.1 413 "), string(answer))
+	require.Equal(t, before+1, BodiesDrained.Load())
+	require.Less(t, limits.Memory.Usage().Peak, int64(1<<20))
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -31,6 +31,7 @@
 		{"client_memory_refused_total", memory.Refused}, {"client_memory_revoked_total", memory.Revoked},
 		{"client_connections_limit", connections.Limit}, {"client_connections", connections.Open}, {"client_connections_peak", connections.Peak},
 		{"client_connections_refused_total", connections.Refused}, {"client_connections_closed_idle_total", connections.ClosedIdle},
+		{"client_connections_closed_slow_total", connections.ClosedSlow}, {"client_bodies_drained_total", BodiesDrained.Load()},
 		{"client_write_stalls_total", WriteStalls.Load()},
 	} {
 		fmt.Fprintf(w, "sloeturn_%s %v\n", metric.name, metric.value)
--- a/data/cancel.go
+++ b/data/cancel.go
@@ -20,7 +20,7 @@
 	if pending == nil {
 		return
 	}
-	pending.canceled = true
+	pending.canceled.Store(true)
 	if pending.conn == nil || !pending.started {
 		return
 	}
@@ -60,6 +60,7 @@
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	if pending := n.calls[id]; pending != nil && pending.conn != nil {
+		pending.reclaimed = true
 		pending.conn.SetDeadline(time.Unix(1, 0))
 	}
 }
--- a/data/events.go
+++ b/data/events.go
@@ -14,7 +14,7 @@
 	FrameReceived struct{ Frame *wire.Frame }
 	// Tick is the event loop's periodic event.
 	Tick struct{}
-	// RequestArrived is a request whose body has been read.
+	// RequestArrived is a request whose body, or the beginning of a long one, has been read.
 	RequestArrived struct{ forward.Arrival }
 	// Connected reports that an attempt has a connection, ConnectFailed that it got none; with Eject
 	// because the backend refused it.
@@ -41,6 +41,22 @@
 		Ending  forward.Ending
 		Status  int
 	}
+	// AnswerBegun reports that the beginning of a long answer was read and checked.
+	AnswerBegun struct {
+		Request ident.RequestID
+		Attempt int
+		Status  int
+	}
+	// BodySent reports that a long body was passed on whole.
+	BodySent struct {
+		Request ident.RequestID
+		Attempt int
+	}
+	// TransferSlow reports whether a client holds up the transfer of its body or of its answer.
+	TransferSlow struct {
+		Request ident.RequestID
+		Slow    bool
+	}
 	// ConnectionFreed reports that an attempt's connection was closed, or with Keep that it is idle and can
 	// be reused. Eject: the backend is to be ejected.
 	ConnectionFreed struct {
--- a/data/exchange.go
+++ b/data/exchange.go
@@ -57,6 +57,10 @@
 		n.finishAttempt(pending, connection, false, true, AttemptEnded{order.Request, order.Attempt, forward.Broken, 0})
 		return
 	}
+	sender := n.startSender(pending, connection, order, err)
+	pending.passOn = func(resp *http.Response, first payload, rest io.Reader) error {
+		return n.passOn(pending, connection, order, &transfer{resp: resp, first: first}, rest)
+	}
 	resp, body, keep, ending := pending.readAnswer(connection, request)
 	if err != nil {
 		keep = false
@@ -64,19 +68,33 @@
 			ending = forward.Broken
 		}
 	}
-	if resp != nil && (ending == forward.Complete || ending == forward.Rejected) {
-		if pending.backendAnswers == nil {
-			pending.backendAnswers = map[int]backendAnswer{}
-		}
-		pending.backendAnswers[order.Attempt] = backendAnswer{resp, body}
-	}
 	status := 0
 	if resp != nil {
 		status, connection.keepAlive = resp.StatusCode, keepAliveTimeout(resp.Header)
 	}
+	if sent := sender.stop(); sent != nil {
+		keep = false
+		if ending == forward.Broken && sent.refusal != 0 {
+			ending, status = forward.Unfinished, sent.refusal
+		}
+	}
+	if resp != nil && (ending == forward.Complete || ending == forward.Rejected) {
+		n.setBackendAnswer(pending, order.Attempt, backendAnswer{resp: resp, body: body})
+	}
 	n.finishAttempt(pending, connection, keep && (ending == forward.Complete || ending == forward.Rejected), ending == forward.Broken, AttemptEnded{order.Request, order.Attempt, ending, status})
 }
 
+// setBackendAnswer keeps the answer to an attempt until the reducer has it delivered. One that was handed
+// over while it was read stays.
+func (n *Node) setBackendAnswer(pending *call, attempt int, answer backendAnswer) {
+	if pending.backendAnswers == nil {
+		pending.backendAnswers = map[int]backendAnswer{}
+	}
+	if pending.backendAnswers[attempt].transfer == nil {
+		pending.backendAnswers[attempt] = answer
+	}
+}
+
 // writeObstacle returns why a request must not be written now although its connection is good, or ""
 // if it may be.
 func (n *Node) writeObstacle(pending *call, order forward.Write) (reason string) {
@@ -107,7 +125,7 @@
 func (n *Node) startWriting(pending *call) bool {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	if pending.canceled {
+	if pending.canceled.Load() {
 		return false
 	}
 	dispatch := &pending.original().dispatch
@@ -120,8 +138,8 @@
 func (n *Node) finishAttempt(pending *call, connection *conn, keep, eject bool, end any) {
 	n.lock.Lock()
 	pending.conn = nil
-	canceled := pending.canceled && pending.started
-	pending.started = false
+	canceled := pending.canceled.Load() && pending.started
+	pending.started, pending.reclaimed = false, false
 	n.lock.Unlock()
 	if canceled {
 		keep, eject, end = false, false, canceledEnd(end)
@@ -150,9 +168,9 @@
 
 // readAnswer reads the answer to a request and classifies it. It skips informational answers and, on
 // routed requests, up to maxSurplusAnswers answers to other requests. An answer must have a known end:
-// one that lasts until the connection closes can't be told from a truncated one.
+// one that lasts until the connection closes can't be told from a truncated one. A long answer is passed on
+// while it is read, once its head has been checked; one that nobody waits for is read and dropped.
 func (pending *call) readAnswer(connection *conn, req *http.Request) (*http.Response, payload, bool, forward.Ending) {
-	maxBytes := pending.lane.MaxResponseBody
 	for surplusAnswers := 0; ; {
 		resp, err := connection.readHead(req, pending.claim)
 		if err != nil {
@@ -161,13 +179,13 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != 101 {
 			continue
 		}
-		body, err := pending.readAnswerBody(connection, resp, maxBytes)
+		ofOther := pending.HeaderNames != nil && pending.answersOtherRequest(resp) && surplusAnswers < maxSurplusAnswers
+		body, err := pending.readAnswerBody(connection, resp, ofOther)
 		if err != nil {
 			return resp, payload{}, false, endingOf(err)
 		}
 		closeErr := resp.Body.Close()
-		if pending.HeaderNames != nil && pending.answersOtherRequest(resp) && surplusAnswers < maxSurplusAnswers {
-			body.release(pending.claim)
+		if ofOther {
 			if closeErr != nil || resp.Close || req.Method == "HEAD" && resp.ContentLength != 0 {
 				return resp, payload{}, false, forward.Malformed
 			}
@@ -187,28 +205,46 @@
 
 // checkAnswer reports whether an answer that was read may be passed on: forward.Complete if so.
 func (pending *call) checkAnswer(connection *conn, resp *http.Response, body payload) forward.Ending {
-	bodyless := resp.Request.Method == "HEAD" || resp.StatusCode == 204 || resp.StatusCode == 304
-	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bodyless
-	surplus := connection.reader.Buffered() > 0 && pending.HeaderNames == nil
-	if resp.StatusCode < 200 || untilClose || surplus || resp.ProtoMajor != 1 {
+	if !framingCertain(resp) || pending.surplusBytes(connection) {
 		return forward.Malformed
 	}
 	return pending.checkContent(resp, body)
 }
 
-// readAnswerBody reads the body of an answer.
-func (pending *call) readAnswerBody(connection *conn, resp *http.Response, maxBytes int64) (payload, error) {
+// framingCertain reports whether an answer is final and its end is certain.
+func framingCertain(resp *http.Response) bool {
+	bodyless := resp.Request.Method == "HEAD" || resp.StatusCode == 204 || resp.StatusCode == 304
+	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bodyless
+	return resp.StatusCode >= 200 && !untilClose && resp.ProtoMajor == 1
+}
+
+// surplusBytes reports whether bytes follow an answer that must be the last of its connection's.
+func (pending *call) surplusBytes(connection *conn) bool {
+	return pending.HeaderNames == nil && connection.reader.Buffered() > 0
+}
+
+// readAnswerBody reads the body of an answer. What was passed on, or what nobody waits for, is not in the
+// payload that it returns.
+func (pending *call) readAnswerBody(connection *conn, resp *http.Response, ofOther bool) (payload, error) {
 	raise := func(bytes int64) func() { return connection.raiseBuffer(pending.claim, bytes) }
 	source := &raisingReader{Reader: resp.Body, raise: raise}
 	defer source.settle()
+	maxBytes := pending.lane.MaxResponseBody
 	reader := payloadReader{claim: pending.claim, limit: maxBytes, wait: maxAnswerMemoryWait}
 	switch {
 	case resp.Body == http.NoBody:
 		return payload{}, nil
+	case resp.ContentLength > maxBytes:
+		return payload{}, errTooLong
+	case ofOther || pending.unwanted():
+		return payload{}, pending.dropRest(resp.Body, maxBytes)
+	case pending.passOn != nil && pending.mayPassOn(resp):
+		return pending.readOrPassOn(resp, source, reader)
 	case resp.ContentLength >= 0:
 		return reader.readWhole(source, resp.ContentLength)
 	}
-	return reader.readPieces(source, -1)
+	body, _, err := reader.readPieces(source, -1)
+	return body, err
 }
 
 // checkContent checks the content of an answer. Uncompressed JSON is checked for completeness.
@@ -225,8 +261,7 @@
 	if resp.Header.Get("Content-Encoding") != "" {
 		return forward.Malformed
 	}
-	contentType := resp.Header.Get("Content-Type")
-	if contentType != "" && !strings.Contains(contentType, "json") {
+	if !mayBeJSON(resp) {
 		return forward.Complete
 	}
 	text, ok := body.joined(pending.claim)
@@ -239,6 +274,12 @@
 	return forward.Complete
 }
 
+// mayBeJSON reports whether the content of an answer is checked as JSON.
+func mayBeJSON(resp *http.Response) bool {
+	contentType := resp.Header.Get("Content-Type")
+	return contentType == "" || strings.Contains(contentType, "json")
+}
+
 // endingOf classifies an error from reading an answer.
 func endingOf(err error) forward.Ending {
 	var opErr *net.OpError
--- a/data/front.go
+++ b/data/front.go
@@ -117,14 +117,22 @@
 	return append([]byte(req.Method+" "+pending.req.RequestURI+" HTTP/1.1\r\n"), rest...), nil
 }
 
-// encode returns the pieces of a request to a backend. A short body shares a piece with the head.
+// encode returns the pieces of a request to a backend, or of its beginning. A short body shares a piece with
+// the head.
 func (pending *call) encode(req *http.Request) (payload, error) {
 	head, err := pending.encodeHead(req)
 	if err != nil {
 		return payload{}, err
 	}
 	pieces := pending.body.pieces
-	if pending.body.size <= maxPieceBytes {
+	if pending.rest != nil && pending.rest.length < 0 {
+		pieces = nil
+		for _, piece := range pending.body.pieces {
+			pieces = append(pieces, chunkOf(piece, false)...)
+		}
+		return payload{pieces: append([][]byte{head}, pieces...)}, nil
+	}
+	if pending.rest == nil && pending.body.size <= maxPieceBytes {
 		for _, piece := range pieces {
 			head = append(head, piece...)
 		}
@@ -151,7 +159,7 @@
 	start := ident.Now()
 	config := n.config.Load()
 	refuse := func(status int, reason string, retryAfter time.Duration) {
-		n.writeRoutedRefusal(w, n.refusal(status, reason, retryAfter))
+		answerEarly(w, r, func() { n.writeRoutedRefusal(w, n.refusal(status, reason, retryAfter)) })
 	}
 	if config.desired == nil {
 		refuse(503, "no desired state read yet", n.startupRetryAfter(start))
@@ -182,15 +190,15 @@
 		return
 	}
 	claim := daemon.TakeClaim(r)
-	body, status, reason := readBody(w, r, lane.MaxRequestBody, timeLeft, claim)
-	if reason != "" {
+	body, refusal := readBody(w, r, lane, timeLeft, claim)
+	if refusal != nil {
 		claim.Release()
-		refuse(status, reason, retryAfterMemory(status))
+		refuse(refusal.status, refusal.reason, retryAfterMemory(refusal.status))
 		return
 	}
 	id := ident.RequestID(fmt.Sprintf("%s-%x-%d", n.State.Member, uint64(n.State.Incarnation)&0xffffffff, n.lastRequest.Add(1)))
-	pending := &call{HeaderNames: d, id: id, lane: lane, req: r, body: body, claim: claim, path: path, clientAnswers: make(chan clientAnswer, 2)}
-	n.submit(w, pending, forward.Arrival{ID: id, Lane: lane.Name, Rule: lane, Arrived: ident.Now(), Deadline: start.Add(timeLeft)}, config.generation)
+	pending := &call{HeaderNames: d, id: id, lane: lane, req: r, body: body.payload, rest: body.rest, claim: claim, path: path, clientAnswers: make(chan clientAnswer, 2)}
+	n.submit(w, pending, forward.Arrival{ID: id, Lane: lane.Name, Rule: lane, Arrived: ident.Now(), Deadline: start.Add(timeLeft), SingleUse: body.rest != nil}, config.generation)
 }
 
 // startupRetryAfter is the Retry-After of a refusal because the node has no valid configuration yet.
--- a/data/http.go
+++ b/data/http.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -19,7 +18,6 @@
 	"sloeturn/desired"
 	"sloeturn/forward"
 	"sloeturn/ident"
-	"sloeturn/quota"
 	"sloeturn/wire"
 )
 
@@ -27,7 +25,6 @@
 	lanePath               = "/lanes/"
 	maxExpiryMs            = 3600000 // one hour
 	maxIdempotencyKeyBytes = 256
-	bodyReadTimeout        = 2 * time.Second
 	memoryRetryAfter       = time.Second
 	answerSlack            = 10 * time.Millisecond // for the reducer's own refusal to arrive first
 	AnswerTimeout          = forward.MaxAdmissionWait + answerSlack
@@ -136,54 +133,6 @@
 	}
 }
 
-// limitBodyWait bounds the wait for a body that is never read, so that a refusal doesn't wait for it,
-// and closes the connection after a request whose end is uncertain.
-func limitBodyWait(w http.ResponseWriter, r *http.Request) {
-	if !daemon.FramingCertain(r) {
-		w.Header().Set("Connection", "close")
-	}
-	if r.ContentLength != 0 {
-		http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	}
-}
-
-// readBody reads a request's body; status and reason are set if it can't.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeLeft time.Duration, claim *quota.Claim) (body payload, status int, reason string) {
-	if r.ContentLength > limit {
-		return payload{}, 413, "body too large"
-	}
-	if r.ContentLength == 0 {
-		return payload{}, 0, ""
-	}
-	controller := http.NewResponseController(w)
-	controller.SetReadDeadline(time.Now().Add(min(timeLeft, bodyReadTimeout)))
-	reader := payloadReader{claim: claim, limit: limit, wait: maxBodyMemoryWait}
-	raise := func(bytes int64) func() { return daemon.RaiseReceiveBuffer(r, bytes) }
-	source := &raisingReader{Reader: http.MaxBytesReader(w, r.Body, limit), raise: raise}
-	defer source.settle()
-	body, err := reader.readPieces(source, r.ContentLength)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return payload{}, 413, "body too large"
-	case errors.Is(err, errNoMemory):
-		w.Header().Set("Connection", "close")
-		return payload{}, 503, "no memory for the body"
-	case err != nil:
-		return payload{}, 408, "body broke off"
-	}
-	controller.SetReadDeadline(time.Time{})
-	return body, 0, ""
-}
-
-// retryAfterMemory is the Retry-After of a refusal of a body; 0 but for a lack of memory.
-func retryAfterMemory(status int) time.Duration {
-	if status == 503 {
-		return memoryRetryAfter
-	}
-	return 0
-}
-
 // expiryOf returns the time left for a lane request, or why the header can't be read.
 func expiryOf(r *http.Request) (time.Duration, string) {
 	text := r.Header.Get("Sloeturn-Expiry-Ms")
@@ -221,7 +170,7 @@
 	config := n.config.Load()
 	id := ident.RequestID(fmt.Sprintf("%s-%x-%d", n.State.Member, uint64(n.State.Incarnation)&0xffffffff, n.lastRequest.Add(1)))
 	refuse := func(status int, reason string, retryAfter time.Duration) {
-		n.writeLaneRefusal(w, config.generation, id, n.refusal(status, reason, retryAfter))
+		answerEarly(w, r, func() { n.writeLaneRefusal(w, config.generation, id, n.refusal(status, reason, retryAfter)) })
 	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), lanePath), "/")
 	if config.desired == nil {
@@ -252,15 +201,15 @@
 		return
 	}
 	claim := daemon.TakeClaim(r)
-	body, status, reason := readBody(w, r, lane.MaxRequestBody, timeLeft, claim)
-	if reason != "" {
+	body, refusal := readBody(w, r, lane, timeLeft, claim)
+	if refusal != nil {
 		claim.Release()
-		refuse(status, reason, retryAfterMemory(status))
+		refuse(refusal.status, refusal.reason, retryAfterMemory(refusal.status))
 		return
 	}
-	pending := &call{id: id, lane: lane, req: r, body: body, claim: claim, path: "/" + rest, clientAnswers: make(chan clientAnswer, 2)}
+	pending := &call{id: id, lane: lane, req: r, body: body.payload, rest: body.rest, claim: claim, path: "/" + rest, clientAnswers: make(chan clientAnswer, 2)}
 	now := ident.Now()
-	arrival := forward.Arrival{ID: id, Lane: lane.Name, Rule: lane, Arrived: now, Deadline: start.Add(timeLeft)}
+	arrival := forward.Arrival{ID: id, Lane: lane.Name, Rule: lane, Arrived: now, Deadline: start.Add(timeLeft), SingleUse: body.rest != nil}
 	if lane.AtMostOnce {
 		keyHash := sha256.Sum256([]byte(lane.Tenant + "\x00" + string(lane.Service) + "\x00" + idempotencyKey))
 		arrival.Key = keyHash[:16]
@@ -282,13 +231,16 @@
 	if !pending.claim.Grow(exchangeBytes, maxBodyMemoryWait) {
 		pending.claim.Release()
 		refuse("no memory for an answer", memoryRetryAfter)
+		pending.endBody(w)
 		return
 	}
-	pending.clientGone = make(chan struct{}, 1)
+	defer pending.endBody(w)
+	pending.clientGone, pending.ended = make(chan struct{}, 1), make(chan struct{})
 	n.lock.Lock()
 	n.calls[id] = pending
 	n.lock.Unlock()
 	defer func() {
+		close(pending.ended)
 		n.lock.Lock()
 		pending.endedAt = ident.Now()
 		delivered := pending.delivered
@@ -327,10 +279,15 @@
 // abandon stops serving a client that has left, and ends its connection.
 func (n *Node) abandon(pending *call) {
 	n.Put(ClientLeft{pending.id})
+	if pending.abandoned = true; pending.rest != nil {
+		daemon.ResetClient(pending.req)
+		pending.awaitSender()
+	}
 	panic(http.ErrAbortHandler)
 }
 
 func (n *Node) writeRefusal(w http.ResponseWriter, pending *call, generation ident.Generation, a forward.Answer) {
+	pending.prepareEarlyAnswer(w)
 	if pending.HeaderNames != nil {
 		n.writeRoutedRefusal(w, a)
 		return
@@ -360,18 +317,54 @@
 		if v := a.resp.Header.Get("Content-Length"); v != "" {
 			h.Set("Content-Length", v)
 		}
-	} else if a.resp.StatusCode != 204 && a.resp.StatusCode != 304 {
-		h.Set("Content-Length", strconv.FormatInt(a.body.size, 10))
+	} else if length := a.length(); length >= 0 && a.resp.StatusCode != 204 && a.resp.StatusCode != 304 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	daemon.RaiseSendBuffer(pending.req, a.body.size)
-	if a.body.size > maxPieceBytes {
+	pending.prepareEarlyAnswer(w)
+	daemon.RaiseSendBuffer(pending.req, a.sendBufferBytes())
+	if a.claim != nil {
 		a.claim.AllowRevocation(func() { daemon.ResetClient(pending.req) })
 		// The claim may outlast the answer, and the connection then belongs to the client's next request.
 		defer a.claim.ForbidRevocation()
 	}
 	w.WriteHeader(a.resp.StatusCode)
-	a.body.writeTo(w)
-	http.NewResponseController(w).Flush()
+	if a.transfer != nil {
+		n.writeTransfer(w, pending, a)
+		return
+	}
+	watchClient(pending.req).during(func() {
+		a.body.writeTo(w)
+		http.NewResponseController(w).Flush()
+	})
+}
+
+// writeTransfer writes an answer while it is read. If it breaks off, so does the connection of its client,
+// which must not take it for whole.
+func (n *Node) writeTransfer(w http.ResponseWriter, pending *call, a clientAnswer) {
+	defer a.transfer.drop()
+	if a.transfer.writeTo(w, n.watchSlow(pending, a.Request)) != nil {
+		if !pending.req.ProtoAtLeast(1, 1) {
+			// Without chunks the end of the connection would be that of the answer.
+			daemon.ResetClient(pending.req)
+		}
+		n.abandon(pending)
+	}
+}
+
+// length returns the length of the answer's body, -1 if it isn't known.
+func (a *clientAnswer) length() int64 {
+	if a.transfer != nil {
+		return a.transfer.resp.ContentLength
+	}
+	return a.body.size
+}
+
+// sendBufferBytes returns the size of the kernel's buffer from which the answer is best sent.
+func (a *clientAnswer) sendBufferBytes() int64 {
+	if a.transfer != nil {
+		return longPayloadBytes * longPayloadFactor
+	}
+	return a.body.size
 }
 
 // backendRequest makes the request for a backend, which tells it how long it has until answerBy.
@@ -404,6 +397,10 @@
 	if req.Header.Get("User-Agent") == "" {
 		req.Header["User-Agent"] = []string{""}
 	}
+	if pending.rest != nil {
+		pending.setRestLength(req)
+		return
+	}
 	if pending.body.size > 0 || pending.req.Method == "POST" || pending.req.Method == "PUT" || pending.req.Method == "PATCH" {
 		req.ContentLength = pending.body.size
 		req.Body = io.NopCloser(pending.body.reader())
@@ -503,12 +500,13 @@
 	}
 	metric("stray_answers_total{to=\"announcement\"}", s.StrayAnswers)
 	metric("stray_answers_total{to=\"ask\"}", s.Relay.StrayAnswers)
+	metric("answers_dropped_total", droppedAnswers.Load())
 	metric("wire_sent_total", n.Hub.SentFrames.Load())
 	metric("wire_bytes_total", n.Hub.SentBytes.Load())
 	metric("wire_lost_total", n.Hub.LostFrames.Load())
 	metric("ring_dropped_total", n.Dropped.Load())
 	metric("slowest_batch_seconds", time.Duration(n.SlowestBatch.Load()).Seconds())
-	for _, k := range []string{"refused", "further", "ended whole", "ended garbled", "ended broken", "ended late", "ended canceled", "ended unread", "client left"} {
+	for _, k := range []string{"refused", "further", "ended whole", "ended garbled", "ended broken", "ended late", "ended canceled", "ended unread", "ended unfinished", "revoked slow", "client left"} {
 		metric("visits_total{kind=\""+k+"\"}", s.Counters[k])
 	}
 	for _, pool := range s.Pass.PoolStatuses() {
--- a/data/node.go
+++ b/data/node.go
@@ -78,12 +78,16 @@
 	body payload
 	// claim covers the body.
 	claim *quota.Claim
+	// transfer, if not nil, brings the body.
+	transfer *transfer
 }
 
-// backendAnswer is a backend's complete answer to one attempt.
+// backendAnswer is a backend's answer to one attempt: a complete one, or one that is passed on while it is
+// read.
 type backendAnswer struct {
-	resp *http.Response
-	body payload
+	resp     *http.Response
+	body     payload
+	transfer *transfer
 }
 
 // call is the executor's state of a request, or of the hedge of one (primary is then the request).
@@ -94,6 +98,10 @@
 	lane        *desired.Lane
 	req         *http.Request
 	body        payload
+	// rest is what follows the body, if that is only the beginning of a long one; else nil.
+	rest *bodyRest
+	// passOn hands a long answer of the present attempt over; nil if it must be read whole.
+	passOn func(resp *http.Response, first payload, rest io.Reader) error
 	// claim covers the request's head and body and the answers that were read.
 	claim          *quota.Claim
 	path           string
@@ -106,10 +114,16 @@
 	hedge          ident.RequestID
 	// clientGone wakes the client's goroutine once the client is seen to have left.
 	clientGone chan struct{}
-	// started: the request is being written; canceled: nobody waits for the answer. Both are guarded
-	// by Node.lock.
-	started  bool
-	canceled bool
+	// abandoned is set once the client has left, by its goroutine.
+	abandoned bool
+	// ended is closed when the client isn't served any more; nil for a hedge.
+	ended chan struct{}
+	// started: the request is being written; reclaimed: its slot is being reclaimed. Both are guarded by
+	// Node.lock.
+	started   bool
+	reclaimed bool
+	// canceled is set once nobody waits for the answer.
+	canceled atomic.Bool
 	// delivered are the requests whose answer this client's goroutine has to write. Guarded by
 	// Node.lock.
 	delivered []ident.RequestID
@@ -236,6 +250,10 @@
 			n.sendAnswer(e.Request, clientAnswer{Answer: e})
 		case forward.Deliver:
 			n.deliver(e)
+		case forward.Discard:
+			n.dropAnswer(e.Request, e.Attempt)
+		case forward.Revoke:
+			go n.revoke(e.Request)
 		case forward.Trace:
 			n.Add(daemon.Decision{Generation: uint64(n.State.adoptedVersion), Decision: "visit", Visit: string(e.Request), Lane: string(e.Lane), From: e.From.String(), To: e.To.String(), Backend: string(e.Addr), Note: e.Note}, now)
 		case admission.Close:
@@ -291,7 +309,7 @@
 	}
 	if pending := n.findCall(e.Request); pending != nil {
 		answer := pending.backendAnswers[e.Attempt]
-		n.sendAnswer(e.Request, clientAnswer{Answer: forward.Answer{Request: e.Request, Ran: forward.RanYes}, resp: answer.resp, body: answer.body, claim: pending.claim})
+		n.sendAnswer(e.Request, clientAnswer{Answer: forward.Answer{Request: e.Request, Ran: forward.RanYes}, resp: answer.resp, body: answer.body, claim: pending.claim, transfer: answer.transfer})
 	}
 }
 
@@ -358,7 +376,7 @@
 // that undoes it.
 func (c *conn) raiseBuffer(claim *quota.Claim, bytes int64) (lower func()) {
 	size, charge := daemon.RaisedBuffer(bytes, backendBufferBytes)
-	if claim == nil || charge == 0 || !claim.Grow(charge, 0) {
+	if claim == nil || charge == 0 || !claim.GrowSpare(charge) {
 		return func() {}
 	}
 	daemon.SetBuffers(c.Conn, size, 0)
--- a/data/payload.go
+++ b/data/payload.go
@@ -46,6 +46,8 @@
 	// limit is the longest payload in bytes, wait how long to wait for memory.
 	limit int64
 	wait  time.Duration
+	// hold, if not 0, is how many bytes are read at most; the rest stays in the source.
+	hold int64
 }
 
 // readWhole reads a payload whose length is known. All of its memory is claimed at once, so that payloads
@@ -65,19 +67,21 @@
 	return payload{[][]byte{whole}, length, length}, nil
 }
 
-// readPieces reads a payload until its end and claims memory as its bytes arrive. length is -1 if it is not
-// known.
-func (p payloadReader) readPieces(source io.Reader, length int64) (payload, error) {
+// readPieces reads a payload until its end, or as much as is held, and claims memory as its bytes arrive.
+// length is -1 if it is not known. ended reports whether the payload was read to its end.
+func (p payloadReader) readPieces(source io.Reader, length int64) (body payload, ended bool, err error) {
 	deadline := ident.Now().Add(p.wait)
-	var body payload
 	next := int64(minPieceBytes)
 	for {
 		if length >= 0 {
 			next = min(length-body.size, maxPieceBytes)
 		}
+		if p.hold > 0 {
+			next = min(next, p.hold-body.size)
+		}
 		if !p.claim.Grow(next, deadline.Sub(ident.Now())) {
 			body.release(p.claim)
-			return payload{}, errNoMemory
+			return payload{}, false, errNoMemory
 		}
 		body.claimed += next
 		piece := make([]byte, next)
@@ -90,11 +94,14 @@
 		case body.size > p.limit:
 			err = errTooLong
 		case errors.Is(err, io.EOF), err == nil && body.size == length:
-			return body, nil
+			return body, true, nil
 		}
 		if err != nil {
 			body.release(p.claim)
-			return payload{}, err
+			return payload{}, false, err
+		}
+		if p.hold > 0 && body.size >= p.hold {
+			return body, false, nil
 		}
 		next = min(2*next, maxPieceBytes)
 	}
--- a/data/state.go
+++ b/data/state.go
@@ -118,7 +118,15 @@
 
 // Open returns the number of requests that have not ended: those in progress, and those whose answer is
 // still being written to a client.
-func (s *State) Open() int { return s.State.Open() + len(s.unwrittenAnswers) }
+func (s *State) Open() int {
+	open := s.State.Open()
+	for id := range s.unwrittenAnswers {
+		if s.Find(id) == nil {
+			open++
+		}
+	}
+	return open
+}
 
 func (s *State) Draining() bool { return s.draining }
 
@@ -151,6 +159,12 @@
 		s.NotWritten(e.Request, e.Attempt, e.Why, now)
 	case AttemptEnded:
 		s.Ended(e.Request, e.Attempt, e.Ending, e.Status, now)
+	case AnswerBegun:
+		s.AnswerBegun(e.Request, e.Attempt, e.Status, now)
+	case BodySent:
+		s.BodySent(e.Request, e.Attempt, now)
+	case TransferSlow:
+		s.TransferSlow(e.Request, e.Slow, now)
 	case ConnectionFreed:
 		s.ConnectionFreed(e.Key, e.Keep, e.Eject, now)
 	case IdleConnectionEnded:
--- a/desired/route.go
+++ b/desired/route.go
@@ -111,11 +111,23 @@
 		effective.ConnectTimeout = min(effective.ConnectTimeout, effective.MaxWait)
 	}
 	if limits != nil && limits.BodyBytes > 0 {
-		effective.MaxRequestBody = min(effective.MaxRequestBody, limits.BodyBytes)
+		effective.MaxRequestBody = routedBodyBytes(lane, limits)
 	}
 	return &effective
 }
 
+// maxLaneBodyBytes is the longest body that a lane can state.
+const maxLaneBodyBytes = 16 << 20
+
+// routedBodyBytes is the longest body of a routed request. A lane that states the longest there is leaves it
+// to the fleet's limits, which may be larger.
+func routedBodyBytes(lane *Lane, limits *Limits) int64 {
+	if lane.MaxRequestBody == maxLaneBodyBytes {
+		return limits.BodyBytes
+	}
+	return min(lane.MaxRequestBody, limits.BodyBytes)
+}
+
 // indexRoutes groups the routes by host, the longest prefixes first, and reports routes of the same host
 // and prefix.
 func (c *checker) indexRoutes(state *State) {
--- a/desired/route_test.go
+++ b/desired/route_test.go
@@ -261,3 +261,11 @@
 		}
 	})
 }
+
+// Guards against routed bodies that are refused although the fleet's limits allow them.
+func TestALaneThatStatesTheLongestBodyLeavesItToTheLimits(t *testing.T) {
+	limits := &Limits{BodyBytes: 64 << 20}
+	require.Equal(t, int64(64<<20), routedBodyBytes(&Lane{MaxRequestBody: maxLaneBodyBytes}, limits))
+	require.Equal(t, int64(10), routedBodyBytes(&Lane{MaxRequestBody: 10}, limits))
+	require.Equal(t, int64(5), routedBodyBytes(&Lane{MaxRequestBody: maxLaneBodyBytes}, &Limits{BodyBytes: 5}))
+}
--- a/desired/state.go
+++ b/desired/state.go
@@ -382,7 +382,7 @@
 		c.addFault(path+"/repeatable", "cannot stand beside once")
 	}
 	lane.MaxAttempts = o.integer("shots", 1, 4, 2, false)
-	lane.MaxRequestBody = int64(o.integer("bodyBytes", 0, 16<<20, 64<<10, false))
+	lane.MaxRequestBody = int64(o.integer("bodyBytes", 0, maxLaneBodyBytes, 64<<10, false))
 	lane.MaxResponseBody = int64(o.integer("answerBytes", 1, 64<<20, 1<<20, false))
 	if lane.Tenant != "" && state.Tenants[lane.Tenant] == nil {
 		c.addFault(path+"/tenant", "names %q, which tenants does not hold", lane.Tenant)
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -15,6 +15,9 @@
 		return
 	}
 	s.Counters["ended "+ending.String()]++
+	req.bodySpent = req.SingleUse
+	delete(s.slow, req.ID)
+	req.slowSince, req.revokedAt = 0, 0
 	s.observe(req, ending, status, now)
 	if partner := s.partner(req); partner != nil {
 		if ending != Complete || status >= 500 || req.isGatewayStatus(status) {
@@ -35,6 +38,8 @@
 		s.finish(req, Answer{Status: 504, Ran: RanUnknown, Reason: "no answer in time"})
 	case Unread:
 		s.finishUnanswered(req, Answer{Status: 502, Ran: RanUnknown, Reason: "no memory for the answer"})
+	case Unfinished:
+		s.finish(req, Answer{Status: status, Ran: RanUnknown, Reason: "the body was not sent whole"})
 	case Malformed:
 		s.handleLost(req, "the backend's answer was garbled", now)
 	default:
@@ -162,6 +167,7 @@
 	s.answer(req, a)
 	s.transition(req, Answered, a.Reason)
 	delete(s.requests, req.ID)
+	delete(s.slow, req.ID)
 }
 
 // withdraw ends an attempt before its first byte is sent. connected tells that it has a connection.
@@ -211,7 +217,7 @@
 func (s *State) observe(req *Request, ending Ending, status int, now ident.Moment) {
 	backend := req.Backend
 	switch {
-	case req.timedOut, req.canceled, ending == Unread:
+	case req.timedOut, req.canceled, req.begun, ending == Unread, ending == Unfinished:
 	case ending == Complete && status < 500:
 		s.State.ObserveDuration(backend.Addr, backend.Incarnation, req.latencyKind(), now.Sub(req.sentAt), now)
 	case ending != Misdirected:
--- a/forward/cancel.go
+++ b/forward/cancel.go
@@ -36,6 +36,10 @@
 		s.withdraw(req, reason, req.Phase >= Connected, now)
 		return
 	}
+	if req.begun {
+		req.begun, req.timedOut = false, true
+		req.ReclaimAt = max(req.ReclaimAt, now.Add(req.Rule.RequestTimeout))
+	}
 	s.cancel(req, now)
 }
 
--- a/forward/effects.go
+++ b/forward/effects.go
@@ -33,6 +33,13 @@
 	// Cancel cancels a request that was sent and whose answer nobody waits for. The executor
 	// closes its half of the connection; the slot is held until the backend ends the other half.
 	Cancel struct{ Request ident.RequestID }
+	// Discard drops the answer of an attempt, which is still being read and which nobody waits for.
+	Discard struct {
+		Request ident.RequestID
+		Attempt int
+	}
+	// Revoke cuts off a request's client, which holds up a transfer while others wait for its slot.
+	Revoke struct{ Request ident.RequestID }
 	// Deliver passes an attempt's answer on to the client.
 	Deliver struct {
 		Request ident.RequestID
--- a/forward/hedge.go
+++ b/forward/hedge.go
@@ -15,7 +15,7 @@
 // hedge sends an overdue request to another backend in parallel. The first whole answer counts; the
 // attempt is paid for by the retry budget of the service.
 func (s *State) hedge(req *Request, now ident.Moment) {
-	if req.partner != "" || req.Done || !req.Rule.Repeatable || req.Attempt >= req.Rule.MaxAttempts {
+	if req.partner != "" || req.Done || req.SingleUse || !req.Rule.Repeatable || req.Attempt >= req.Rule.MaxAttempts {
 		return
 	}
 	overdueAfter, usual, ok := s.State.LatencyThresholds(req.latencyKind())
--- a/forward/request.go
+++ b/forward/request.go
@@ -49,6 +49,8 @@
 	BodyDigest []byte
 	Arrived    ident.Moment
 	Deadline   ident.Moment
+	// SingleUse: only the beginning of the body is held, so that it can be sent to one backend only.
+	SingleUse bool
 }
 
 // Ending is how an attempt that was sent ended.
@@ -63,10 +65,11 @@
 	Misdirected               // the same, because the address now belongs to another backend
 	Canceled                  // the connection ended after this node had canceled the attempt
 	Unread                    // an answer came that this node has no memory for
+	Unfinished                // the client did not send the rest of the body
 )
 
 func (e Ending) String() string {
-	return [...]string{"whole", "garbled", "broken", "late", "turned away", "moved", "canceled", "unread"}[e]
+	return [...]string{"whole", "garbled", "broken", "late", "turned away", "moved", "canceled", "unread", "unfinished"}[e]
 }
 
 // Request is a client's request and its present attempt at a backend. A hedge, sent in parallel with an
@@ -89,6 +92,10 @@
 	sentAt          ident.Moment
 	timedOut        bool                // its deadline passed before it ended
 	canceled        bool                // its cancellation was requested
+	bodySpent       bool                // its body was sent and can't be sent again
+	begun           bool                // its client is being given the answer
+	slowSince       ident.Moment        // since when its client holds up a transfer; 0: it doesn't
+	revokedAt       ident.Moment        // when its client was cut off for others; 0: it wasn't
 	hedge           bool                // it is the second attempt of a hedged request
 	partner         ident.RequestID     // the other attempt of a hedged request; empty: none
 	tried           map[ident.Addr]bool // backends that are not tried again
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -12,7 +12,7 @@
 // retry sends a request to another backend, waiting until the given time at most for a slot. It returns
 // false if attempts, time or the budget are used up, or if nobody waits for the answer any more.
 func (s *State) retry(req *Request, now, until ident.Moment) bool {
-	if req.Done || req.partner != "" || req.Attempt >= req.Rule.MaxAttempts || !req.Deadline.After(now) {
+	if req.Done || req.bodySpent || req.partner != "" || req.Attempt >= req.Rule.MaxAttempts || !req.Deadline.After(now) {
 		return false
 	}
 	if !s.spendRetry(req.Rule.Service) {
--- a/forward/state.go
+++ b/forward/state.go
@@ -23,14 +23,16 @@
 	// RetryAfter is asked for the Retry-After of a refusal; 0 or nil leaves it to the lane.
 	RetryAfter func(id string) time.Duration
 	requests   map[ident.RequestID]*Request
-	budgets    map[ident.Service]*retryBudget
-	effects    []any
-	Counters   map[string]uint64
+	// slow are the requests whose clients hold up a transfer.
+	slow     map[ident.RequestID]*Request
+	budgets  map[ident.Service]*retryBudget
+	effects  []any
+	Counters map[string]uint64
 }
 
 // New returns a state without requests over an admission state.
 func New(admission *admission.State, gate Gate) *State {
-	return &State{State: admission, Gate: gate, requests: map[ident.RequestID]*Request{}, budgets: map[ident.Service]*retryBudget{}, Counters: map[string]uint64{}}
+	return &State{State: admission, Gate: gate, requests: map[ident.RequestID]*Request{}, slow: map[ident.RequestID]*Request{}, budgets: map[ident.Service]*retryBudget{}, Counters: map[string]uint64{}}
 }
 
 // Open counts the requests and hedges that have not ended.
@@ -59,7 +61,7 @@
 // Arrive accepts a client's request. The deadline of a routed one is the client's or the route's,
 // whichever comes first.
 func (s *State) Arrive(arrival Arrival, now ident.Moment) {
-	if arrival.Rule.Route != "" {
+	if arrival.Rule.Route != "" && !arrival.SingleUse {
 		arrival.Deadline = min(arrival.Deadline, arrival.Arrived.Add(arrival.Rule.ResponseTimeout))
 	}
 	req := &Request{Arrival: arrival, tried: map[ident.Addr]bool{}}
@@ -96,6 +98,9 @@
 	}
 	s.State.Acquire(req.ID, req.Lane, deadline, req.tried, now)
 	s.applyAdmission(now)
+	if req.Phase == Waiting && !req.Done {
+		s.revokeSlow(req.Lane, now)
+	}
 }
 
 // applyAdmission acts on what admission has granted, refused and closed.
@@ -110,6 +115,9 @@
 		}
 		for _, refusal := range effects.Refusals {
 			if req := s.requests[refusal.Request]; req != nil {
+				if refusal.Reason == admission.LaneFull || refusal.Reason == admission.QueueFull {
+					s.revokeSlow(req.Lane, now)
+				}
 				s.refuse(req, string(refusal.Reason))
 			}
 		}
@@ -210,16 +218,25 @@
 		s.withdraw(req, reason, true, now)
 		return
 	}
-	req.AnswerBy = req.Deadline
-	if req.Rule.Route == "" {
-		req.AnswerBy = min(req.Deadline, now.Add(req.Rule.ResponseTimeout))
-	}
-	req.ReclaimAt = now.Add(2 * req.Rule.RequestTimeout)
+	req.AnswerBy, req.ReclaimAt = s.timeLimits(req, now)
 	req.sentAt, req.timedOut = now, false
 	s.transition(req, Sent, "")
 	s.emit(Write{req.ID, req.Attempt, min(notAfter, req.Deadline), req.AnswerBy, req.ReclaimAt})
 }
 
+// timeLimits returns when a request that is sent now must be answered, and when its slot is reclaimed. A
+// body that is passed on while it arrives may take until the client's deadline, see BodySent.
+func (s *State) timeLimits(req *Request, now ident.Moment) (answerBy, reclaimAt ident.Moment) {
+	reclaimAfter := 2 * req.Rule.RequestTimeout
+	switch {
+	case req.SingleUse:
+		return req.Deadline, max(now, req.Deadline).Add(reclaimAfter)
+	case req.Rule.Route == "":
+		return min(req.Deadline, now.Add(req.Rule.ResponseTimeout)), now.Add(reclaimAfter)
+	}
+	return req.Deadline, now.Add(reclaimAfter)
+}
+
 // NotWritten records that no byte of an attempt left this node, although it was to be sent. It is not
 // known to the backend, so another attempt is safe.
 func (s *State) NotWritten(id ident.RequestID, attempt int, reason string, now ident.Moment) {
@@ -282,7 +299,7 @@
 				}
 				s.withdraw(req, reason, req.Phase >= Connected, now)
 			}
-		case req.Phase == Sent:
+		case req.Phase == Sent && !req.begun:
 			if !req.AnswerBy.After(now) {
 				if !req.timedOut {
 					s.observe(req, TimedOut, 0, now)
--- a/quota/connections_test.go
+++ b/quota/connections_test.go
@@ -41,3 +41,26 @@
 	c.Release()
 	require.Zero(t, g.Usage())
 }
+
+// Guards against clients that hold up transfers and keep new connections out.
+func TestAFullGroupWithoutIdleConnectionsClosesItsSlowestOne(t *testing.T) {
+	g := NewConnections(3)
+	var closed []string
+	open := func(name string) *Connection {
+		c, _ := g.Open(func() { closed = append(closed, name) })
+		return c
+	}
+	busy, late, early := open("busy"), open("late"), open("early")
+	early.SetSlow(true)
+	late.SetSlow(true)
+	busy.SetSlow(true)
+	busy.SetSlow(false)
+	require.NotNil(t, open("first"))
+	late.SetIdle(true)
+	require.NotNil(t, open("second"))
+	require.Nil(t, open("third"), "the others are neither idle nor slow")
+	require.Equal(t, []string{"early", "late"}, closed)
+	early.SetSlow(true)
+	busy.Release()
+	require.Equal(t, ConnectionUsage{Limit: 3, Open: 2, Peak: 3, Refused: 1, ClosedIdle: 1, ClosedSlow: 1}, g.Usage())
+}
--- a/quota/memory.go
+++ b/quota/memory.go
@@ -52,6 +52,8 @@
 	revocableSince ident.Moment
 	revoked        bool
 	released       bool
+	// long claims use no memory that is kept for small ones, however few bytes they have.
+	long bool
 }
 
 // NewClaim returns an empty claim.
@@ -62,6 +64,16 @@
 	return &Claim{memory: m}
 }
 
+// SetLong records that the claim is that of a long body or answer, which takes its time.
+func (c *Claim) SetLong() {
+	if c == nil {
+		return
+	}
+	c.memory.lock.Lock()
+	defer c.memory.lock.Unlock()
+	c.long = true
+}
+
 // Grow adds bytes to a claim before they are allocated. If there is no room it revokes other claims and
 // waits, for at most the given time. It returns false if there is still no room, or if the claim has been
 // released.
@@ -99,7 +111,7 @@
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	limit := m.limit
-	if c.bytes+bytes > SmallClaimBytes {
+	if c.long || c.bytes+bytes > SmallClaimBytes {
 		limit -= m.limit / smallClaimShare
 	}
 	possible := !c.released && c.bytes+bytes <= limit
--- a/quota/memory_test.go
+++ b/quota/memory_test.go
@@ -23,6 +23,21 @@
 	require.True(t, m.NewClaim().Grow(1<<20, 0))
 }
 
+func TestALongClaimLeavesRoomForSmallOnesHoweverFewBytesItHas(t *testing.T) {
+	m := NewMemory(8 << 20)
+	for range 7 << 20 / SmallClaimBytes {
+		c := m.NewClaim()
+		c.SetLong()
+		require.True(t, c.Grow(SmallClaimBytes, 0))
+	}
+	last := m.NewClaim()
+	require.True(t, last.Grow(1000, 0))
+	last.SetLong()
+	require.False(t, last.Grow(1, 0))
+	require.True(t, m.NewClaim().Grow(SmallClaimBytes, 0))
+	(*Claim)(nil).SetLong()
+}
+
 func TestAClaimThatWaitsTakesWhatIsGivenBack(t *testing.T) {
 	m := NewMemory(1 << 20)
 	first, second := m.NewClaim(), m.NewClaim()
