--- a/daemon/body.go
+++ b/daemon/body.go
@@ -79,17 +79,33 @@
 	}
 }
 
+// ClaimDecoding claims the memory of what a JSON text decodes to, for a request that needs it beside its
+// body; the caller releases it.
+func ClaimDecoding(r *http.Request, text []byte) (release func(), err error) {
+	c := connectionOf(r)
+	if c == nil {
+		return func() {}, nil
+	}
+	claim := c.options.Memory.NewClaim()
+	return claim.Release, claimDecoding(text, claim)
+}
+
 func claimDecoding(body []byte, claim *quota.Claim) error {
+	if !claim.Grow(decodingCost(body), bodyMemoryWait) {
+		return merry.Wrap(ErrNoMemory)
+	}
+	return nil
+}
+
+// decodingCost returns what a JSON text takes in memory once it is decoded, checked and written anew.
+func decodingCost(text []byte) int64 {
 	tokens := int64(0)
-	for _, b := range body {
+	for _, b := range text {
 		if b == ',' || b == ':' || b == '[' || b == '{' {
 			tokens++
 		}
 	}
-	if !claim.Grow(int64(len(body))*jsonByteCost+tokens*jsonTokenCost, bodyMemoryWait) {
-		return merry.Wrap(ErrNoMemory)
-	}
-	return nil
+	return int64(len(text))*jsonByteCost + tokens*jsonTokenCost
 }
 
 // RefuseUnreadBody answers a request whose body was not read for a reason that is no fault of the body, so
