control: lines of events are claimed as they come

Cause: POST /events read each line into a buffer of up to 1 MiB that nothing claimed, and decoded it unclaimed.

--- a/control/events.go
+++ b/control/events.go
@@ -1,11 +1,12 @@
 package control
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -31,30 +32,36 @@
 	Until      string          `json:"until,omitempty"`
 }
 
+// maxEventFieldBytes is how much longer an event may be than the desired state in it.
+const maxEventFieldBytes = 4096
+
 // postEvents serves POST /events: one JSON event a line, each answered by a line.
 func (n *Node) postEvents(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	out := json.NewEncoder(w)
 	ctl := http.NewResponseController(w)
 	ctl.EnableFullDuplex()
-	in := bufio.NewScanner(r.Body)
-	in.Buffer(make([]byte, 64<<10), desired.MaxBytes+4096)
-	line := 0
-	for in.Scan() {
-		line++
-		if len(bytes.TrimSpace(in.Bytes())) == 0 {
+	lines := daemon.ReadLines(r, desired.MaxBytes+maxEventFieldBytes)
+	defer lines.Release()
+	for number := 1; ; number++ {
+		line, err := lines.Next()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			out.Encode(EventResult{Line: number, Error: "line cannot be read: " + err.Error()})
+			return
+		}
+		if len(bytes.TrimSpace(line)) == 0 {
 			continue
 		}
-		t := n.handleEvent(r, in.Bytes())
-		t.Line = line
+		t := n.handleEvent(r, line)
+		t.Line = number
 		if out.Encode(t) != nil {
 			return
 		}
 		ctl.Flush()
 	}
-	if err := in.Err(); err != nil {
-		out.Encode(EventResult{Line: line + 1, Error: "line cannot be read: " + err.Error()})
-	}
 }
 
 func (n *Node) handleEvent(r *http.Request, line []byte) EventResult {
