data: a client that is never slow for long, but always, counts as slow too

A client that takes 80 ms for each 32 KiB is never slow for 0.1 s and could hold its slot for as long as its answer lasts. A transfer is now slow too if, in each second spent waiting for its client, less than 1 MiB came; time spent waiting for the backend doesn't count.

--- a/data/body.go
+++ b/data/body.go
@@ -78,7 +78,10 @@
 	raise := func(bytes int64) func() { return daemon.RaiseReceiveBuffer(r, bytes) }
 	source := &raisingReader{Reader: r.Body, raise: raise}
 	held, ended, err := payload{}, false, error(nil)
-	watchClient(r).during(func() { held, ended, err = reader.readPieces(source, r.ContentLength) })
+	watchClient(r).during(func() int {
+		held, ended, err = reader.readPieces(source, r.ContentLength)
+		return int(held.size)
+	})
 	if err != nil {
 		source.settle()
 		return requestBody{}, refusalOf(err)
@@ -197,6 +200,7 @@
 	watch.claim = pending.claim
 	go func() {
 		defer close(s.ended)
+		defer watch.finish()
 		if s.run(watch) && s.finish() {
 			n.Put(BodySent{order.Request, order.Attempt})
 		}
@@ -210,7 +214,10 @@
 	piece := make([]byte, transferBufferBytes)
 	for {
 		count, err := 0, error(nil)
-		watch.during(func() { count, err = s.rest.read(piece) })
+		watch.during(func() int {
+			count, err = s.rest.read(piece)
+			return count
+		})
 		if s.isStopped() {
 			return false
 		}
--- a/data/http.go
+++ b/data/http.go
@@ -332,9 +332,10 @@
 		n.writeTransfer(w, pending, a)
 		return
 	}
-	watchClient(pending.req).during(func() {
-		a.body.writeTo(w)
+	watchClient(pending.req).during(func() int {
+		written, _ := a.body.writeTo(w)
 		http.NewResponseController(w).Flush()
+		return written
 	})
 }
 
@@ -342,7 +343,9 @@
 // which must not take it for whole.
 func (n *Node) writeTransfer(w http.ResponseWriter, pending *call, a clientAnswer) {
 	defer a.transfer.drop()
-	if a.transfer.writeTo(w, n.watchSlow(pending, a.Request)) != nil {
+	watch := n.watchSlow(pending, a.Request)
+	defer watch.finish()
+	if a.transfer.writeTo(w, watch) != nil {
 		if !pending.req.ProtoAtLeast(1, 1) {
 			// Without chunks the end of the connection would be that of the answer.
 			daemon.ResetClient(pending.req)
--- a/data/slow.go
+++ b/data/slow.go
@@ -10,8 +10,13 @@
 	"sloeturn/quota"
 )
 
-// slowAfter is how long a client may take for a piece of a transfer before it counts as slow.
-const slowAfter = 100 * time.Millisecond
+const (
+	// slowAfter is how long a client may take for a piece of a transfer before it counts as slow.
+	slowAfter = 100 * time.Millisecond
+	// A client is also slow if, in lagTime of waiting for it, fewer bytes came than lagBytesPerSecond.
+	lagTime           = time.Second
+	lagBytesPerSecond = 1 << 20
+)
 
 // slowWatch reports whether a client holds up the steps of a transfer. It isn't used by several goroutines
 // at once.
@@ -23,8 +28,12 @@
 	reset func()
 
 	lock sync.Mutex
-	// running is set during a step, slow while one is reported as slow.
-	running, slow bool
+	// running is set during a step, stalled in one that takes too long, lagging if the last steps together
+	// did; slow is what was reported.
+	running, stalled, lagging, slow bool
+	// waited is the time that the last steps took, and moved the bytes that they brought.
+	waited time.Duration
+	moved  int64
 }
 
 // watchClient returns a watch that tells a client's connection.
@@ -43,32 +52,61 @@
 	return watch
 }
 
-// during runs a step that waits for the client.
-func (w *slowWatch) during(step func()) {
-	w.setRunning(true)
+// during runs a step that waits for the client and returns how many bytes it moved.
+func (w *slowWatch) during(step func() (bytes int)) {
+	w.begin()
 	timer := time.AfterFunc(slowAfter, w.expire)
-	step()
+	started := ident.Now()
+	bytes := step()
 	timer.Stop()
-	w.setRunning(false)
+	w.end(int64(bytes), ident.Now().Sub(started))
+}
+
+func (w *slowWatch) begin() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.running = true
 }
 
+// expire records that the present step takes too long.
 func (w *slowWatch) expire() {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	if w.running && !w.slow {
-		w.slow = true
-		w.claim.AllowRevocation(w.reset)
-		w.report(true)
+	if w.stalled = w.running; w.stalled {
+		w.reportChange()
 	}
 }
 
-func (w *slowWatch) setRunning(running bool) {
+func (w *slowWatch) end(bytes int64, took time.Duration) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.running = running
-	if w.slow && !running {
-		w.slow = false
+	w.running, w.stalled = false, false
+	w.waited, w.moved = w.waited+took, w.moved+bytes
+	if w.waited >= lagTime {
+		w.lagging = float64(w.moved) < w.waited.Seconds()*lagBytesPerSecond
+		w.waited, w.moved = 0, 0
+	}
+	w.reportChange()
+}
+
+// reportChange needs the lock.
+func (w *slowWatch) reportChange() {
+	slow := w.stalled || w.lagging
+	if slow == w.slow {
+		return
+	}
+	if w.slow = slow; slow {
+		w.claim.AllowRevocation(w.reset)
+	} else {
 		w.claim.ForbidRevocation()
-		w.report(false)
 	}
+	w.report(slow)
+}
+
+// finish records that the transfer has ended.
+func (w *slowWatch) finish() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.running, w.stalled, w.lagging = false, false, false
+	w.reportChange()
 }
--- a/data/transfer.go
+++ b/data/transfer.go
@@ -130,10 +130,11 @@
 // writeTo writes an answer to its client as it comes.
 func (t *transfer) writeTo(w http.ResponseWriter, watch *slowWatch) error {
 	write := func(piece []byte) (err error) {
-		watch.during(func() {
-			if _, err = w.Write(piece); err == nil && len(t.filled) == 0 {
+		watch.during(func() (written int) {
+			if written, err = w.Write(piece); err == nil && len(t.filled) == 0 {
 				err = http.NewResponseController(w).Flush()
 			}
+			return written
 		})
 		return err
 	}
