daemon: callers of metrics and reports at the same time share an answer

Cause: each call of /metrics, /fleet, /backends, /pools and /desired/history ran a query in the event loop and made a text of its own, as long as the fleet is large, which it held until its caller had read it: the same class as the readers of the configuration. Found by reading; no run showed a process over its limit by it.

--- a/control/http.go
+++ b/control/http.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"sloeturn/agreement"
 	"sloeturn/daemon"
 	"sloeturn/desired"
 	"sloeturn/ident"
@@ -62,10 +61,10 @@
 	mux.HandleFunc("DELETE /desired/held/{place}", n.withdrawHeld)
 	mux.HandleFunc("GET /desired/held", n.getHeld)
 	mux.HandleFunc("GET /desired", n.getDesired)
-	mux.HandleFunc("GET /desired/history", func(w http.ResponseWriter, r *http.Request) { n.queryJSON(w, historyReport) })
+	mux.HandleFunc("GET /desired/history", n.sharedQuery(historyReport))
 	mux.HandleFunc("GET /desired/{generation}", n.getDesired)
-	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, r *http.Request) { n.queryJSON(w, fleetReport) })
-	mux.HandleFunc("GET /backends", func(w http.ResponseWriter, r *http.Request) { n.queryJSON(w, backendsReport) })
+	mux.HandleFunc("GET /fleet", n.sharedQuery(fleetReport))
+	mux.HandleFunc("GET /backends", n.sharedQuery(backendsReport))
 	mux.HandleFunc("POST /seats/{seat}/free", n.freeSeat)
 	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, r *http.Request) {
 		n.Put(Drain{})
@@ -79,14 +78,9 @@
 	return mux
 }
 
-// queryJSON answers with what f reads from the state.
-func (n *Node) queryJSON(w http.ResponseWriter, f func(s *State, now ident.Moment) any) {
-	v, err := n.Query(f)
-	if err != nil {
-		daemon.WriteError(w, 503, err.Error(), nil)
-		return
-	}
-	daemon.WriteJSON(w, 200, v)
+// sharedQuery returns a handler that answers with what f reads from the state.
+func (n *Node) sharedQuery(f func(s *State, now ident.Moment) any) http.HandlerFunc {
+	return daemon.SharedJSON(func() (any, error) { return n.Query(f) })
 }
 
 // setDesired serves changes of the configuration: a whole one, a patch, or the start or end of a trial.
@@ -503,75 +497,3 @@
 	}
 	return map[string]any{"member": s.Member, "backends": out}
 }
-
-// Metrics serves this process's metrics in the text exposition format of Prometheus.
-func (n *Node) Metrics(w http.ResponseWriter, r *http.Request) {
-	result, err := n.Query(func(s *State, now ident.Moment) any {
-		var text strings.Builder
-		write := func(name string, v any) { fmt.Fprintf(&text, "sloeturn_%s %v\n", name, v) }
-		write("generation", uint64(s.Ledger.Generation))
-		write("in_force", uint64(s.Ledger.EffectiveGeneration))
-		write("grown", uint64(s.Ledger.ExpandedGeneration))
-		write("seats_taken", len(s.Ledger.Seats))
-		fenced := 0
-		for _, r := range s.Ledger.RevokedLeases {
-			if r.Fenced {
-				fenced++
-			}
-		}
-		write("leases_revoked", len(s.Ledger.RevokedLeases))
-		write("seats_fenced", fenced)
-		write("claims_kept", len(s.Ledger.Claims))
-		write("cells_held", len(s.heldCells))
-		write("stray_answers_total{to=\"announcement\"}", s.StrayAnswers)
-		write("stray_answers_total{to=\"ask\"}", s.Relay.StrayAnswers)
-		write("blackout_periods_open", len(s.Ledger.RegionsInBlackout()))
-		write("changes_held", len(s.Ledger.HeldChanges))
-		write("changes_held_bytes", s.Ledger.HeldBytes())
-		if s.watching {
-			write("calendar_clock_seconds", s.clock.UnixMs/1000)
-			clocks, _ := s.Agreement.VoterClocks(now)
-			write("calendar_clocks_told", len(clocks))
-		}
-		write("core_age_seconds", now.Sub(s.Relay.CoreAsOf).Seconds())
-		for _, c := range ident.SortedKeys(s.Relay.Cells) {
-			write(fmt.Sprintf("cell_age_seconds{cell=%q}", c), now.Sub(s.Relay.Cells[c].AsOf).Seconds())
-		}
-		for _, c := range ident.SortedKeys(s.heldCells) {
-			write(fmt.Sprintf("announcements_passed_over_total{cell=%q}", c), s.heldCells[c].table.IgnoredAnnounces)
-			write(fmt.Sprintf("drains_unanswered{cell=%q}", c), len(s.heldCells[c].drains))
-		}
-		if s.Agreement != nil {
-			write("agreement_commit", uint64(s.Agreement.Commit()))
-			write("agreement_term", uint64(s.Agreement.Term()))
-			write("agreement_leading", map[bool]int{true: 1}[s.isLeader()])
-			write("agreement_last", uint64(s.Agreement.Last()))
-			write("agreement_applied", uint64(s.Ledger.Index))
-			write("agreement_voters", len(agreement.Voters(s.Agreement.Roster())))
-			write("agreement_learners", len(s.Agreement.Roster().GetVoters())-len(agreement.Voters(s.Agreement.Roster())))
-			write("agreement_no_quorum_seconds", s.quorumLostFor(now).Seconds())
-			for _, v := range s.Agreement.Report(now) {
-				write(fmt.Sprintf("agreement_lag_entries{member=%q}", v.Member), v.Lag)
-				write(fmt.Sprintf("agreement_silent_seconds{member=%q}", v.Member), v.Silent.Seconds())
-			}
-			write("disk_ailing", map[bool]int{true: 1}[s.Agreement.DiskFailing()])
-			write("ring_used_ratio", s.ringUsed)
-			free, next, capacity := s.Agreement.RingUsage()
-			write("ring_free_bytes", free)
-			write("ring_next_snapshot_bytes", next)
-			write("ring_capacity_bytes", capacity)
-			write("ring_full", map[bool]int{true: 1}[s.Agreement.WaitsForRing()])
-		}
-		return text.String()
-	})
-	if err != nil {
-		daemon.WriteError(w, 503, err.Error(), nil)
-		return
-	}
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	io.WriteString(w, result.(string))
-	fmt.Fprintf(w, "sloeturn_disk_syncs_total %d\nsloeturn_disk_slowest_seconds %v\n", n.SyncCount.Load(), time.Duration(n.SlowestSync.Load()).Seconds())
-	fmt.Fprintf(w, "sloeturn_wire_sent_total %d\nsloeturn_wire_bytes_total %d\nsloeturn_wire_lost_total %d\nsloeturn_ring_dropped_total %d\nsloeturn_slowest_batch_seconds %v\n",
-		n.Hub.SentFrames.Load(), n.Hub.SentBytes.Load(), n.Hub.LostFrames.Load(), n.Dropped.Load(), time.Duration(n.SlowestBatch.Load()).Seconds())
-	n.ProcessMetrics.Write(w)
-}
--- a/control/node.go
+++ b/control/node.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,7 @@
 	Log   log.Logger
 	// ProcessMetrics are set before the node serves.
 	ProcessMetrics daemon.ProcessMetrics
+	metricsHandler http.HandlerFunc
 
 	ring *ringfile.Ring
 	dir  *ringfile.Dir
@@ -88,6 +90,7 @@
 		return nil, merry.Wrap(ErrStart, merry.WithCause(err))
 	}
 	n.State = s
+	n.metricsHandler = daemon.SharedAnswer(daemon.MetricsContentType, n.readMetrics)
 	n.Hub = &wire.Hub{Name: string(config.Member), Addr: string(config.Addr), Build: config.Build, Incarnation: uint64(config.Incarnation), Log: logger, Receive: func(f *wire.Frame) { n.Offer(FrameReceived{f}) }}
 	n.Step, n.BeforeEffects, n.ApplyEffects, n.TickEvent = s.Step, s.Settle, n.dispatch, Tick{}
 	n.TickDelay = func() time.Duration { return idlePause }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -5,6 +5,9 @@
 	"io"
 )
 
+// MetricsContentType is that of the Prometheus text format.
+const MetricsContentType = "text/plain; version=0.0.4"
+
 // ProcessMetrics are the metrics of a process as a whole, beside those of its reducer.
 type ProcessMetrics struct {
 	// LostLogLines returns how many lines of the log were lost because it was not read.
--- a/data/node.go
+++ b/data/node.go
@@ -166,6 +166,7 @@
 	Log   log.Logger
 	// ProcessMetrics are set before the node serves.
 	ProcessMetrics daemon.ProcessMetrics
+	metricsHandler http.HandlerFunc
 	// Memory is what all clients may make the node hold; nil for no limit. It is set before the node
 	// serves.
 	Memory *quota.Memory
@@ -190,6 +191,7 @@
 	n := &Node{Log: logger, DecisionStream: daemon.NewDecisionStream(config.Decisions, config.Incarnation), idleConns: map[admission.Key][]*conn{}, calls: map[ident.RequestID]*call{}, probes: map[ident.Addr]*probe{}, withoutKeepAlive: map[ident.Addr]bool{}, announcements: map[uint64]chan AnnounceAnswered{}, ended: make(chan struct{})}
 	n.State = New(config, ident.Now())
 	n.Hub = &wire.Hub{Name: string(config.Member), Addr: string(config.Addr), Build: config.Build, Incarnation: uint64(config.Incarnation), Log: logger, Receive: func(f *wire.Frame) { n.Offer(FrameReceived{f}) }}
+	n.metricsHandler = daemon.SharedAnswer(daemon.MetricsContentType, n.readMetrics)
 	n.Step = n.State.Step
 	n.BeforeEffects = func(now ident.Moment) {}
 	n.ApplyEffects = n.applyEffects
