review: stand-ins of the second review's cases

Cause: the cases run the programs of the deploy file as processes of their own, so they need an operator, backends, clients and links that a script can start.

--- /dev/null
+++ b/review/second/standin/main.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// The exit codes of a case.
+const (
+	held      = 0
+	broken    = 1
+	couldntDo = 2
+)
+
+var cases = map[string]func(f *fleet, trouble bool) (int, error){
+	"long-body":   longBody,
+	"slow-reader": slowReader,
+	"pause":       pause,
+	"deregister":  deregister,
+}
+
+func main() {
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: second CASE ROOT FOLDER")
+		os.Exit(couldntDo)
+	}
+	os.Exit(runCase(cases[os.Args[1]], os.Args[2], os.Args[3]))
+}
+
+func runCase(play func(f *fleet, trouble bool) (int, error), root, folder string) int {
+	f, err := newFleet(root, filepath.Join(folder, "record.txt"), 3)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return couldntDo
+	}
+	defer f.close()
+	trouble := os.Getenv("TROUBLE") != "0"
+	f.note("trouble: %v", trouble)
+	code, err := play(f, trouble)
+	if err != nil {
+		f.note("the case couldn't run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return couldntDo
+	}
+	f.note("%s", map[int]string{held: "the rule held", broken: "the rule is broken"}[code])
+	return code
+}
