review: case 9, connections of requests at work are closed for newcomers

Cause: the watch of a body that came slowly is never finished, so its client stays marked as slow; a full address closes the connection that was marked first, whatever its backend does meanwhile. Change: review/9 (from: entry): twelve unsafe requests are at work, 355 other clients connect.

--- a/review/second/standin/main.go
+++ b/review/second/standin/main.go
@@ -17,6 +17,7 @@
 	"long-body":   longBody,
 	"slow-reader": slowReader,
 	"pause":       pause,
+	"crowd":       crowd,
 	"deregister":  deregister,
 }
 
