review: scripts read TROUBLE and name their records themselves

Cause: nothing in the cases' folders showed that TROUBLE is read and record.txt written, as the stand-in did both; the control of case 10 could not fail.

--- a/review/second/standin/main.go
+++ b/review/second/standin/main.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 )
 
 // The exit codes of a case.
@@ -22,21 +21,21 @@
 }
 
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: second CASE ROOT FOLDER")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: second CASE ROOT RECORD TROUBLE; TROUBLE is 0 to leave the disruption out")
 		os.Exit(couldntDo)
 	}
-	os.Exit(runCase(cases[os.Args[1]], os.Args[2], os.Args[3]))
+	os.Exit(runCase(cases[os.Args[1]], os.Args[2], os.Args[3], os.Args[4] != "0"))
 }
 
-func runCase(play func(f *fleet, trouble bool) (int, error), root, folder string) int {
-	f, err := newFleet(root, filepath.Join(folder, "record.txt"), 3)
+// runCase plays a case on a new fleet, and writes to the record what was sent, answered and run.
+func runCase(play func(f *fleet, trouble bool) (int, error), root, record string, trouble bool) int {
+	f, err := newFleet(root, record, 3)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldntDo
 	}
 	defer f.close()
-	trouble := os.Getenv("TROUBLE") != "0"
 	f.note("trouble: %v", trouble)
 	code, err := play(f, trouble)
 	if err != nil {
--- a/review/second/standin/slowreader.go
+++ b/review/second/standin/slowreader.go
@@ -185,7 +185,7 @@
 			if e.machine != m {
 				continue
 			}
-			in := trouble && e.ended.After(sent) && e.ended.Before(acknowledged.Add(windowAfterAck))
+			in := e.ended.After(sent) && e.ended.Before(acknowledged.Add(windowAfterAck))
 			cut := e.status == 200 && !e.whole
 			switch {
 			case !in && cut:
